--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,93 @@
+// Package cli is the command line: one file for each command.
+//
+// # Usage
+//
+//	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+//
+// Every setting is a flag and an environment variable. A bad setting is named
+// with its value and what is allowed, and the exit status is 2.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+)
+
+// Exit statuses.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitSetting = 2
+)
+
+// arguments are the commands.
+type arguments struct {
+	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole fleet in this process"`
+	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+}
+
+// Description implements the argument parser's interface.
+func (arguments) Description() string {
+	return "shallotstage is a database proxy with session consistency."
+}
+
+// SettingError means that a setting has a bad value.
+type SettingError struct {
+	Setting string
+	Value   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting %s is %q; allowed: %s", e.Setting, e.Value, e.Allowed)
+}
+
+// command is one command of the command line.
+type command interface {
+	// check returns a SettingError for a bad setting.
+	check() error
+	run(ctx context.Context, stdout, stderr io.Writer) error
+}
+
+// Run carries out a command line and returns the exit status.
+func Run(args []string, stdout, stderr io.Writer) int {
+	var a arguments
+	parser, err := arg.NewParser(arg.Config{Program: "shallotstage", Out: stdout}, &a)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	err = parser.Parse(args)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		parser.WriteHelp(stdout)
+		return exitOK
+	case err != nil:
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSetting
+	}
+	c, ok := parser.Subcommand().(command)
+	if !ok {
+		parser.WriteHelp(stdout)
+		return exitSetting
+	}
+	if err := c.check(); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitSetting
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx, stdout, stderr); err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,495 @@
+// Package controller runs a control host: it takes part in the agreement and,
+// while it leads, grants leases and tokens to entry hosts, replaces primaries
+// and carries out operators' plans.
+//
+// One goroutine owns all control state. Connections, timers and platform
+// orders hand it functions to run and never touch the state themselves.
+//
+// # Usage
+//
+//	c := &controller.Controller{ID: "control-1", DataDir: dir, Peers: peers, ...}
+//	err := c.Run(ctx)
+//
+// The agreement is in package elector, the agreed state in package planner,
+// and the decisions in packages fencer, allocator, promoter and registrar.
+package controller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/internal/storer"
+	"github.com/shallotstage/shallotstage/pkg/allocator"
+	"github.com/shallotstage/shallotstage/pkg/elector"
+	"github.com/shallotstage/shallotstage/pkg/fencer"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+	"github.com/shallotstage/shallotstage/pkg/promoter"
+	"github.com/shallotstage/shallotstage/pkg/registrar"
+)
+
+const (
+	tickInterval = 20 * time.Millisecond
+	// inboxSize bounds the functions that wait for the control goroutine.
+	inboxSize = 4096
+	// compactEntries is the number of applied entries after which the log is
+	// replaced by a snapshot.
+	compactEntries = 1000
+)
+
+// ErrNotLeading means that another control host must be asked.
+var ErrNotLeading = errors.New("controller: this control host does not lead")
+
+// ErrStopped means that the control host is stopping.
+var ErrStopped = errors.New("controller: stopped")
+
+// Timing holds the intervals of control. Zero fields mean the defaults.
+type Timing struct {
+	Heartbeat       time.Duration
+	ElectionTimeout time.Duration
+	// LeaseTTL is the length of an entry host's lease.
+	LeaseTTL time.Duration
+	// SuspectAfter is how long a primary is missed before it is replaced.
+	SuspectAfter time.Duration
+	// Drift bounds how much faster one clock runs than another.
+	Drift float64
+}
+
+// withDefaults returns t with zero fields replaced.
+func (t Timing) withDefaults() Timing {
+	if t.Heartbeat == 0 {
+		t.Heartbeat = 100 * time.Millisecond
+	}
+	if t.ElectionTimeout == 0 {
+		t.ElectionTimeout = time.Second
+	}
+	if t.LeaseTTL == 0 {
+		t.LeaseTTL = 3 * time.Second
+	}
+	if t.SuspectAfter == 0 {
+		t.SuspectAfter = 600 * time.Millisecond
+	}
+	if t.Drift == 0 {
+		t.Drift = 0.01
+	}
+	return t
+}
+
+// Controller is one control host. Exported fields are set before Run.
+type Controller struct {
+	ID      string
+	DataDir string
+	// Initial are the voters of a new fleet.
+	Initial []string
+	// Seed is the configuration of a new fleet, used when the log is empty.
+	Seed []planner.Operation
+	// Timing holds the intervals.
+	Timing Timing
+	// GroupSize is the number of upstreams with which a group forms.
+	GroupSize int
+	// PlatformToken is sent with the platform's orders.
+	PlatformToken string
+	// Client sends the platform's orders; nil means the default client.
+	Client *http.Client
+	// SendPeer hands a message to the transport, which may drop it.
+	SendPeer func(m elector.Message)
+	Log      *logger.Logger
+
+	inbox   chan func()
+	stopped chan struct{}
+
+	store   *storer.Storer
+	elector *elector.Elector
+	book    *planner.Book
+	// waiting are proposals of this host by log index.
+	waiting map[uint64]proposal
+
+	lead leadership
+}
+
+// proposal is an operation whose agreement someone awaits.
+type proposal struct {
+	term uint64
+	done func(*planner.Plan, error)
+}
+
+// leadership is the state that a leader keeps and a new leader builds anew.
+type leadership struct {
+	active    bool
+	since     time.Time
+	granter   fencer.Granter
+	allocator allocator.Allocator
+	registrar registrar.Registrar
+	promoter  promoter.Promoter
+	attendees map[string]*attendee
+	// sights are the newest reports by group, host and upstream.
+	sights  map[string]map[sightKey]promoter.Sight
+	answers map[string]map[string]promoter.Answer
+	orders  map[orderKey]time.Time
+	// pending are subjects with a proposal under way.
+	pending map[string]bool
+	// fencedAt is the version at which each group's term began.
+	fencedAt map[string]uint64
+	inForce  uint64
+	settled  bool
+}
+
+// Run takes part in the agreement until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.Timing = c.Timing.withDefaults()
+	if err := c.open(); err != nil {
+		return err
+	}
+	defer func() { _ = c.store.Close() }()
+	defer close(c.stopped)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-c.inbox:
+			f()
+			c.runWaiting()
+		case <-ticker.C:
+			c.elector.Tick(time.Now())
+			c.tick(time.Now())
+		}
+		if err := c.drainOutput(); err != nil {
+			return err
+		}
+	}
+}
+
+// runWaiting runs the functions that have gathered, so that one sync serves
+// them all.
+func (c *Controller) runWaiting() {
+	for range inboxSize {
+		select {
+		case f := <-c.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// Prepare makes the control host ready to take messages. It is called before
+// Run and before any message arrives.
+func (c *Controller) Prepare() {
+	c.inbox = make(chan func(), inboxSize)
+	c.stopped = make(chan struct{})
+}
+
+func (c *Controller) open() error {
+	store, err := storer.Open(c.DataDir, c.ID)
+	if err != nil {
+		return err
+	}
+	loaded, err := store.Load()
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	book, err := planner.Unmarshal(loaded.Snapshot.Data)
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	e, err := elector.New(elector.Config{
+		ID: c.ID, Heartbeat: c.Timing.Heartbeat, ElectionTimeout: c.Timing.ElectionTimeout, Drift: c.Timing.Drift,
+		Jitter:  func(d time.Duration) time.Duration { return rand.N(d) },
+		Initial: elector.Membership{Voters: c.Initial},
+	}, loaded.Hard, loaded.Snapshot, loaded.Entries, time.Now())
+	if err != nil {
+		_ = store.Close()
+		return err
+	}
+	c.store, c.book, c.elector = store, book, e
+	c.waiting = map[uint64]proposal{}
+	return nil
+}
+
+// do runs f in the control goroutine. It returns false when the host stops.
+func (c *Controller) do(f func()) bool {
+	select {
+	case c.inbox <- f:
+		return true
+	case <-c.stopped:
+		return false
+	}
+}
+
+// Step takes a message from another control host. It is dropped when too many
+// messages wait.
+func (c *Controller) Step(m elector.Message) {
+	select {
+	case c.inbox <- func() { c.elector.Step(m, time.Now()) }:
+	default:
+	}
+}
+
+// drainOutput stores, sends and applies what the elector asks for.
+func (c *Controller) drainOutput() error {
+	for {
+		out := c.elector.Output()
+		if out.IsEmpty() {
+			return nil
+		}
+		if err := c.store.Save(out); err != nil {
+			return err
+		}
+		if out.Snapshot != nil {
+			book, err := planner.Unmarshal(out.Snapshot.Data)
+			if err != nil {
+				return err
+			}
+			c.book = book
+		}
+		for _, m := range out.Messages {
+			c.SendPeer(m)
+		}
+		for _, e := range out.Committed {
+			c.apply(e)
+		}
+		if len(out.Committed) > 0 {
+			if err := c.compact(out.Committed[len(out.Committed)-1].Index); err != nil {
+				return err
+			}
+			c.pushChanges()
+		}
+	}
+}
+
+// compact replaces the log by a snapshot when it has grown long.
+func (c *Controller) compact(applied uint64) error {
+	if applied < c.elector.FirstIndex()+compactEntries {
+		return nil
+	}
+	body, err := c.book.Marshal()
+	if err != nil {
+		return err
+	}
+	return c.store.SaveSnapshot(c.elector.Compact(applied, body))
+}
+
+// apply carries out an agreed entry.
+func (c *Controller) apply(e elector.Entry) {
+	if e.Kind != elector.EntryCommand {
+		return
+	}
+	var plan *planner.Plan
+	o, err := decodeOperation(e.Data)
+	if err == nil {
+		plan, err = c.book.Apply(o, e.Index)
+		c.applied(o, e.Index, err)
+	}
+	p, ok := c.waiting[e.Index]
+	delete(c.waiting, e.Index)
+	if !ok {
+		return
+	}
+	if p.term != e.Term {
+		err = ErrNotLeading
+	}
+	p.done(plan, err)
+}
+
+// propose asks for agreement on an operation. done is called in the control
+// goroutine once the operation was applied, or with an error if it certainly
+// was not. It may never be called when the leadership is lost.
+func (c *Controller) propose(o planner.Operation, done func(*planner.Plan, error)) {
+	o.At = time.Now().UTC().Format(time.RFC3339Nano)
+	body, err := encodeOperation(o)
+	if err != nil {
+		done(nil, err)
+		return
+	}
+	index, term, err := c.elector.Propose(body)
+	if err != nil {
+		done(nil, ErrNotLeading)
+		return
+	}
+	c.waiting[index] = proposal{term: term, done: done}
+}
+
+// Propose asks for agreement and waits for it until ctx ends. When ctx ends
+// first the operation may still be agreed on.
+func (c *Controller) Propose(ctx context.Context, o planner.Operation) (planner.Plan, error) {
+	type answer struct {
+		plan planner.Plan
+		err  error
+	}
+	answers := make(chan answer, 1)
+	ok := c.do(func() {
+		c.propose(o, func(p *planner.Plan, err error) {
+			a := answer{err: err}
+			if p != nil {
+				a.plan = *p
+			}
+			answers <- a
+		})
+	})
+	if !ok {
+		return planner.Plan{}, ErrStopped
+	}
+	select {
+	case a := <-answers:
+		return a.plan, a.err
+	case <-ctx.Done():
+		return planner.Plan{}, fmt.Errorf("controller: wait for agreement: %w", ctx.Err())
+	}
+}
+
+// Read runs f on the agreed state in the control goroutine and waits for it.
+// It returns ErrNotLeading unless this host certainly leads.
+func (c *Controller) Read(ctx context.Context, f func(*planner.Book)) error {
+	done := make(chan error, 1)
+	ok := c.do(func() {
+		if !c.elector.HasLease(time.Now()) {
+			done <- ErrNotLeading
+			return
+		}
+		f(c.book)
+		done <- nil
+	})
+	if !ok {
+		return ErrStopped
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Status is what a control host tells of itself.
+type Status struct {
+	ID        string             `json:"id"`
+	Role      elector.Role       `json:"role"`
+	Leader    string             `json:"leader"`
+	Term      uint64             `json:"term"`
+	Committed uint64             `json:"committed"`
+	Members   elector.Membership `json:"members"`
+	Hosts     int                `json:"hosts"`
+	Version   uint64             `json:"version"`
+	InForce   uint64             `json:"in_force"`
+}
+
+// Status returns the present status.
+func (c *Controller) Status(ctx context.Context) (Status, error) {
+	done := make(chan Status, 1)
+	ok := c.do(func() {
+		done <- Status{
+			ID: c.ID, Role: c.elector.Role(), Leader: c.elector.Leader(), Term: c.elector.Term(),
+			Committed: c.elector.Committed(), Members: c.elector.Membership(),
+			Hosts: c.lead.granter.Count(time.Now()), Version: c.book.State.Version, InForce: c.lead.inForce,
+		}
+	})
+	if !ok {
+		return Status{}, ErrStopped
+	}
+	select {
+	case s := <-done:
+		return s, nil
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	}
+}
+
+// tick does the leader's periodic work.
+func (c *Controller) tick(now time.Time) {
+	leads := c.elector.HasLease(now)
+	if leads && !c.lead.active {
+		c.beginLead(now)
+	}
+	if !leads {
+		if c.lead.active && c.elector.Role() != elector.RoleLeader {
+			c.endLead()
+		}
+		return
+	}
+	c.seed()
+	c.expireHosts(now)
+	c.lead.registrar.Tick(now)
+	c.syncUpstreams()
+	c.decideGroups(now)
+	c.allot(now)
+	c.noteInForce(now)
+}
+
+func (c *Controller) beginLead(now time.Time) {
+	c.lead = leadership{
+		active: true, since: now,
+		granter: fencer.Granter{TTL: c.Timing.LeaseTTL, Drift: c.Timing.Drift},
+		registrar: registrar.Registrar{
+			SuspectAfter: announceSuspect, GoneAfter: announceGone,
+		},
+		promoter: promoter.Promoter{
+			SuspectAfter: c.Timing.SuspectAfter, Fresh: sightFresh, Size: c.GroupSize,
+		},
+		attendees: map[string]*attendee{},
+		sights:    map[string]map[sightKey]promoter.Sight{},
+		answers:   map[string]map[string]promoter.Answer{},
+		orders:    map[orderKey]time.Time{},
+		pending:   map[string]bool{},
+		fencedAt:  map[string]uint64{},
+		inForce:   0,
+	}
+	c.lead.granter.Lead(now)
+	c.lead.allocator.Lead()
+	c.lead.registrar.Restore(c.book.State.Upstreams, now)
+	for _, o := range c.book.State.Organisations {
+		c.lead.allocator.SetOrganisation(o.ID, o.Rate, o.Burst, now)
+	}
+	c.Log.Info(logger.EventTermStarted, zap.String("control_host", c.ID), zap.Uint64("control_term", c.elector.Term()))
+}
+
+func (c *Controller) endLead() {
+	for _, a := range c.lead.attendees {
+		a.stop()
+	}
+	c.lead = leadership{}
+	for index, p := range c.waiting {
+		delete(c.waiting, index)
+		p.done(nil, ErrNotLeading)
+	}
+}
+
+// seed proposes the first configuration of a new fleet.
+func (c *Controller) seed() {
+	if len(c.Seed) == 0 || c.book.State.Version > 0 || c.lead.pending["seed"] {
+		return
+	}
+	c.lead.pending["seed"] = true
+	for _, o := range c.Seed {
+		c.propose(o, func(*planner.Plan, error) {})
+	}
+}
+
+// attendee is an entry host that attends this leader.
+type attendee struct {
+	host        string
+	incarnation uint64
+	out         chan *messenger.ControlOrder
+	stop        func()
+	sentVersion uint64
+}
+
+// send queues an order and reports whether there was room.
+func (a *attendee) send(o *messenger.ControlOrder) bool {
+	select {
+	case a.out <- o:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/controller/groups.go
@@ -0,0 +1,213 @@
+package controller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+	"github.com/shallotstage/shallotstage/pkg/promoter"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+const (
+	// orderRetry is the time after which an unanswered order is repeated.
+	orderRetry = 300 * time.Millisecond
+	// orderTimeout bounds one order.
+	orderTimeout = time.Second
+)
+
+type orderKey struct {
+	upstream string
+	kind     promoter.ActionKind
+	term     uint64
+}
+
+// applied follows up an agreed operation.
+func (c *Controller) applied(o planner.Operation, index uint64, err error) {
+	if err != nil {
+		c.Log.Warn(logger.EventConfigurationBad, zap.Error(err))
+	}
+	if !c.lead.active || err != nil || c.book.State.Version != index {
+		return
+	}
+	now := time.Now()
+	changes, _ := c.book.Since(index - 1)
+	for _, ch := range changes {
+		switch ch.Kind {
+		case configurer.KindOrganisation:
+			org, ok := c.book.State.Organisations[ch.ID]
+			if !ok {
+				c.lead.allocator.RemoveOrganisation(ch.ID)
+				continue
+			}
+			c.lead.allocator.SetOrganisation(org.ID, org.Rate, org.Burst, now)
+		case configurer.KindUpstream:
+			c.lead.registrar.Adopt(c.book.State.Upstreams[ch.ID])
+		case configurer.KindGroup:
+			c.groupChanged(c.book.State.Groups[ch.ID], index, o.Text)
+		}
+	}
+}
+
+func (c *Controller) groupChanged(g configurer.Group, index uint64, why string) {
+	if g.Phase == configurer.PhaseFenced {
+		c.lead.fencedAt[g.ID] = index
+		c.lead.answers[g.ID] = nil
+	}
+	event := logger.EventTermStarted
+	if g.Phase == configurer.PhaseServing {
+		event = logger.EventPromotionDone
+	}
+	c.Log.Info(event, zap.String("group", g.ID), zap.Uint64("term", g.Term), zap.String("primary", g.Primary), zap.String("why", why))
+}
+
+// syncUpstreams proposes what the registrar knows beyond the agreed state.
+func (c *Controller) syncUpstreams() {
+	for _, u := range c.lead.registrar.Upstreams() {
+		g := c.book.State.Groups[u.Group]
+		if u.Lifecycle == configurer.LifecycleAnnounced && slices.Contains(g.Members, u.ID) {
+			if c.lead.registrar.Accept(u.ID) == nil {
+				u.Lifecycle = configurer.LifecycleServing
+			}
+		}
+		if g.ID == "" {
+			c.proposeFleet("group/"+u.Group, configurer.KindGroup, u.Group,
+				configurer.Group{ID: u.Group, Phase: configurer.PhaseForming}, "group "+u.Group+" was announced by "+u.ID)
+		}
+		if old, ok := c.book.State.Upstreams[u.ID]; !ok || old != u {
+			why := fmt.Sprintf("upstream %s is %s", u.ID, u.Lifecycle)
+			c.proposeFleet("upstream/"+u.ID, configurer.KindUpstream, u.ID, u, why)
+		}
+	}
+}
+
+// decideGroups lets the promoter decide for every group.
+func (c *Controller) decideGroups(now time.Time) {
+	for id, g := range c.book.State.Groups {
+		if c.lead.pending["group/"+id] {
+			continue
+		}
+		for _, a := range c.lead.promoter.Decide(g, c.evidence(g, now)) {
+			c.act(g, a, now)
+		}
+	}
+}
+
+func (c *Controller) evidence(g configurer.Group, now time.Time) promoter.Evidence {
+	e := promoter.Evidence{Now: now, Answers: c.lead.answers[g.ID], Draining: map[string]bool{}}
+	for _, s := range c.lead.sights[g.ID] {
+		e.Sights = append(e.Sights, s)
+	}
+	for _, id := range g.Members {
+		if c.book.State.Upstreams[id].Lifecycle == configurer.LifecycleDraining {
+			e.Draining[id] = true
+		}
+	}
+	if g.Phase == configurer.PhaseForming {
+		e.Announced = c.lead.registrar.Announced(g.ID)
+	}
+	if g.Phase == configurer.PhaseFenced {
+		fencedAt, ok := c.lead.fencedAt[g.ID]
+		if !ok {
+			// A new leader waits until its own version is in force.
+			fencedAt = c.book.State.Version
+			c.lead.fencedAt[g.ID] = fencedAt
+		}
+		e.Released = c.lead.granter.InForce(fencedAt, now)
+	}
+	return e
+}
+
+func (c *Controller) act(g configurer.Group, a promoter.Action, now time.Time) {
+	if a.Kind == promoter.ActionPropose {
+		c.proposeFleet("group/"+g.ID, configurer.KindGroup, g.ID, a.Group, a.Why)
+		return
+	}
+	key := orderKey{a.Upstream, a.Kind, a.Term}
+	if now.Sub(c.lead.orders[key]) < orderRetry {
+		return
+	}
+	c.lead.orders[key] = now
+	u := c.book.State.Upstreams[a.Upstream]
+	primary := c.book.State.Upstreams[g.Primary].PlatformAddress
+	since := c.lead.since
+	go c.order(g.ID, u, a, primary, since)
+}
+
+// platformStatus is an upstream's answer to an order.
+type platformStatus struct {
+	Role       string           `json:"role"`
+	Position   tracker.Position `json:"position"`
+	FencedTerm uint64           `json:"fenced_term"`
+	Lineage    tracker.Lineage  `json:"lineage"`
+}
+
+// order carries an order to an upstream's platform interface and its answer
+// back to the control goroutine.
+func (c *Controller) order(group string, u configurer.Upstream, a promoter.Action, primary string, since time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	body := struct {
+		Term           uint64 `json:"term"`
+		PrimaryAddress string `json:"primary_address,omitempty"`
+	}{Term: a.Term}
+	if a.Kind == promoter.ActionFollow {
+		body.PrimaryAddress = primary
+	}
+	status, err := c.post(ctx, "http://"+u.PlatformAddress+"/v1/"+string(a.Kind), body)
+	if err != nil {
+		c.Log.Warn(logger.EventOrderFailed, zap.String("upstream", u.ID), zap.String("order", string(a.Kind)), zap.Error(err))
+		return
+	}
+	c.do(func() {
+		if !c.lead.active || c.lead.since != since || c.book.State.Groups[group].Term != a.Term {
+			return
+		}
+		if c.lead.answers[group] == nil {
+			c.lead.answers[group] = map[string]promoter.Answer{}
+		}
+		c.lead.answers[group][u.ID] = promoter.Answer{
+			Upstream: u.ID, Position: status.Position, FencedTerm: status.FencedTerm,
+			Primary: status.Role == "primary", Lineage: status.Lineage,
+		}
+	})
+}
+
+func (c *Controller) post(ctx context.Context, url string, v any) (platformStatus, error) {
+	var status platformStatus
+	body, err := json.Marshal(v)
+	if err != nil {
+		return status, fmt.Errorf("controller: encode order: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return status, fmt.Errorf("controller: create order: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.PlatformToken)
+	req.Header.Set("Content-Type", "application/json")
+	client := c.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return status, fmt.Errorf("controller: send order: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return status, fmt.Errorf("controller: order was refused with HTTP status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return status, fmt.Errorf("controller: decode answer: %w", err)
+	}
+	return status, nil
+}
--- /dev/null
+++ b/internal/demonstrator/layout.go
@@ -0,0 +1,91 @@
+package demonstrator
+
+import (
+	"fmt"
+	"time"
+)
+
+// DataCentre is one data centre of a layout.
+type DataCentre struct {
+	Name   string
+	Region string
+	// Entries is the number of entry hosts.
+	Entries int
+}
+
+// Layout is the size of a fleet.
+type Layout struct {
+	Name        string
+	DataCentres []DataCentre
+	Groups      int
+	// Slots and Connections are those of each upstream.
+	Slots       int
+	Connections int
+	// ConnectDelay is the time that a new upstream connection takes.
+	ConnectDelay time.Duration
+	// Lag is the replicas' replication lag.
+	Lag time.Duration
+	// LocalLatency, RegionLatency and ClientLatency are one way.
+	LocalLatency  time.Duration
+	RegionLatency time.Duration
+	ClientLatency time.Duration
+	// LinkBits is the bandwidth between the regions, each way.
+	LinkBits      float64
+	Organisations []OrganisationSize
+	// GroupName and Route are name prefixes.
+	GroupName string
+}
+
+// OrganisationSize is one organisation's share and its demand.
+type OrganisationSize struct {
+	ID    string
+	Rate  float64
+	Burst float64
+	// Demand is the request rate of its callers as a part of Rate.
+	Demand float64
+}
+
+// organisations returns 8 organisations, of which three are large and the
+// third sends several times its rate.
+func organisations(prefix string) []OrganisationSize {
+	var out []OrganisationSize
+	for i := 1; i <= 8; i++ {
+		o := OrganisationSize{ID: fmt.Sprintf("%s_%d", prefix, i), Rate: 40, Burst: 40, Demand: 0.6}
+		if i <= 3 {
+			o.Rate, o.Burst = 150, 100
+		}
+		if i == 3 {
+			o.Demand = 4
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// Association is the layout of the Prairie Merchants Search Audit Association.
+func Association() Layout {
+	return Layout{
+		Name: "association",
+		DataCentres: []DataCentre{
+			{"regina-a", "sask", 2}, {"saskatoon-a", "sask", 2}, {"winnipeg-a", "manitoba", 2},
+		},
+		Groups: 3, GroupName: "audit-ledger", Slots: 5, Connections: 30,
+		ConnectDelay: 10 * time.Millisecond, Lag: 20 * time.Millisecond,
+		LocalLatency: 1500 * time.Microsecond, RegionLatency: 30 * time.Millisecond, ClientLatency: time.Millisecond,
+		LinkBits: 30e6, Organisations: organisations("prairie"),
+	}
+}
+
+// Zupcanik is the layout of Zupčanik Grupa.
+func Zupcanik() Layout {
+	return Layout{
+		Name: "zupcanik",
+		DataCentres: []DataCentre{
+			{"split-hala", "dalmacija", 2}, {"zadar-hala", "dalmacija", 2}, {"osijek-hala", "slavonija", 2},
+		},
+		Groups: 3, GroupName: "radionica-db", Slots: 3, Connections: 40,
+		ConnectDelay: 10 * time.Millisecond, Lag: 20 * time.Millisecond,
+		LocalLatency: 500 * time.Microsecond, RegionLatency: 30 * time.Millisecond, ClientLatency: 3 * time.Millisecond,
+		LinkBits: 30e6, Organisations: organisations("radionica"),
+	}
+}
--- /dev/null
+++ b/internal/emulator/status.go
@@ -0,0 +1,23 @@
+package emulator
+
+import "github.com/shallotstage/shallotstage/pkg/tracker"
+
+// Role is the replication role of an upstream.
+type Role string
+
+// The roles.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+)
+
+// Status is what the platform's interface tells of an upstream.
+type Status struct {
+	ID       string           `json:"id"`
+	Group    string           `json:"group"`
+	Role     Role             `json:"role"`
+	Position tracker.Position `json:"position"`
+	// FencedTerm is the lowest term whose entries the upstream still accepts.
+	FencedTerm uint64          `json:"fenced_term"`
+	Lineage    tracker.Lineage `json:"lineage"`
+}
--- /dev/null
+++ b/internal/emulator/upstream.go
@@ -0,0 +1,236 @@
+// Package emulator is a stand-in for one database server of a replicated
+// group. It speaks the PostgreSQL protocol, runs SQL in an embedded SQLite
+// database, replicates its log asynchronously and obeys the platform's orders.
+//
+// It is used by tests, demonstrations and load runs only.
+//
+// # Usage
+//
+//	u := &emulator.Upstream{ID: "ledger-1-a", Group: "ledger-1", Slots: 5, Connections: 30,
+//		User: "proxy", Password: "secret", Role: emulator.RolePrimary}
+//	err := u.Run(ctx, sqlListener, platformListener)
+//
+// The upstream reports its position in the parameter "upstream_position" at
+// login, after every commit and on SHOW upstream_position. The platform's
+// interface is HTTP and JSON: GET /v1/status, POST /v1/fence, /v1/promote and
+// /v1/follow, and GET /v1/log for replicas.
+//
+// Replication repeats statements, so a statement must give the same result
+// everywhere: no random() and no clock functions.
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shallotstage/shallotstage/internal/authenticator"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+// ParameterPosition is the run-time parameter that reports the position.
+const ParameterPosition = "upstream_position"
+
+// Upstream is one stand-in database server. Fields are set before Run.
+type Upstream struct {
+	ID         string
+	Group      string
+	DataCentre string
+	Region     string
+	// Role and Term are the ones the upstream starts with.
+	Role Role
+	Term uint64
+	// PrimaryAddress is the platform address that a replica starts following.
+	PrimaryAddress string
+	// Slots bounds the statements that run at the same time.
+	Slots int
+	// Connections bounds the open connections.
+	Connections int
+	// ConnectDelay is added to each new connection.
+	ConnectDelay time.Duration
+	// Lag delays each entry on a replica after its arrival.
+	Lag time.Duration
+	// ServiceTime is added to each statement while it holds its slot.
+	ServiceTime time.Duration
+	// User and Password are the credential of the proxy.
+	User     string
+	Password string
+	// PlatformToken guards the platform's interface.
+	PlatformToken string
+	// AnnounceAddresses are the base URLs that take announcements.
+	AnnounceAddresses []string
+	// AnnounceInterval is the time between announcements; the default is 500 ms.
+	AnnounceInterval time.Duration
+	// Client sends announcements and follows the primary; nil means the
+	// default client.
+	Client *http.Client
+	Faults Faults
+
+	mu         sync.Mutex
+	engine     *engine
+	role       Role
+	position   tracker.Position
+	fencedTerm uint64
+	lineage    tracker.Lineage
+	log        []Entry
+	logChanged chan struct{}
+	follow     chan string
+
+	slots   chan struct{}
+	conns   atomic.Int64
+	cancels cancelTable
+	cutOff  atomic.Bool
+	socks   connSet
+}
+
+// Run serves until ctx ends. It closes both listeners.
+func (u *Upstream) Run(ctx context.Context, sqlListener, platformListener net.Listener) error {
+	verifier, err := authenticator.NewVerifier(u.Password)
+	if err != nil {
+		return err
+	}
+	if err := u.start(); err != nil {
+		return err
+	}
+	defer func() { u.engine.close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg sync.WaitGroup
+	run := func(f func()) {
+		wg.Add(1)
+		go func() { defer wg.Done(); f() }()
+	}
+	server := &http.Server{Handler: u.platformHandler(ctx)}
+	run(func() { _ = server.Serve(platformListener) })
+	run(func() { u.replicate(ctx) })
+	run(func() { u.announce(ctx, sqlListener.Addr().String(), platformListener.Addr().String()) })
+	run(func() { u.acceptAll(ctx, sqlListener, verifier, &wg) })
+	<-ctx.Done()
+	_ = sqlListener.Close()
+	_ = server.Close()
+	u.socks.closeAll()
+	wg.Wait()
+	return nil
+}
+
+func (u *Upstream) start() error {
+	if u.Slots < 1 || u.Connections < 1 {
+		return fmt.Errorf("emulator: upstream %s: slots and connections must be at least 1", u.ID)
+	}
+	e, err := newEngine(u.Slots + 2)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.engine = e
+	u.role = u.Role
+	u.fencedTerm = u.Term
+	u.logChanged = make(chan struct{})
+	u.follow = make(chan string, 1)
+	u.slots = make(chan struct{}, u.Slots)
+	if u.role == RolePrimary {
+		u.position = tracker.Position{Term: u.Term}
+		u.lineage = tracker.Lineage{{Term: u.Term, Offset: 0}}
+		return nil
+	}
+	if u.PrimaryAddress != "" {
+		u.follow <- u.PrimaryAddress
+	}
+	return nil
+}
+
+// Status returns the current state.
+func (u *Upstream) Status() Status {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return Status{
+		ID: u.ID, Group: u.Group, Role: u.role, Position: u.position,
+		FencedTerm: u.fencedTerm, Lineage: slices.Clone(u.lineage),
+	}
+}
+
+// Log returns the entries that the upstream holds.
+func (u *Upstream) Log() []Entry {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.log)
+}
+
+// SetCutOff drops all connections and refuses new ones while on is true, as a
+// network partition around the upstream does.
+func (u *Upstream) SetCutOff(on bool) {
+	u.cutOff.Store(on)
+	if on {
+		u.socks.closeAll()
+	}
+}
+
+// append adds an entry. The caller holds u.mu.
+func (u *Upstream) append(e Entry) {
+	u.log = append(u.log, e)
+	u.position = e.Position
+	close(u.logChanged)
+	u.logChanged = make(chan struct{})
+}
+
+func (u *Upstream) currentPosition() tracker.Position {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.position
+}
+
+func (u *Upstream) isPrimary() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.role == RolePrimary
+}
+
+// connSet is a set of open connections.
+type connSet struct {
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+}
+
+func (s *connSet) add(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = map[net.Conn]bool{}
+	}
+	s.conns[c] = true
+}
+
+func (s *connSet) remove(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *connSet) closeAll() {
+	s.mu.Lock()
+	conns := slices.Collect(maps.Keys(s.conns))
+	s.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
+// announcement returns what the upstream tells of itself.
+func (u *Upstream) announcement(sqlAddress, platformAddress string) configurer.Announcement {
+	s := u.Status()
+	return configurer.Announcement{
+		Upstream: configurer.Upstream{
+			ID: u.ID, Group: u.Group, Address: sqlAddress, PlatformAddress: platformAddress,
+			DataCentre: u.DataCentre, Region: u.Region, Slots: u.Slots, Connections: u.Connections,
+		},
+		Role: string(s.Role), Position: s.Position, Lineage: s.Lineage,
+	}
+}
--- /dev/null
+++ b/internal/linker/linker.go
@@ -0,0 +1,75 @@
+// Package linker opens and serves the connections between the processes of the
+// fleet: drpc over TCP, with mutual TLS where certificates are set.
+//
+// # Usage
+//
+//	l := linker.Linker{TLS: cfg}
+//	conn, err := l.Dial(ctx, "127.0.0.1:7001")
+//	err = l.Serve(ctx, listener, func(mux *drpcmux.Mux) error { ... })
+package linker
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 2 * time.Second
+
+// keepAlive finds connections whose other end has gone silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
+// Linker holds how connections are made. The zero value uses plain TCP.
+type Linker struct {
+	// TLS is the host's certificate with the fleet's authority; nil means no
+	// TLS.
+	TLS *tls.Config
+	// DialNet opens the network connection; nil means a dialer with
+	// keep-alive probes.
+	DialNet func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Dial opens a connection to another process.
+func (l Linker) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dial := l.DialNet
+	if dial == nil {
+		dial = (&net.Dialer{KeepAliveConfig: keepAlive}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("linker: connect to %s: %w", address, err)
+	}
+	if l.TLS == nil {
+		return drpcconn.New(conn), nil
+	}
+	t := tls.Client(conn, l.TLS)
+	if err := t.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("linker: handshake with %s: %w", address, err)
+	}
+	return drpcconn.New(t), nil
+}
+
+// Serve serves what register adds until ctx ends.
+func (l Linker) Serve(ctx context.Context, listener net.Listener, register func(mux *drpcmux.Mux) error) error {
+	mux := drpcmux.New()
+	if err := register(mux); err != nil {
+		return fmt.Errorf("linker: register services: %w", err)
+	}
+	if l.TLS != nil {
+		listener = tls.NewListener(listener, l.TLS)
+	}
+	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil && ctx.Err() == nil {
+		return fmt.Errorf("linker: serve: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logger/event.go
@@ -0,0 +1,47 @@
+package logger
+
+// Event is a numbered kind of log line. The catalogue is docs/EVENTS.md.
+type Event struct {
+	Number int
+	Name   string
+}
+
+// The events. Numbers are never used again for another meaning.
+var (
+	EventStarted            = Event{1001, "process_started"}
+	EventStopped            = Event{1002, "process_stopped"}
+	EventDraining           = Event{1003, "process_draining"}
+	EventAcceptFailed       = Event{1101, "accept_failed"}
+	EventSessionEnded       = Event{1102, "session_ended_by_proxy"}
+	EventCertificateLoaded  = Event{1103, "certificate_loaded"}
+	EventCertificateFailed  = Event{1104, "certificate_failed"}
+	EventUpstreamAnnounced  = Event{1201, "upstream_announced"}
+	EventAnnouncementBad    = Event{1202, "announcement_refused"}
+	EventLifecycleChanged   = Event{1203, "upstream_lifecycle_changed"}
+	EventControlConnected   = Event{1301, "control_connected"}
+	EventControlLost        = Event{1302, "control_lost"}
+	EventAuthorityLost      = Event{1303, "authority_lost"}
+	EventAuthorityGained    = Event{1304, "authority_gained"}
+	EventConfigurationTaken = Event{1305, "configuration_taken"}
+	EventConfigurationBad   = Event{1306, "configuration_refused"}
+	EventHostJoined         = Event{1401, "host_joined"}
+	EventHostLeft           = Event{1402, "host_left"}
+	EventTermStarted        = Event{1403, "term_started"}
+	EventPromotionDone      = Event{1404, "promotion_done"}
+	EventPromotionHeld      = Event{1405, "promotion_held"}
+	EventOrderFailed        = Event{1406, "platform_order_failed"}
+	EventInForce            = Event{1407, "configuration_in_force"}
+)
+
+// Events returns the whole catalogue.
+func Events() []Event {
+	return []Event{
+		EventStarted, EventStopped, EventDraining, EventAcceptFailed, EventSessionEnded,
+		EventCertificateLoaded, EventCertificateFailed,
+		EventUpstreamAnnounced, EventAnnouncementBad, EventLifecycleChanged,
+		EventControlConnected, EventControlLost, EventAuthorityLost, EventAuthorityGained,
+		EventConfigurationTaken, EventConfigurationBad,
+		EventHostJoined, EventHostLeft, EventTermStarted, EventPromotionDone, EventPromotionHeld,
+		EventOrderFailed, EventInForce,
+	}
+}
--- /dev/null
+++ b/internal/logger/logger.go
@@ -0,0 +1,70 @@
+// Package logger writes structured logs in which every line is a numbered
+// event of the catalogue.
+//
+// # Usage
+//
+//	l := logger.New(zapLogger)
+//	l.Info(logger.EventStarted, zap.String("host", "regina-a-1"))
+//
+// A nil Logger discards everything.
+package logger
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Logger writes events.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// New returns a Logger over z.
+func New(z *zap.Logger) *Logger { return &Logger{zap: z} }
+
+// Open returns a Logger that writes JSON lines to standard error at or above
+// the level, which is debug, info, warn or error.
+func Open(level string) (*Logger, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("logger: level: %w", err)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(l)
+	cfg.DisableStacktrace = true
+	cfg.DisableCaller = true
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	z, err := cfg.Build()
+	if err != nil {
+		return nil, fmt.Errorf("logger: build: %w", err)
+	}
+	return New(z), nil
+}
+
+// With returns a Logger that adds fields to every line.
+func (l *Logger) With(fields ...zap.Field) *Logger {
+	if l == nil {
+		return nil
+	}
+	return &Logger{zap: l.zap.With(fields...)}
+}
+
+// Info writes an event of normal operation.
+func (l *Logger) Info(e Event, fields ...zap.Field) { l.write(zapcore.InfoLevel, e, fields) }
+
+// Warn writes an event that an operator should know of.
+func (l *Logger) Warn(e Event, fields ...zap.Field) { l.write(zapcore.WarnLevel, e, fields) }
+
+// Error writes an event that needs an operator.
+func (l *Logger) Error(e Event, fields ...zap.Field) { l.write(zapcore.ErrorLevel, e, fields) }
+
+func (l *Logger) write(level zapcore.Level, e Event, fields []zap.Field) {
+	if l == nil {
+		return
+	}
+	if ce := l.zap.Check(level, e.Name); ce != nil {
+		ce.Write(append([]zap.Field{zap.Int("event", e.Number)}, fields...)...)
+	}
+}
--- /dev/null
+++ b/internal/pooler/conn.go
@@ -0,0 +1,183 @@
+package pooler
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+// maxPrepared bounds the prepared statements kept on one connection.
+const maxPrepared = 256
+
+// parameterPosition is the parameter in which an upstream reports its position.
+const parameterPosition = "upstream_position"
+
+// Conn is one connection to an upstream. One goroutine at a time uses it.
+type Conn struct {
+	Upstream string
+	// Settings are the session settings in force on the connection.
+	Settings map[string]string
+
+	net        net.Conn
+	frontend   *pgproto3.Frontend
+	address    string
+	pid        uint32
+	secret     []byte
+	position   tracker.Position
+	prepared   map[string]uint64
+	uses       uint64
+	lastUsed   time.Time
+	parameters map[string]string
+}
+
+// Open opens a connection as cfg says.
+func Open(ctx context.Context, cfg *pgconn.Config) (*Conn, error) {
+	pc, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, fmt.Errorf("pooler: connect to %s:%d: %w", cfg.Host, cfg.Port, err)
+	}
+	h, err := pc.Hijack()
+	if err != nil {
+		return nil, fmt.Errorf("pooler: take over connection: %w", err)
+	}
+	c := &Conn{
+		Settings: map[string]string{}, net: h.Conn, frontend: h.Frontend, pid: h.PID, secret: h.SecretKey,
+		address: h.Conn.RemoteAddr().String(), prepared: map[string]uint64{}, lastUsed: time.Now(), parameters: h.ParameterStatuses,
+	}
+	if p, err := tracker.ParsePosition(h.ParameterStatuses[parameterPosition]); err == nil {
+		c.position = p
+	}
+	return c, nil
+}
+
+// Position returns the last position reported on this connection.
+func (c *Conn) Position() tracker.Position { return c.position }
+
+// Parameters returns the parameters that the upstream reported at login.
+func (c *Conn) Parameters() map[string]string { return c.parameters }
+
+// Write sends encoded messages.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.net.Write(b)
+	if err != nil {
+		return n, fmt.Errorf("pooler: write to %s: %w", c.Upstream, err)
+	}
+	return n, nil
+}
+
+// SetDeadline bounds all reads and writes; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) { _ = c.net.SetDeadline(t) }
+
+// Receive returns the next message. Position reports are taken in and also
+// returned. The message is valid until the next call.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
+	msg, err := c.frontend.Receive()
+	if err != nil {
+		return nil, fmt.Errorf("pooler: receive from %s: %w", c.Upstream, err)
+	}
+	return msg, nil
+}
+
+// TakePosition records a position report. It returns false for any other
+// parameter.
+func (c *Conn) TakePosition(m *pgproto3.ParameterStatus) (tracker.Position, bool) {
+	if m.Name != parameterPosition {
+		return tracker.Position{}, false
+	}
+	p, err := tracker.ParsePosition(m.Value)
+	if err != nil {
+		return tracker.Position{}, false
+	}
+	c.position = p
+	return p, true
+}
+
+// IsPrepared reports whether the upstream holds the named statement, and marks
+// it as used.
+func (c *Conn) IsPrepared(name string) bool {
+	if _, ok := c.prepared[name]; !ok {
+		return false
+	}
+	c.uses++
+	c.prepared[name] = c.uses
+	return true
+}
+
+// MarkPrepared records that the upstream holds the named statement.
+func (c *Conn) MarkPrepared(name string) {
+	c.uses++
+	c.prepared[name] = c.uses
+}
+
+// EvictPrepared removes and returns the least recently used statement when
+// there are too many. The caller closes it upstream.
+func (c *Conn) EvictPrepared() (string, bool) {
+	if len(c.prepared) < maxPrepared {
+		return "", false
+	}
+	oldest, least := "", uint64(0)
+	for name, use := range c.prepared {
+		if oldest == "" || use < least {
+			oldest, least = name, use
+		}
+	}
+	delete(c.prepared, oldest)
+	return oldest, true
+}
+
+// Cancel asks the upstream over a connection of its own to cancel the running
+// statement.
+func (c *Conn) Cancel(ctx context.Context, dial pgconn.DialFunc) error {
+	conn, err := dial(ctx, "tcp", c.address)
+	if err != nil {
+		return fmt.Errorf("pooler: connect to cancel: %w", err)
+	}
+	defer func() { _ = conn.Close() }()
+	request := &pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}
+	b, err := request.Encode(nil)
+	if err != nil {
+		return fmt.Errorf("pooler: encode cancel request: %w", err)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	if _, err := conn.Write(b); err != nil {
+		return fmt.Errorf("pooler: send cancel request: %w", err)
+	}
+	_, _ = conn.Read(make([]byte, 1))
+	return nil
+}
+
+// check makes a round trip without a statement.
+func (c *Conn) check(timeout time.Duration) error {
+	c.SetDeadline(time.Now().Add(timeout))
+	defer c.SetDeadline(time.Time{})
+	c.frontend.Send(&pgproto3.Sync{})
+	if err := c.frontend.Flush(); err != nil {
+		return fmt.Errorf("pooler: send check to %s: %w", c.Upstream, err)
+	}
+	for {
+		msg, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.ReadyForQuery:
+			c.lastUsed = time.Now()
+			return nil
+		case *pgproto3.ParameterStatus:
+			c.TakePosition(m)
+		case *pgproto3.ErrorResponse:
+			return errors.New("pooler: upstream answered a check with " + m.Code)
+		}
+	}
+}
+
+func (c *Conn) close() { _ = c.net.Close() }
--- /dev/null
+++ b/internal/server/startup.go
@@ -0,0 +1,200 @@
+package server
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/shallotstage/shallotstage/internal/authenticator"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/refuser"
+)
+
+// errStartupEnded means that the connection ended without a session.
+var errStartupEnded = errors.New("server: connection ended during startup")
+
+// openOrganisation is charged for requests on open routes.
+const openOrganisation = "open"
+
+// serveConn runs one caller's connection from startup to its end.
+func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
+	c := &session{server: s, conn: conn, settings: map[string]string{}}
+	defer func() { _ = c.conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(s.Bounds.StartupTimeout))
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
+	err := c.startup(ctx)
+	stop()
+	if err != nil {
+		if r := refuser.From(err); r != nil {
+			s.Meter.Refused(r)
+			c.backend.Send(r.Response())
+			_ = c.backend.Flush()
+		}
+		return
+	}
+	_ = conn.SetDeadline(time.Time{})
+	defer s.sessions.remove(c)
+	c.run(ctx)
+}
+
+// startup runs the exchange up to the first ReadyForQuery.
+func (c *session) startup(ctx context.Context) error {
+	c.useWire(newWire(c.conn))
+	for {
+		msg, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			return errStartupEnded
+		}
+		switch m := msg.(type) {
+		case *pgproto3.SSLRequest:
+			if err := c.startTLS(ctx); err != nil {
+				return err
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return errStartupEnded
+			}
+		case *pgproto3.CancelRequest:
+			c.server.cancel(ctx, m.ProcessID, m.SecretKey)
+			return errStartupEnded
+		case *pgproto3.StartupMessage:
+			return c.login(ctx, m.Parameters)
+		default:
+			return errStartupEnded
+		}
+	}
+}
+
+func (c *session) startTLS(ctx context.Context) error {
+	if c.server.TLS == nil {
+		if _, err := c.conn.Write([]byte{'N'}); err != nil {
+			return errStartupEnded
+		}
+		return nil
+	}
+	if _, err := c.conn.Write([]byte{'S'}); err != nil {
+		return errStartupEnded
+	}
+	t := tls.Server(c.conn, c.server.TLS)
+	if err := t.HandshakeContext(ctx); err != nil {
+		return errStartupEnded
+	}
+	c.conn = t
+	c.useWire(newWire(t))
+	return nil
+}
+
+// login authenticates the caller and finds its route.
+func (c *session) login(ctx context.Context, parameters map[string]string) error {
+	if c.server.draining.Load() {
+		return refuser.New(refuser.ReasonShuttingDown, "")
+	}
+	state := c.server.State()
+	c.routeID = parameters["database"]
+	route, ok := state.Routes[c.routeID]
+	if ok && route.Open {
+		c.organisation = openOrganisation
+	} else if err := c.authenticate(state, parameters["user"]); err != nil {
+		return err
+	}
+	if !ok {
+		return refuser.New(refuser.ReasonRouteUnknown, "route "+c.routeID)
+	}
+	c.open = route.Open
+	c.group = route.Group
+	if r := c.standing(state); r != nil {
+		return r
+	}
+	if err := c.takeStartupSettings(parameters); err != nil {
+		return err
+	}
+	if err := c.server.sessions.add(c, c.server.HostNumber.Load()); err != nil {
+		return errStartupEnded
+	}
+	return c.greet(ctx)
+}
+
+func (c *session) authenticate(state *configurer.State, user string) error {
+	if !c.server.Authority() {
+		return refuser.New(refuser.ReasonNoAuthority, "key cannot be checked")
+	}
+	a := authenticator.Authenticator{Verifier: func(name string) (string, bool) {
+		k, ok := state.Keys[name]
+		return k.Verifier, ok && !k.Withdrawn
+	}}
+	err := a.Authenticate(c.backend, user)
+	if errors.Is(err, authenticator.ErrRejected) {
+		return refuser.New(refuser.ReasonKeyRejected, "")
+	}
+	if err != nil {
+		return errStartupEnded
+	}
+	c.keyID = user
+	c.organisation = state.Keys[user].Organisation
+	return nil
+}
+
+// startupSkipped are startup parameters that are not session settings.
+var startupSkipped = map[string]bool{"user": true, "database": true, "options": true, "replication": true}
+
+// takeStartupSettings stores the settings of the startup message, among them
+// those in options of the form "-c name=value".
+func (c *session) takeStartupSettings(parameters map[string]string) error {
+	for name, value := range parameters {
+		name = strings.ToLower(name)
+		if startupSkipped[name] || strings.HasPrefix(name, "_pq_.") {
+			continue
+		}
+		if err := c.applySetting(name, value); err != nil {
+			return err
+		}
+	}
+	fields := strings.Fields(strings.ReplaceAll(parameters["options"], "--", "-c "))
+	for i, f := range fields {
+		f = strings.TrimPrefix(f, "-c")
+		name, value, ok := strings.Cut(f, "=")
+		if !ok || i > 0 && name == "" {
+			continue
+		}
+		if err := c.applySetting(strings.ToLower(strings.ReplaceAll(name, "-", "_")), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// reportedParameters are told to a caller at login, with their names as
+// PostgreSQL spells them and a value for the case that no upstream answers.
+var reportedParameters = [][2]string{
+	{"server_version", "16.0"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"TimeZone", "UTC"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+	{"application_name", ""},
+}
+
+// greet completes the login.
+func (c *session) greet(context.Context) error {
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range reportedParameters {
+		value := p[1]
+		if v, ok := c.settings[strings.ToLower(p[0])]; ok {
+			value = v
+		}
+		c.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: value})
+	}
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: txIdle})
+	if err := c.backend.Flush(); err != nil {
+		return errStartupEnded
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/watcher/watcher.go
@@ -0,0 +1,106 @@
+// Package watcher watches the upstreams of each group: their positions,
+// whether they answer, and how fast.
+//
+// # Usage
+//
+//	w := &watcher.Watcher{Connect: connect, Interval: 200 * time.Millisecond, Timeout: time.Second, IsPrimary: isPrimary}
+//	w.Update(ctx, state)
+//	err := w.Board("ledger-1").WaitSafe(ctx, group, position)
+//
+// Each upstream has one monitor with one connection. While a request waits for
+// a position, the monitors of its group probe in close succession; otherwise
+// they probe at the interval.
+package watcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+)
+
+// Watcher runs the monitors.
+type Watcher struct {
+	// Connect opens a connection to an upstream.
+	Connect func(ctx context.Context, u configurer.Upstream) (*pgconn.PgConn, error)
+	// Interval is the time between probes when nobody waits.
+	Interval time.Duration
+	// Timeout bounds a probe.
+	Timeout time.Duration
+	// IsPrimary reports whether the upstream is, under a valid lease, the
+	// primary of the group.
+	IsPrimary func(group, upstream string) bool
+	// Turned is called when an upstream becomes reachable or unreachable.
+	Turned func()
+
+	mu       sync.Mutex
+	boards   map[string]*Board
+	monitors map[string]running
+}
+
+type running struct {
+	upstream configurer.Upstream
+	stop     context.CancelFunc
+}
+
+// Board returns the board of a group.
+func (w *Watcher) Board(group string) *Board {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.boards == nil {
+		w.boards = map[string]*Board{}
+	}
+	b := w.boards[group]
+	if b == nil {
+		b = &Board{}
+		w.boards[group] = b
+	}
+	return b
+}
+
+// Update starts and stops monitors so that they fit the state's upstreams.
+// Monitors end with ctx at the latest.
+func (w *Watcher) Update(ctx context.Context, state *configurer.State) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.monitors == nil {
+		w.monitors = map[string]running{}
+	}
+	for id, r := range w.monitors {
+		u, ok := state.Upstreams[id]
+		if ok && u.Address == r.upstream.Address && u.Lifecycle != configurer.LifecycleGone {
+			continue
+		}
+		r.stop()
+		delete(w.monitors, id)
+		if b := w.boards[r.upstream.Group]; b != nil {
+			b.Forget(id)
+		}
+	}
+	for id, u := range state.Upstreams {
+		if _, ok := w.monitors[id]; !ok && u.Lifecycle != configurer.LifecycleGone {
+			w.monitors[id] = w.start(ctx, u)
+		}
+	}
+}
+
+// start runs the monitor of an upstream. The caller holds w.mu.
+func (w *Watcher) start(ctx context.Context, u configurer.Upstream) running {
+	if w.boards == nil {
+		w.boards = map[string]*Board{}
+	}
+	if w.boards[u.Group] == nil {
+		w.boards[u.Group] = &Board{}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	m := &Monitor{
+		Upstream: u.ID, Board: w.boards[u.Group], Interval: w.Interval, Timeout: w.Timeout,
+		Connect:   func(ctx context.Context) (*pgconn.PgConn, error) { return w.Connect(ctx, u) },
+		IsPrimary: func() bool { return w.IsPrimary(u.Group, u.ID) }, Turned: w.Turned,
+	}
+	go m.Run(ctx)
+	return running{upstream: u, stop: cancel}
+}
--- /dev/null
+++ b/pkg/configurer/upstream.go
@@ -0,0 +1,52 @@
+package configurer
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Lifecycle is the state of an upstream in the fleet.
+type Lifecycle string
+
+// The lifecycle states of an upstream.
+const (
+	LifecycleAnnounced Lifecycle = "announced"
+	LifecycleServing   Lifecycle = "serving"
+	LifecycleSuspected Lifecycle = "suspected"
+	LifecycleDraining  Lifecycle = "draining"
+	LifecycleGone      Lifecycle = "gone"
+)
+
+// Upstream is one database server of a group.
+type Upstream struct {
+	ID    string `json:"id"`
+	Group string `json:"group"`
+	// Address is the host and port of the PostgreSQL protocol.
+	Address string `json:"address"`
+	// PlatformAddress is the host and port of the platform's HTTP interface.
+	PlatformAddress string `json:"platform_address"`
+	DataCentre      string `json:"data_centre"`
+	Region          string `json:"region"`
+	// Slots is the number of statements that run at the same time.
+	Slots int `json:"slots"`
+	// Connections is the upstream's connection limit.
+	Connections int       `json:"connections"`
+	Lifecycle   Lifecycle `json:"lifecycle"`
+}
+
+// TakesWork reports whether new work may go to the upstream. A suspected one
+// takes work from hosts whose own probes it answers.
+func (u Upstream) TakesWork() bool {
+	return u.Lifecycle == LifecycleServing || u.Lifecycle == LifecycleSuspected
+}
+
+// Validate returns an error when a field is missing or out of range.
+func (u Upstream) Validate() error {
+	if u.ID == "" || u.Group == "" || u.Address == "" {
+		return errors.New("configurer: upstream needs an id, a group and an address")
+	}
+	if u.Slots < 1 || u.Connections < 1 {
+		return fmt.Errorf("configurer: upstream %s: slots and connections must be at least 1", u.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/limiter/bucket.go
@@ -0,0 +1,89 @@
+// Package limiter spends, on one host, the tokens that the allocator handed
+// out to it.
+//
+// # Usage
+//
+//	l := &limiter.Limiter{Now: time.Now, Wait: 300 * time.Millisecond, Waiters: 64}
+//	if refusal := l.Limit(ctx, "prairie_1", 1); refusal != nil { ... }
+//	reports := l.Reports()         // goes to the allocator
+//	l.Grant("prairie_1", 120)      // its answer
+//
+// Bucket holds the decisions and is plain state; Limiter adds waiting.
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandWindow is the time constant of the demand's average.
+	demandWindow = time.Second
+	// horizon is the time of demand for which a host keeps tokens.
+	horizon = 600 * time.Millisecond
+	// returnFactor times the kept tokens is what a host holds at most.
+	returnFactor = 3
+)
+
+// Bucket holds one organisation's tokens on one host. Totals count from the
+// start of the host.
+type Bucket struct {
+	Spent    float64
+	Returned float64
+	Received float64
+
+	// demand is the smoothed request rate, in tokens a second.
+	demand float64
+	at     time.Time
+	// waiting is the number of tokens that queued requests need.
+	waiting float64
+}
+
+// Held returns the tokens that can be spent.
+func (b *Bucket) Held() float64 { return b.Received - b.Spent - b.Returned }
+
+// Ask notes the demand for n tokens.
+func (b *Bucket) Ask(n float64, now time.Time) {
+	b.decay(now)
+	b.demand += n / demandWindow.Seconds()
+}
+
+func (b *Bucket) decay(now time.Time) {
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.demand *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+		b.at = now
+	}
+}
+
+// Take spends n tokens, or returns false and spends none.
+func (b *Bucket) Take(n float64) bool {
+	if b.Held() < n {
+		return false
+	}
+	b.Spent += n
+	return true
+}
+
+// Grant takes the total that the allocator has granted. Totals that fall are
+// ignored.
+func (b *Bucket) Grant(total float64) { b.Received = math.Max(b.Received, total) }
+
+// target is what the bucket should hold.
+func (b *Bucket) target() float64 {
+	return math.Ceil(b.demand*horizon.Seconds()) + b.waiting
+}
+
+// Wanted returns the tokens that the bucket lacks.
+func (b *Bucket) Wanted(now time.Time) float64 {
+	b.decay(now)
+	return math.Max(0, b.target()-b.Held())
+}
+
+// Settle returns the tokens that the bucket holds beyond its need.
+func (b *Bucket) Settle(now time.Time) {
+	b.decay(now)
+	keep := returnFactor * b.target()
+	if surplus := b.Held() - keep; surplus >= 1 {
+		b.Returned += math.Floor(surplus)
+	}
+}
--- /dev/null
+++ b/pkg/planner/drafter.go
@@ -0,0 +1,179 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+)
+
+// draft makes the plan of an intent on the present configuration.
+func (b *Book) draft(i Intent) (*Plan, error) {
+	if err := i.Validate(); err != nil {
+		return nil, err
+	}
+	p := &Plan{Intent: i, Status: StatusOpen}
+	var err error
+	switch i.Kind {
+	case IntentAdmitOrganisation:
+		err = b.draftAdmit(i, p)
+	case IntentWithdrawOrganisation:
+		err = b.draftWithdrawOrganisation(i, p)
+	case IntentChangeRate:
+		err = b.draftRate(i, p)
+	case IntentGrantKey:
+		err = b.draftGrantKey(i, p)
+	case IntentWithdrawKey:
+		err = b.draftWithdrawKey(i, p)
+	case IntentPutRoute:
+		err = b.draftRoute(i, p)
+	case IntentRemoveRoute:
+		err = b.draftRemoveRoute(i, p)
+	case IntentDrainUpstream, IntentReturnUpstream:
+		err = b.draftUpstream(i, p)
+	default:
+		err = fmt.Errorf("planner: unknown kind of intent %q", i.Kind)
+	}
+	if err != nil {
+		return nil, err
+	}
+	p.Base = b.baseOf(p.Changes)
+	return p, nil
+}
+
+// add appends the change that stores an entry.
+func (p *Plan) add(kind configurer.Kind, id string, entry any) error {
+	c, err := configurer.Put(kind, id, entry)
+	if err != nil {
+		return err
+	}
+	p.Changes = append(p.Changes, c)
+	return nil
+}
+
+func (p *Plan) effect(format string, args ...any) {
+	p.Effects = append(p.Effects, fmt.Sprintf(format, args...))
+}
+
+func (p *Plan) risk(format string, args ...any) {
+	p.Risks = append(p.Risks, fmt.Sprintf(format, args...))
+}
+
+func (b *Book) draftAdmit(i Intent, p *Plan) error {
+	if _, ok := b.State.Organisations[i.Target]; ok {
+		return conflict(i.ID, "organisation %s is already admitted", i.Target)
+	}
+	o := configurer.Organisation{ID: i.Target, Rate: i.Rate, Burst: i.Burst}
+	if err := o.Validate(); err != nil {
+		return err
+	}
+	p.effect("organisation %s is admitted with %g statements/s and a burst of %g", o.ID, o.Rate, o.Burst)
+	p.risk("it has no key until one is granted")
+	return p.add(configurer.KindOrganisation, o.ID, o)
+}
+
+func (b *Book) draftWithdrawOrganisation(i Intent, p *Plan) error {
+	if _, ok := b.State.Organisations[i.Target]; !ok {
+		return conflict(i.ID, "organisation %s is not admitted", i.Target)
+	}
+	p.effect("organisation %s is withdrawn; its open connections end", i.Target)
+	p.Changes = append(p.Changes, configurer.Remove(configurer.KindOrganisation, i.Target))
+	for id, k := range b.State.Keys {
+		if k.Organisation == i.Target {
+			p.risk("key %s stops working", id)
+		}
+	}
+	return nil
+}
+
+func (b *Book) draftRate(i Intent, p *Plan) error {
+	old, ok := b.State.Organisations[i.Target]
+	if !ok {
+		return conflict(i.ID, "organisation %s is not admitted", i.Target)
+	}
+	o := configurer.Organisation{ID: i.Target, Rate: i.Rate, Burst: i.Burst}
+	if err := o.Validate(); err != nil {
+		return err
+	}
+	p.effect("organisation %s: rate %g to %g statements/s, burst %g to %g", o.ID, old.Rate, o.Rate, old.Burst, o.Burst)
+	if o.Rate < old.Rate {
+		p.risk("requests above the lower rate are refused")
+	}
+	return p.add(configurer.KindOrganisation, o.ID, o)
+}
+
+func (b *Book) draftGrantKey(i Intent, p *Plan) error {
+	if _, ok := b.State.Organisations[i.Organisation]; !ok {
+		return conflict(i.ID, "organisation %s is not admitted", i.Organisation)
+	}
+	if _, ok := b.State.Keys[i.Target]; ok {
+		return conflict(i.ID, "key %s exists; key ids are never used again", i.Target)
+	}
+	k := configurer.Key{ID: i.Target, Organisation: i.Organisation, Verifier: i.Verifier}
+	if err := k.Validate(); err != nil {
+		return err
+	}
+	p.effect("key %s works for organisation %s", k.ID, k.Organisation)
+	return p.add(configurer.KindKey, k.ID, k)
+}
+
+func (b *Book) draftWithdrawKey(i Intent, p *Plan) error {
+	k, ok := b.State.Keys[i.Target]
+	if !ok || k.Withdrawn {
+		return conflict(i.ID, "key %s does not exist or is withdrawn", i.Target)
+	}
+	k.Withdrawn = true
+	p.effect("key %s of organisation %s stops working, on open connections too", k.ID, k.Organisation)
+	return p.add(configurer.KindKey, k.ID, k)
+}
+
+func (b *Book) draftRoute(i Intent, p *Plan) error {
+	r := configurer.Route{ID: i.Target, Group: i.Group, Open: i.Open, Organisations: i.Organisations}
+	if err := r.Validate(); err != nil {
+		return err
+	}
+	if old, ok := b.State.Routes[r.ID]; ok {
+		p.effect("route %s: group %s to %s, open %t to %t, organisations %v to %v", r.ID, old.Group, r.Group, old.Open, r.Open, old.Organisations, r.Organisations)
+	} else {
+		p.effect("route %s leads to group %s, open %t, organisations %v", r.ID, r.Group, r.Open, r.Organisations)
+	}
+	if r.Open {
+		p.risk("anyone who reaches an entry host may use the route without a key")
+	}
+	if _, ok := b.State.Groups[r.Group]; !ok {
+		p.risk("no upstream of group %s has announced itself", r.Group)
+	}
+	return p.add(configurer.KindRoute, r.ID, r)
+}
+
+func (b *Book) draftRemoveRoute(i Intent, p *Plan) error {
+	if _, ok := b.State.Routes[i.Target]; !ok {
+		return conflict(i.ID, "route %s does not exist", i.Target)
+	}
+	p.effect("route %s is removed; its open connections end", i.Target)
+	p.Changes = append(p.Changes, configurer.Remove(configurer.KindRoute, i.Target))
+	return nil
+}
+
+func (b *Book) draftUpstream(i Intent, p *Plan) error {
+	u, ok := b.State.Upstreams[i.Target]
+	if !ok {
+		return conflict(i.ID, "upstream %s is not known", i.Target)
+	}
+	if i.Kind == IntentReturnUpstream {
+		if u.Lifecycle != configurer.LifecycleDraining {
+			return conflict(i.ID, "upstream %s is %s, not draining", u.ID, u.Lifecycle)
+		}
+		u.Lifecycle = configurer.LifecycleServing
+		p.effect("upstream %s takes new work again", u.ID)
+		return p.add(configurer.KindUpstream, u.ID, u)
+	}
+	if !u.TakesWork() {
+		return conflict(i.ID, "upstream %s is %s", u.ID, u.Lifecycle)
+	}
+	u.Lifecycle = configurer.LifecycleDraining
+	p.effect("upstream %s takes no new work; work in hand ends", u.ID)
+	if g := b.State.Groups[u.Group]; g.Primary == u.ID {
+		p.risk("%s is the primary of group %s: writes wait until it is replaced", u.ID, g.ID)
+	}
+	return p.add(configurer.KindUpstream, u.ID, u)
+}
--- /dev/null
+++ b/pkg/planner/intent.go
@@ -0,0 +1,55 @@
+package planner
+
+import (
+	"fmt"
+	"strings"
+)
+
+// IntentKind names what an operator asks for.
+type IntentKind string
+
+// The kinds of intents.
+const (
+	IntentAdmitOrganisation    IntentKind = "admit_organisation"
+	IntentWithdrawOrganisation IntentKind = "withdraw_organisation"
+	IntentChangeRate           IntentKind = "change_rate"
+	IntentGrantKey             IntentKind = "grant_key"
+	IntentWithdrawKey          IntentKind = "withdraw_key"
+	IntentPutRoute             IntentKind = "put_route"
+	IntentRemoveRoute          IntentKind = "remove_route"
+	IntentDrainUpstream        IntentKind = "drain_upstream"
+	IntentReturnUpstream       IntentKind = "return_upstream"
+)
+
+// Intent is what an operator asks for. Fields that a kind does not use stay
+// empty.
+type Intent struct {
+	// ID is chosen by the operator; the same ID gets the same answer.
+	ID     string     `json:"id"`
+	Author string     `json:"author"`
+	Kind   IntentKind `json:"kind"`
+	// Target is the id of the organisation, key, route or upstream.
+	Target        string   `json:"target"`
+	Organisation  string   `json:"organisation,omitempty"`
+	Rate          float64  `json:"rate,omitempty"`
+	Burst         float64  `json:"burst,omitempty"`
+	Verifier      string   `json:"verifier,omitempty"`
+	Group         string   `json:"group,omitempty"`
+	Open          bool     `json:"open,omitempty"`
+	Organisations []string `json:"organisations,omitempty"`
+	Reason        string   `json:"reason,omitempty"`
+}
+
+// Validate returns an error when a field that every kind needs is missing.
+func (i Intent) Validate() error {
+	if i.ID == "" || i.Author == "" || i.Target == "" {
+		return fmt.Errorf("planner: intent needs an id, an author and a target")
+	}
+	if strings.ContainsAny(i.ID, " \t\n/") {
+		return fmt.Errorf("planner: intent id %q must not hold spaces or slashes", i.ID)
+	}
+	return nil
+}
+
+// equal reports whether two intents ask for the same.
+func (i Intent) equal(o Intent) bool { return fmt.Sprintf("%+v", i) == fmt.Sprintf("%+v", o) }
--- /dev/null
+++ b/pkg/registrar/lifecycle.go
@@ -0,0 +1,62 @@
+// Package registrar follows the life of each upstream from its first
+// announcement to its end.
+//
+// # Usage
+//
+//	r := &registrar.Registrar{SuspectAfter: 3 * time.Second, GoneAfter: time.Minute}
+//	r.Announce(announcement, now)
+//	r.Tick(now)
+//	upstreams := r.Upstreams()
+//
+// A Registrar is plain state: its user serialises the calls.
+package registrar
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/qmuntal/stateless"
+
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+)
+
+// Trigger is an event in the life of an upstream.
+type Trigger string
+
+// The triggers.
+const (
+	TriggerAnnounced Trigger = "announced"
+	TriggerAccepted  Trigger = "accepted"
+	TriggerSilent    Trigger = "silent"
+	TriggerDrain     Trigger = "drain"
+	TriggerReturn    Trigger = "return"
+	TriggerForgotten Trigger = "forgotten"
+)
+
+// Next returns the lifecycle state that follows state on t, or an error when
+// the state does not allow it.
+func Next(state configurer.Lifecycle, t Trigger) (configurer.Lifecycle, error) {
+	m := stateless.NewStateMachine(state)
+	m.Configure(configurer.LifecycleAnnounced).
+		PermitReentry(TriggerAnnounced).
+		Permit(TriggerAccepted, configurer.LifecycleServing).
+		Permit(TriggerForgotten, configurer.LifecycleGone)
+	m.Configure(configurer.LifecycleServing).
+		PermitReentry(TriggerAnnounced).
+		Permit(TriggerSilent, configurer.LifecycleSuspected).
+		Permit(TriggerDrain, configurer.LifecycleDraining)
+	m.Configure(configurer.LifecycleSuspected).
+		Permit(TriggerAnnounced, configurer.LifecycleServing).
+		Permit(TriggerDrain, configurer.LifecycleDraining).
+		Permit(TriggerForgotten, configurer.LifecycleGone)
+	m.Configure(configurer.LifecycleDraining).
+		PermitReentry(TriggerAnnounced).
+		Permit(TriggerReturn, configurer.LifecycleServing).
+		Permit(TriggerForgotten, configurer.LifecycleGone)
+	m.Configure(configurer.LifecycleGone).
+		Permit(TriggerAnnounced, configurer.LifecycleAnnounced)
+	if err := m.FireCtx(context.Background(), t); err != nil {
+		return state, fmt.Errorf("registrar: %w", err)
+	}
+	return m.MustState().(configurer.Lifecycle), nil
+}
