Run the demonstration with faults, checks from the callers' side and a baseline

Cause: with every explicit transaction holding the stand-in's single writer across its round trips, callers 30 ms away blocked each other: of 900 requests/s offered about 120/s were served, write p50 2891 ms. Requests refused inside a transaction had also spent tokens for nothing. Change: the stand-in runs statements of an explicit transaction in short ones and repeats them at COMMIT; statements inside a transaction go ahead in the limiter's queue; hosts keep tokens for 1.5 standard deviations of demand and ask early when low; refusals are counted by SQLSTATE and organisation.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -2,33 +2,95 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"os"
+	"time"
 
 	"github.com/shallotstage/shallotstage/internal/demonstrator"
+	"github.com/shallotstage/shallotstage/internal/logger"
 )
 
 // demoCommand runs a whole fleet in this process.
 type demoCommand struct {
-	Layout string `arg:"--layout,env:SHALLOTSTAGE_DEMO_LAYOUT" default:"association" help:"association or zupcanik"`
+	Zupcanik  bool          `arg:"--zupcanik,env:SHALLOTSTAGE_DEMO_ZUPCANIK" help:"use the sizes of Zupčanik Grupa in place of the Association's"`
+	Duration  time.Duration `arg:"--duration,env:SHALLOTSTAGE_DEMO_DURATION" default:"30s" help:"time under load"`
+	Seed      uint64        `arg:"--seed,env:SHALLOTSTAGE_DEMO_SEED" default:"1" help:"seed of the load and the faults"`
+	Failovers int           `arg:"--failovers,env:SHALLOTSTAGE_DEMO_FAILOVERS" default:"2" help:"number of primaries that are cut off"`
+	Partition bool          `arg:"--partition,env:SHALLOTSTAGE_DEMO_PARTITION" help:"cut the last data centre off for a while"`
+	Report    string        `arg:"--report,env:SHALLOTSTAGE_DEMO_REPORT" placeholder:"FILE" help:"write the report as JSON"`
+	Serve     bool          `arg:"--serve,env:SHALLOTSTAGE_DEMO_SERVE" help:"keep the fleet up until a signal and print how to connect"`
+	LogLevel  string        `arg:"--log-level,env:SHALLOTSTAGE_LOG_LEVEL" default:"error" help:"debug, info, warn or error"`
 }
 
+// minDemoDuration lets every kind of fault take place.
+const minDemoDuration = 5 * time.Second
+
 func (c *demoCommand) check() error {
-	if c.Layout != "association" && c.Layout != "zupcanik" {
-		return &SettingError{Setting: "--layout", Value: c.Layout, Allowed: "association, zupcanik"}
+	if c.Duration < minDemoDuration {
+		return &SettingError{Setting: "--duration", Value: c.Duration.String(), Allowed: "at least " + minDemoDuration.String()}
 	}
-	return nil
+	if c.Failovers < 0 {
+		return &SettingError{Setting: "--failovers", Value: fmt.Sprint(c.Failovers), Allowed: "0 or more"}
+	}
+	return checkLogLevel(c.LogLevel)
+}
+
+func (c *demoCommand) layout() demonstrator.Layout {
+	if c.Zupcanik {
+		return demonstrator.Zupcanik()
+	}
+	return demonstrator.Association()
 }
 
 func (c *demoCommand) run(ctx context.Context, stdout, _ io.Writer) error {
-	f := &demonstrator.Fleet{Layout: demonstrator.Association()}
-	if c.Layout == "zupcanik" {
-		f.Layout = demonstrator.Zupcanik()
+	log, err := logger.Open(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	if c.Serve {
+		return c.serve(ctx, stdout, log)
+	}
+	d := &demonstrator.Demo{
+		Layout: c.layout(), Duration: c.Duration, Seed: c.Seed, Failovers: c.Failovers, Partition: c.Partition, Out: stdout, Log: log,
+	}
+	report, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := report.WriteTable(stdout); err != nil {
+		return fmt.Errorf("cli: write table: %w", err)
+	}
+	if c.Report != "" {
+		body, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return fmt.Errorf("cli: encode report: %w", err)
+		}
+		if err := os.WriteFile(c.Report, append(body, '\n'), 0o644); err != nil {
+			return fmt.Errorf("cli: write report: %w", err)
+		}
 	}
+	if broken := report.Broken(); len(broken) > 0 {
+		return fmt.Errorf("cli: broken: %v", broken)
+	}
+	return nil
+}
+
+// serve keeps the fleet up until ctx ends.
+func (c *demoCommand) serve(ctx context.Context, stdout io.Writer, log *logger.Logger) error {
+	f := &demonstrator.Fleet{Layout: c.layout(), Log: log}
 	if err := f.Start(ctx); err != nil {
 		return err
 	}
 	defer f.Stop()
-	_, err := fmt.Fprintln(stdout, "fleet is ready")
-	return err
+	body, err := json.Marshal(f.Directory())
+	if err != nil {
+		return fmt.Errorf("cli: encode directory: %w", err)
+	}
+	if _, err := fmt.Fprintln(stdout, string(body)); err != nil {
+		return fmt.Errorf("cli: write directory: %w", err)
+	}
+	<-ctx.Done()
+	return nil
 }
--- a/internal/controller/attendance.go
+++ b/internal/controller/attendance.go
@@ -201,7 +201,9 @@
 }
 
 // holderName names one incarnation of a host, which holds leases and tokens.
-func holderName(host string, incarnation uint64) string { return fmt.Sprintf("%s/%d", host, incarnation) }
+func holderName(host string, incarnation uint64) string {
+	return fmt.Sprintf("%s/%d", host, incarnation)
+}
 
 func (c *Controller) takeTokens(r *messenger.HostReport, now time.Time) {
 	for _, t := range r.GetTokens() {
--- /dev/null
+++ b/internal/demonstrator/caller.go
@@ -0,0 +1,201 @@
+package demonstrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/shallotstage/shallotstage/pkg/refuser"
+)
+
+const (
+	// requestTimeout bounds one request of a caller.
+	requestTimeout = 20 * time.Second
+	// roamShare is the part of requests after which a caller reconnects to
+	// another entry host.
+	roamShare = 0.02
+	// tokenShare is the part of these that carry the causal token.
+	tokenShare = 0.5
+	// writeShare and transactionShare are parts of the requests.
+	writeShare       = 0.15
+	transactionShare = 0.04
+	// reconnectPause is the pause after a failed connection.
+	reconnectPause = 50 * time.Millisecond
+)
+
+// Caller is one logical session: it goes on over several connections, and
+// must always read its own writes.
+type Caller struct {
+	ID           string
+	Organisation string
+	Group        string
+	DataCentre   string
+	// Connect opens a connection; the token may be empty.
+	Connect func(ctx context.Context, token string) (*pgx.Conn, error)
+	// Interval is the mean time between requests.
+	Interval time.Duration
+	Rand     *rand.Rand
+	Ledger   *Ledger
+
+	conn *pgx.Conn
+	// acknowledged and unknown count the caller's increments.
+	acknowledged int
+	unknown      int
+	// pairs are the outcomes of transactions by pair id.
+	pairs map[string]Outcome
+	token string
+}
+
+// Run sends requests until ctx ends. Requests are due at exponential
+// intervals; one that is late is sent at once.
+func (c *Caller) Run(ctx context.Context) {
+	c.pairs = map[string]Outcome{}
+	due := time.Now()
+	for ctx.Err() == nil {
+		due = due.Add(time.Duration(c.Rand.ExpFloat64() * float64(c.Interval)))
+		if behind := time.Since(due); behind > 2*time.Second {
+			due = time.Now()
+		}
+		if pause(ctx, time.Until(due)) != nil {
+			break
+		}
+		c.step(ctx, due)
+	}
+	c.disconnect()
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Caller) disconnect() {
+	if c.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
+
+// step sends one request, over a new connection if need be.
+func (c *Caller) step(ctx context.Context, due time.Time) {
+	if c.conn != nil && (c.conn.IsClosed() || c.Rand.Float64() < roamShare) {
+		c.disconnect()
+	}
+	if c.conn == nil && !c.reconnect(ctx) {
+		return
+	}
+	// A request that has begun is allowed to end after the load does.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+	defer cancel()
+	switch p := c.Rand.Float64(); {
+	case p < transactionShare:
+		c.transact(ctx, due)
+	case p < transactionShare+writeShare:
+		c.write(ctx, due)
+	default:
+		c.read(ctx, due)
+	}
+}
+
+func (c *Caller) reconnect(ctx context.Context) bool {
+	token := ""
+	if c.Rand.Float64() < tokenShare {
+		token = c.token
+	}
+	conn, err := c.Connect(ctx, token)
+	if err != nil {
+		_ = pause(ctx, reconnectPause)
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+// observe records a request and returns its outcome.
+func (c *Caller) observe(op Operation, statements int, due, start time.Time, err error) Outcome {
+	o := Observation{
+		Organisation: c.Organisation, Group: c.Group, DataCentre: c.DataCentre, Operation: op,
+		Statements: statements, Due: due, Start: start, End: time.Now(), Outcome: OutcomeServed,
+	}
+	if err != nil {
+		o.Outcome, o.Code = classify(err)
+	}
+	c.Ledger.Observe(o)
+	if c.conn != nil {
+		if t := c.conn.PgConn().ParameterStatus("shallotstage.token"); t != "" {
+			c.token = t
+		}
+	}
+	return o.Outcome
+}
+
+// classify tells the outcome of an error by the verdict that it carries. An
+// error without a verdict leaves the outcome unknown.
+func classify(err error) (Outcome, string) {
+	var pe *pgconn.PgError
+	if !errors.As(err, &pe) {
+		return OutcomeUnknown, ""
+	}
+	if strings.Contains(pe.Detail, "verdict="+string(refuser.NotRun)) {
+		return OutcomeNotRun, pe.Code
+	}
+	return OutcomeUnknown, pe.Code
+}
+
+func (c *Caller) write(ctx context.Context, due time.Time) {
+	start := time.Now()
+	tag, err := c.conn.Exec(ctx, "UPDATE counters SET n = n + 1 WHERE id = $1", c.ID)
+	switch c.observe(OperationWrite, 1, due, start, err) {
+	case OutcomeServed:
+		c.acknowledged++
+		c.Ledger.Check(MustOwnAnswer, tag.RowsAffected() == 1, "caller %s: update touched %d rows", c.ID, tag.RowsAffected())
+	case OutcomeUnknown:
+		c.unknown++
+	}
+}
+
+func (c *Caller) read(ctx context.Context, due time.Time) {
+	start := time.Now()
+	var id string
+	var n int
+	err := c.conn.QueryRow(ctx, "SELECT id, n FROM counters WHERE id = $1", c.ID).Scan(&id, &n)
+	if c.observe(OperationRead, 1, due, start, err) != OutcomeServed {
+		return
+	}
+	c.Ledger.Check(MustOwnAnswer, id == c.ID, "caller %s got the row of %s", c.ID, id)
+	c.Ledger.Check(MustReadYourWrites, n >= c.acknowledged, "caller %s read %d after %d acknowledged increments", c.ID, n, c.acknowledged)
+	c.Ledger.Check(MustAtMostOnce, n <= c.acknowledged+c.unknown, "caller %s read %d after %d increments, %d of them unknown", c.ID, n, c.acknowledged+c.unknown, c.unknown)
+}
+
+// transact writes two rows that must appear together or not at all.
+func (c *Caller) transact(ctx context.Context, due time.Time) {
+	pair := fmt.Sprintf("%s-%d", c.ID, len(c.pairs))
+	start := time.Now()
+	err := pgx.BeginFunc(ctx, c.conn, func(tx pgx.Tx) error {
+		for _, side := range []string{"a", "b"} {
+			if _, err := tx.Exec(ctx, "INSERT INTO findings (id, pair) VALUES ($1, $2)", pair+side, pair); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	c.pairs[pair] = c.observe(OperationTransaction, 4, due, start, err)
+}
--- /dev/null
+++ b/internal/demonstrator/directory.go
@@ -0,0 +1,36 @@
+package demonstrator
+
+import "fmt"
+
+// Directory tells how to reach a running fleet.
+type Directory struct {
+	// Entries are connection strings by entry host; USER and KEY stand for a
+	// key id and its key.
+	Entries map[string]string `json:"entries"`
+	Routes  []string          `json:"routes"`
+	// Keys are keys by key id.
+	Keys map[string]string `json:"keys"`
+	// Announcements are the addresses that take announcements.
+	Announcements []string `json:"announcements"`
+	AnnounceToken string   `json:"announce_token"`
+	// Operators are the addresses of the operators' interface.
+	Operators []string `json:"operators"`
+}
+
+// Directory returns the addresses and keys of the fleet.
+func (f *Fleet) Directory() Directory {
+	d := Directory{Entries: map[string]string{}, Keys: f.Keys, AnnounceToken: announceToken}
+	first := f.Layout.GroupNames()[0]
+	for _, e := range f.Entries {
+		d.Entries[e.Host.ID] = fmt.Sprintf("postgres://USER:KEY@%s/%s?sslmode=disable", e.Address, RouteOf(first))
+		d.Announcements = append(d.Announcements, "http://"+e.Pages+"/v1/announcements")
+	}
+	for _, g := range f.Layout.GroupNames() {
+		d.Routes = append(d.Routes, RouteOf(g))
+	}
+	d.Routes = append(d.Routes, OpenRoute)
+	for _, c := range f.Controls {
+		d.Operators = append(d.Operators, "http://"+c.Pages)
+	}
+	return d
+}
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -46,9 +46,11 @@
 	// Keys are the keys of the organisations' callers by organisation.
 	Keys map[string]string
 
-	wg      sync.WaitGroup
-	cancel  context.CancelFunc
-	tempDir string
+	// addresses are the upstreams' SQL addresses by id.
+	addresses map[string]string
+	wg        sync.WaitGroup
+	cancel    context.CancelFunc
+	tempDir   string
 }
 
 // EntryHost is one entry host of the fleet.
@@ -322,6 +324,7 @@
 
 func (f *Fleet) startUpstreams(ctx context.Context) error {
 	l := f.Layout
+	f.addresses = map[string]string{}
 	var announce []string
 	for _, e := range f.Entries {
 		announce = append(announce, "http://"+e.Pages)
@@ -353,6 +356,7 @@
 				primaryAddress = platformListener.Addr().String()
 			}
 			f.Upstreams = append(f.Upstreams, u)
+			f.addresses[u.ID] = sqlListener.Addr().String()
 			f.wg.Add(1)
 			go func() {
 				defer f.wg.Done()
@@ -373,6 +377,17 @@
 	return nil
 }
 
+// replicaShare returns the part of all reads that replicas served, by the
+// upstreams' own count.
+func (f *Fleet) replicaShare() float64 {
+	var replica, primary int64
+	for _, u := range f.Upstreams {
+		replica += u.Reads(emulator.RoleReplica)
+		primary += u.Reads(emulator.RolePrimary)
+	}
+	return ratio(int(replica), int(replica+primary))
+}
+
 // readyTimeout bounds the start of the fleet.
 const readyTimeout = 30 * time.Second
 
--- a/internal/emulator/executor.go
+++ b/internal/emulator/executor.go
@@ -141,12 +141,12 @@
 
 // commit finishes a transaction and queues the report of its position.
 func (s *sqlSession) commit(tx *transaction) error {
-	writing := tx.writing
-	pos, err := s.upstream.finish(tx)
+	writes := len(tx.writes)
+	pos, err := s.upstream.finish(s.ctx, tx)
 	if err != nil {
 		return err
 	}
-	if !writing {
+	if writes == 0 {
 		return nil
 	}
 	s.reportPosition(pos)
@@ -216,11 +216,22 @@
 }
 
 func (s *sqlSession) runRead(ctx context.Context, x execution) error {
+	if s.upstream.isPrimary() {
+		s.upstream.primaryReads.Add(1)
+	} else {
+		s.upstream.replicaReads.Add(1)
+	}
 	s.upstream.mu.Lock()
 	var q querier = s.upstream.engine.db
 	s.upstream.mu.Unlock()
 	if s.tx != nil {
 		q = s.tx.conn
+		if len(s.tx.writes) > 0 && !s.tx.open {
+			if err := s.tx.enter(ctx); err != nil {
+				return err
+			}
+			defer s.tx.leave()
+		}
 	}
 	rows, err := q.QueryContext(ctx, stripCasts(x.statement.Text), x.args...)
 	if err != nil {
@@ -247,9 +258,12 @@
 		}
 		s.tx = tx
 	}
-	if err := s.tx.startWriting(ctx); err != nil {
+	if err := s.tx.enter(ctx); err != nil {
 		return err
 	}
+	if s.tx.explicit {
+		defer s.tx.leave()
+	}
 	text := stripCasts(x.statement.Text)
 	tag, err := s.execWrite(ctx, text, x)
 	if err != nil {
--- a/internal/emulator/transaction.go
+++ b/internal/emulator/transaction.go
@@ -9,17 +9,25 @@
 )
 
 // transaction is an open transaction of one SQL session.
+//
+// SQLite has one writer at a time. An explicit transaction therefore does not
+// hold the right to write between its statements: each statement runs in a
+// short transaction behind the writes before it, which is then rolled back,
+// and COMMIT runs all writes again. A result can differ between the two, which
+// fails the COMMIT with a serialization failure.
 type transaction struct {
 	engine   *engine
 	conn     *sql.Conn
 	explicit bool
 	readOnly bool
 	failed   bool
-	writing  bool
-	writes   []Write
+	// open is true while the connection is in a SQLite transaction, for which
+	// the session holds the right to write.
+	open   bool
+	writes []Write
 }
 
-// begin opens a transaction. SQLite starts its own at the first statement.
+// begin opens a transaction. SQLite starts its own at the first write.
 func (u *Upstream) begin(ctx context.Context, explicit, readOnly bool) (*transaction, error) {
 	u.mu.Lock()
 	e := u.engine
@@ -31,9 +39,10 @@
 	return &transaction{engine: e, conn: conn, explicit: explicit, readOnly: readOnly}, nil
 }
 
-// startWriting takes the right to write before the first write.
-func (t *transaction) startWriting(ctx context.Context) error {
-	if t.writing {
+// enter takes the right to write and brings the connection to the state after
+// the transaction's earlier writes.
+func (t *transaction) enter(ctx context.Context) error {
+	if t.open {
 		return nil
 	}
 	if err := t.engine.lockWriter(ctx); err != nil {
@@ -43,48 +52,58 @@
 		t.engine.unlockWriter()
 		return fmt.Errorf("emulator: begin: %w", err)
 	}
-	t.writing = true
+	t.open = true
+	for _, w := range t.writes {
+		if _, err := t.conn.ExecContext(ctx, w.SQL, w.Args...); err != nil {
+			t.leave()
+			return &failure{stateSerialization, "could not serialize access: " + err.Error()}
+		}
+	}
 	return nil
 }
 
+// leave ends the SQLite transaction without effect.
+func (t *transaction) leave() {
+	if !t.open {
+		return
+	}
+	_, _ = t.conn.ExecContext(context.Background(), "ROLLBACK")
+	t.open = false
+	t.engine.unlockWriter()
+}
+
 // rollback ends the transaction without effect.
 func (t *transaction) rollback() {
-	if t.writing {
-		_, _ = t.conn.ExecContext(context.Background(), "ROLLBACK")
-		t.engine.unlockWriter()
-		t.writing = false
-	}
+	t.leave()
 	_ = t.conn.Close()
 }
 
 // finish commits the transaction and adds it to the log.
-func (u *Upstream) finish(t *transaction) (tracker.Position, error) {
-	if !t.writing {
+func (u *Upstream) finish(ctx context.Context, t *transaction) (tracker.Position, error) {
+	if len(t.writes) == 0 {
 		t.rollback()
 		return u.currentPosition(), nil
 	}
+	if err := t.enter(ctx); err != nil {
+		t.rollback()
+		return tracker.Position{}, err
+	}
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	if u.role != RolePrimary || u.engine != t.engine {
-		u.mu.Unlock()
 		t.rollback()
 		return tracker.Position{}, &failure{stateReadOnly, "cannot commit a write in a read-only server"}
 	}
-	_, err := t.conn.ExecContext(context.Background(), "COMMIT")
-	if err != nil {
-		u.mu.Unlock()
+	if _, err := t.conn.ExecContext(context.Background(), "COMMIT"); err != nil {
 		t.rollback()
 		return tracker.Position{}, fmt.Errorf("emulator: commit: %w", err)
 	}
-	if len(t.writes) > 0 {
-		u.append(Entry{
-			Position: tracker.Position{Term: u.position.Term, Offset: u.position.Offset + 1},
-			Writes:   t.writes,
-		})
-	}
-	pos := u.position
-	u.mu.Unlock()
-	t.writing = false
+	u.append(Entry{
+		Position: tracker.Position{Term: u.position.Term, Offset: u.position.Offset + 1},
+		Writes:   t.writes,
+	})
+	t.open = false
 	t.engine.unlockWriter()
 	_ = t.conn.Close()
-	return pos, nil
+	return u.position, nil
 }
--- a/internal/emulator/upstream.go
+++ b/internal/emulator/upstream.go
@@ -87,7 +87,11 @@
 	conns   atomic.Int64
 	cancels cancelTable
 	cutOff  atomic.Bool
-	socks   connSet
+
+	primaryReads atomic.Int64
+	replicaReads atomic.Int64
+
+	socks connSet
 }
 
 // Run serves until ctx ends. It closes both listeners.
@@ -147,6 +151,14 @@
 	return nil
 }
 
+// Reads returns how many reads the upstream has served in each role.
+func (u *Upstream) Reads(role Role) int64 {
+	if role == RolePrimary {
+		return u.primaryReads.Load()
+	}
+	return u.replicaReads.Load()
+}
+
 // Status returns the current state.
 func (u *Upstream) Status() Status {
 	u.mu.Lock()
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -143,12 +143,12 @@
 	return connections, min(slots, connections)
 }
 
-func (h *Entry) limit(ctx context.Context, organisation string, n int) *refuser.Refusal {
+func (h *Entry) limit(ctx context.Context, organisation string, n int, urgent bool) *refuser.Refusal {
 	if _, ok := h.sub.State().Organisations[organisation]; !ok {
 		// Callers of open routes have no share of their own.
 		return nil
 	}
-	return h.limiter.Limit(ctx, organisation, n)
+	return h.limiter.Limit(ctx, organisation, n, urgent)
 }
 
 // sights reports what the monitors see.
--- a/internal/server/aborted.go
+++ b/internal/server/aborted.go
@@ -11,7 +11,7 @@
 func (c *session) serveAborted(u *unit) error {
 	if len(u.executed) == 0 || !endsTransaction(u.executed[0]) {
 		if u.isEmpty() {
-			return c.finish(u, txFailed)
+			return c.finish(txFailed)
 		}
 		return c.refuseWith(u, failedTransaction())
 	}
@@ -20,7 +20,7 @@
 		if err := c.emit(rolledBack()); err != nil {
 			return err
 		}
-		return c.finish(u, txIdle)
+		return c.finish(txIdle)
 	}
 	for _, s := range u.steps {
 		for _, m := range rollbackAnswers(s) {
@@ -32,7 +32,7 @@
 	if u.end == endFlush {
 		return c.flush()
 	}
-	return c.finish(u, txIdle)
+	return c.finish(txIdle)
 }
 
 func endsTransaction(s classifier.Statement) bool {
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -28,7 +28,7 @@
 		return c.serveAborted(u)
 	}
 	if u.isEmpty() && c.bound == nil {
-		return c.finish(u, txIdle)
+		return c.finish(txIdle)
 	}
 	if r := c.admit(ctx, u); r != nil {
 		return c.refuse(u, r)
@@ -61,7 +61,7 @@
 	}
 	s.Retries.Earn()
 	if n := len(u.executed); n > 0 {
-		return s.Limit(ctx, c.organisation, n)
+		return s.Limit(ctx, c.organisation, n, c.bound != nil)
 	}
 	return nil
 }
@@ -146,7 +146,7 @@
 			return err
 		}
 	}
-	return c.finish(u, x.status)
+	return c.finish(x.status)
 }
 
 func targetOf(x *exchange) meter.Target {
@@ -263,11 +263,11 @@
 		c.skipping = true
 		return c.flush()
 	}
-	return c.finish(u, c.txStatus())
+	return c.finish(c.txStatus())
 }
 
 // finish ends an answer with ReadyForQuery.
-func (c *session) finish(_ *unit, status byte) error {
+func (c *session) finish(status byte) error {
 	if err := c.emit(&pgproto3.ReadyForQuery{TxStatus: status}); err != nil {
 		return err
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -87,8 +87,9 @@
 	// Fence reports whether an acknowledgement of the upstream as primary of
 	// the group under the term may be passed on now.
 	Fence func(group, upstream string, term uint64) bool
-	// Limit takes n statements from the organisation's share, or refuses.
-	Limit func(ctx context.Context, organisation string, n int) *refuser.Refusal
+	// Limit takes n statements from the organisation's share, or refuses. An
+	// urgent request belongs to an open transaction.
+	Limit func(ctx context.Context, organisation string, n int, urgent bool) *refuser.Refusal
 	// ForwardCancel passes on a cancel request that belongs to another host;
 	// nil drops it.
 	ForwardCancel func(ctx context.Context, pid uint32, secret []byte)
--- a/pkg/classifier/class.go
+++ b/pkg/classifier/class.go
@@ -18,6 +18,6 @@
 	// ClassDiscard drops session state on the connection it runs on.
 	ClassDiscard Class = "discard"
 	// ClassPin leaves state on the connection that cannot be replayed.
-	ClassPin Class = "pin"
-	ClassUnsupported   Class = "unsupported"
+	ClassPin         Class = "pin"
+	ClassUnsupported Class = "unsupported"
 )
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -20,7 +20,12 @@
 	// demandWindow is the time constant of the demand's average.
 	demandWindow = time.Second
 	// horizon is the time of demand for which a host keeps tokens.
-	horizon = 600 * time.Millisecond
+	horizon = 800 * time.Millisecond
+	// spread is the number of standard deviations of the demand's arrivals
+	// that a host keeps tokens for.
+	spread = 1.5
+	// lowPart is the part of the kept tokens below which more are asked for.
+	lowPart = 0.4
 	// returnFactor times the kept tokens is what a host holds at most.
 	returnFactor = 3
 )
@@ -70,9 +75,13 @@
 
 // target is what the bucket should hold.
 func (b *Bucket) target() float64 {
-	return math.Ceil(b.demand*horizon.Seconds()) + b.waiting
+	mean := b.demand * horizon.Seconds()
+	return math.Ceil(mean+spread*math.Sqrt(mean)) + b.waiting
 }
 
+// IsLow reports whether tokens should be asked for before the next report.
+func (b *Bucket) IsLow() bool { return b.Held() < lowPart*b.target() }
+
 // Wanted returns the tokens that the bucket lacks.
 func (b *Bucket) Wanted(now time.Time) float64 {
 	b.decay(now)
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -19,7 +20,7 @@
 	Wait time.Duration
 	// Waiters bounds the requests of one organisation that wait.
 	Waiters int
-	// Starved is called, without locks held, when a request begins to wait.
+	// Starved is called, without locks held, when tokens run low.
 	Starved func()
 
 	mu      sync.Mutex
@@ -34,6 +35,7 @@
 
 type waiter struct {
 	n       float64
+	urgent  bool
 	granted chan struct{}
 }
 
@@ -50,27 +52,48 @@
 }
 
 // Limit spends n tokens. It waits for them within the bound, and refuses with
-// the time after which a retry may succeed.
-func (l *Limiter) Limit(ctx context.Context, organisation string, n int) *refuser.Refusal {
+// the time after which a retry may succeed. An urgent request goes ahead of
+// others: it belongs to a transaction that has already spent tokens.
+func (l *Limiter) Limit(ctx context.Context, organisation string, n int, urgent bool) *refuser.Refusal {
 	l.mu.Lock()
 	a := l.account(organisation)
 	a.Ask(float64(n), l.Now())
-	if len(a.queue) == 0 && a.Take(float64(n)) {
+	if (urgent || len(a.queue) == 0) && a.Take(float64(n)) {
+		low := a.IsLow()
 		l.mu.Unlock()
+		if low {
+			l.starved()
+		}
 		return nil
 	}
-	if len(a.queue) >= l.Waiters {
+	if len(a.queue) >= l.Waiters && !urgent {
 		l.mu.Unlock()
 		return l.refuse(organisation)
 	}
-	w := &waiter{n: float64(n), granted: make(chan struct{})}
-	a.queue = append(a.queue, w)
-	a.waiting += w.n
+	w := &waiter{n: float64(n), urgent: urgent, granted: make(chan struct{})}
+	a.push(w)
 	l.mu.Unlock()
+	l.starved()
+	return l.await(ctx, organisation, a, w)
+}
+
+func (l *Limiter) starved() {
 	if l.Starved != nil {
 		l.Starved()
 	}
-	return l.await(ctx, organisation, a, w)
+}
+
+// push queues a waiter, urgent ones before the others.
+func (a *account) push(w *waiter) {
+	i := len(a.queue)
+	if w.urgent {
+		i = 0
+		for i < len(a.queue) && a.queue[i].urgent {
+			i++
+		}
+	}
+	a.queue = slices.Insert(a.queue, i, w)
+	a.waiting += w.n
 }
 
 func (l *Limiter) await(ctx context.Context, organisation string, a *account, w *waiter) *refuser.Refusal {
