Add the commands for separate processes and for operators

Cause: hosts ran only inside the demonstration, and plans could only be made by code. Change: serve, control, upstream, intent, plan, record, certificate and verifier commands; operators' HTTP interface; mutual TLS between processes and TLS towards callers and operators, with certificates read again when they change.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,8 +29,16 @@
 
 // arguments are the commands.
 type arguments struct {
-	Demo    *demoCommand    `arg:"subcommand:demo" help:"run a whole fleet in this process"`
-	Version *versionCommand `arg:"subcommand:version" help:"print the version"`
+	Serve       *serveCommand       `arg:"subcommand:serve" help:"run an entry host"`
+	Control     *controlCommand     `arg:"subcommand:control" help:"run a control host"`
+	Intent      *intentCommand      `arg:"subcommand:intent" help:"ask for a change and get its plan"`
+	Plan        *planCommand        `arg:"subcommand:plan" help:"read, discuss, confirm or reject a plan"`
+	Record      *recordCommand      `arg:"subcommand:record" help:"print the written record"`
+	Certificate *certificateCommand `arg:"subcommand:certificate" help:"make the certificates of a fleet"`
+	Verifier    *verifierCommand    `arg:"subcommand:verifier" help:"print the stored forms of a secret"`
+	Demo        *demoCommand        `arg:"subcommand:demo" help:"run a whole fleet in this process"`
+	Upstream    *upstreamCommand    `arg:"subcommand:upstream" help:"run a stand-in upstream, for tests and demonstrations"`
+	Version     *versionCommand     `arg:"subcommand:version" help:"print the version"`
 }
 
 // Description implements the argument parser's interface.
--- /dev/null
+++ b/internal/cli/control.go
@@ -0,0 +1,170 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"crypto/tls"
+
+	"github.com/shallotstage/shallotstage/internal/controller"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/operator"
+	"github.com/shallotstage/shallotstage/internal/runner"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+)
+
+// controlCommand runs a control host.
+type controlCommand struct {
+	ID    string   `arg:"--id,env:SHALLOTSTAGE_CONTROL_ID" help:"name of this control host, unique in the fleet"`
+	Data  string   `arg:"--data,env:SHALLOTSTAGE_DATA" default:"data" placeholder:"DIR" help:"data folder"`
+	Links string   `arg:"--links,env:SHALLOTSTAGE_LINKS" default:"127.0.0.1:7400" help:"address for entry hosts and other control hosts"`
+	Pages string   `arg:"--operators,env:SHALLOTSTAGE_OPERATORS" default:"127.0.0.1:7480" help:"address of the operators' interface"`
+	Peers []string `arg:"--peer,separate,env:SHALLOTSTAGE_CONTROL_PEERS" placeholder:"ID=HOST:PORT" help:"another control host; repeat for each"`
+	linkSettings
+	Initial       string        `arg:"--initial,env:SHALLOTSTAGE_INITIAL" placeholder:"FILE" help:"first configuration of a new fleet"`
+	Credentials   string        `arg:"--credentials,env:SHALLOTSTAGE_CREDENTIALS" placeholder:"FILE" help:"operators and the digests of their tokens"`
+	TLSCert       string        `arg:"--tls-cert,env:SHALLOTSTAGE_OPERATORS_TLS_CERT" placeholder:"FILE" help:"certificate towards operators"`
+	TLSKey        string        `arg:"--tls-key,env:SHALLOTSTAGE_OPERATORS_TLS_KEY" placeholder:"FILE" help:"its key"`
+	PlatformToken string        `arg:"--platform-token,env:SHALLOTSTAGE_PLATFORM_TOKEN" help:"token for orders to the platform"`
+	GroupSize     int           `arg:"--group-size,env:SHALLOTSTAGE_GROUP_SIZE" default:"3" help:"upstreams with which a group forms"`
+	LeaseTTL      time.Duration `arg:"--lease,env:SHALLOTSTAGE_LEASE" default:"3s" help:"length of an entry host's lease"`
+	SuspectAfter  time.Duration `arg:"--suspect-after,env:SHALLOTSTAGE_SUSPECT_AFTER" default:"600ms" help:"how long a primary is missed before it is replaced"`
+	LogLevel      string        `arg:"--log-level,env:SHALLOTSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+}
+
+func (c *controlCommand) check() error {
+	size := error(nil)
+	if c.GroupSize < 2 {
+		size = &SettingError{Setting: "--group-size", Value: fmt.Sprint(c.GroupSize), Allowed: "2 or more"}
+	}
+	_, peers := c.peers()
+	return firstError(
+		checkNotEmpty("--id", c.ID), checkAddress("--links", c.Links), checkAddress("--operators", c.Pages),
+		peers, c.linkSettings.check(), size, checkPositive("--lease", c.LeaseTTL),
+		checkPositive("--suspect-after", c.SuspectAfter), checkLogLevel(c.LogLevel),
+	)
+}
+
+// peers reads the other control hosts.
+func (c *controlCommand) peers() (map[string]string, error) {
+	peers := map[string]string{}
+	for _, p := range c.Peers {
+		id, address, ok := strings.Cut(p, "=")
+		if _, _, err := net.SplitHostPort(address); err != nil || !ok || id == "" || id == c.ID {
+			return nil, &SettingError{Setting: "--peer", Value: p, Allowed: "ID=HOST:PORT of another control host"}
+		}
+		peers[id] = address
+	}
+	return peers, nil
+}
+
+// initialConfiguration is the file of a new fleet.
+type initialConfiguration struct {
+	Organisations []configurer.Organisation `json:"organisations"`
+	Keys          []configurer.Key          `json:"keys"`
+	Routes        []configurer.Route        `json:"routes"`
+}
+
+// seed reads the first configuration.
+func (c *controlCommand) seed() ([]planner.Operation, error) {
+	if c.Initial == "" {
+		return nil, nil
+	}
+	var initial initialConfiguration
+	if err := readJSON(c.Initial, &initial); err != nil {
+		return nil, err
+	}
+	o := planner.Operation{Kind: planner.OperationFleet, Subject: "fleet", Actor: c.ID, Text: "first configuration"}
+	add := func(kind configurer.Kind, id string, entry any) error {
+		change, err := configurer.Put(kind, id, entry)
+		o.Changes = append(o.Changes, change)
+		return err
+	}
+	for _, e := range initial.Organisations {
+		if err := firstError(e.Validate(), add(configurer.KindOrganisation, e.ID, e)); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range initial.Keys {
+		if err := firstError(e.Validate(), add(configurer.KindKey, e.ID, e)); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range initial.Routes {
+		if err := firstError(e.Validate(), add(configurer.KindRoute, e.ID, e)); err != nil {
+			return nil, err
+		}
+	}
+	return []planner.Operation{o}, nil
+}
+
+func readJSON(file string, into any) error {
+	body, err := os.ReadFile(file)
+	if err != nil {
+		return fmt.Errorf("cli: read file: %w", err)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("cli: decode %s: %w", file, err)
+	}
+	return nil
+}
+
+func (c *controlCommand) run(ctx context.Context, _, _ io.Writer) error {
+	log, err := logger.Open(c.LogLevel)
+	if err != nil {
+		return err
+	}
+	link, err := c.linker()
+	if err != nil {
+		return err
+	}
+	seed, err := c.seed()
+	if err != nil {
+		return err
+	}
+	var credentials []operator.Credential
+	if c.Credentials != "" {
+		if err := readJSON(c.Credentials, &credentials); err != nil {
+			return err
+		}
+	}
+	peers, err := c.peers()
+	if err != nil {
+		return err
+	}
+	links, err := listen("--links", c.Links)
+	if err != nil {
+		return err
+	}
+	pages, err := listen("--operators", c.Pages)
+	if err != nil {
+		return err
+	}
+	operatorsTLS, err := serverTLS(c.TLSCert, c.TLSKey)
+	if err != nil {
+		return err
+	}
+	if operatorsTLS != nil {
+		pages = tls.NewListener(pages, operatorsTLS)
+	}
+	voters := []string{c.ID}
+	for id := range peers {
+		voters = append(voters, id)
+	}
+	ctl := &controller.Controller{
+		ID: c.ID, DataDir: c.Data, Initial: voters, Seed: seed, GroupSize: c.GroupSize, PlatformToken: c.PlatformToken,
+		Timing: controller.Timing{LeaseTTL: c.LeaseTTL, SuspectAfter: c.SuspectAfter}, Log: log,
+	}
+	h := &runner.Control{
+		Controller: ctl, Peers: peers, Linker: link, Log: log,
+		Pages: operator.Handler{Controller: ctl, Credentials: credentials}.Routes(),
+	}
+	return h.Run(ctx, links, pages)
+}
--- /dev/null
+++ b/internal/cli/operators.go
@@ -0,0 +1,118 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/shallotstage/shallotstage/internal/operator"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+)
+
+// operatorSettings tell an operator's command where control is.
+type operatorSettings struct {
+	Controls []string `arg:"--control,separate,env:SHALLOTSTAGE_OPERATOR_CONTROLS" placeholder:"URL" help:"base URL of a control host; repeat for each"`
+	Token    string   `arg:"--token,env:SHALLOTSTAGE_OPERATOR_TOKEN" help:"the operator's token"`
+}
+
+func (s operatorSettings) check() error {
+	if len(s.Controls) == 0 {
+		return &SettingError{Setting: "--control", Allowed: "at least one URL such as https://127.0.0.1:7480"}
+	}
+	return checkNotEmpty("--token", s.Token)
+}
+
+func (s operatorSettings) client() *operator.Client {
+	return &operator.Client{Addresses: s.Controls, Token: s.Token}
+}
+
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(v); err != nil {
+		return fmt.Errorf("cli: write answer: %w", err)
+	}
+	return nil
+}
+
+// intentCommand sends an intent.
+type intentCommand struct {
+	operatorSettings
+	ID            string   `arg:"--id,required" help:"the intent's id; the same id gets the same answer"`
+	Kind          string   `arg:"positional,required" help:"admit_organisation, withdraw_organisation, change_rate, grant_key, withdraw_key, put_route, remove_route, drain_upstream or return_upstream"`
+	Target        string   `arg:"positional,required" help:"id of the organisation, key, route or upstream"`
+	Organisation  string   `arg:"--organisation"`
+	Rate          float64  `arg:"--rate" help:"statements a second"`
+	Burst         float64  `arg:"--burst" help:"statements"`
+	Group         string   `arg:"--group"`
+	Open          bool     `arg:"--open"`
+	Organisations []string `arg:"--admit,separate" help:"organisation that a route admits; repeat for each"`
+	Reason        string   `arg:"--reason" help:"why, for the reviewer and the record"`
+}
+
+func (c *intentCommand) check() error { return c.operatorSettings.check() }
+
+func (c *intentCommand) run(ctx context.Context, stdout, _ io.Writer) error {
+	a, err := c.client().Intend(ctx, planner.Intent{
+		ID: c.ID, Kind: planner.IntentKind(c.Kind), Target: c.Target, Organisation: c.Organisation, Rate: c.Rate, Burst: c.Burst,
+		Group: c.Group, Open: c.Open, Organisations: c.Organisations, Reason: c.Reason,
+	})
+	if err != nil {
+		return err
+	}
+	return printJSON(stdout, a)
+}
+
+// planCommand reads a plan and remarks on it.
+type planCommand struct {
+	operatorSettings
+	Verb string `arg:"positional,required" help:"show, comment, confirm or reject"`
+	ID   string `arg:"positional,required" help:"the intent's id"`
+	Text string `arg:"--text" help:"the comment, or the reason of a rejection"`
+}
+
+// planVerbs are the paths of the verbs of planCommand.
+var planVerbs = map[string]string{"show": "", "comment": "comments", "confirm": "confirm", "reject": "reject"}
+
+func (c *planCommand) check() error {
+	if _, ok := planVerbs[c.Verb]; !ok {
+		return &SettingError{Setting: "VERB", Value: c.Verb, Allowed: "show, comment, confirm, reject"}
+	}
+	return c.operatorSettings.check()
+}
+
+func (c *planCommand) run(ctx context.Context, stdout, _ io.Writer) error {
+	var a operator.PlanAnswer
+	var err error
+	if c.Verb == "show" {
+		a, err = c.client().Plan(ctx, c.ID)
+	} else {
+		a, err = c.client().Remark(ctx, c.ID, planVerbs[c.Verb], c.Text)
+	}
+	if err != nil {
+		return err
+	}
+	return printJSON(stdout, a)
+}
+
+// recordCommand prints the record.
+type recordCommand struct {
+	operatorSettings
+	Explain string `arg:"--explain" placeholder:"ID" help:"tell the story of one plan, group, upstream or host"`
+}
+
+func (c *recordCommand) check() error { return c.operatorSettings.check() }
+
+func (c *recordCommand) run(ctx context.Context, stdout, _ io.Writer) error {
+	records, err := c.client().Record(ctx, c.Explain)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		if _, err := fmt.Fprintf(stdout, "%6d  %s  %-10s  %-24s  %-12s  %s\n", r.Index, r.At, r.Kind, r.Subject, r.Actor, r.Text); err != nil {
+			return fmt.Errorf("cli: write record: %w", err)
+		}
+	}
+	return nil
+}
--- a/internal/cli/settings.go
+++ b/internal/cli/settings.go
@@ -1,5 +1,7 @@
 package cli
 
+import "time"
+
 // checkLogLevel returns a SettingError for an unknown level.
 func checkLogLevel(level string) error {
 	switch level {
@@ -8,3 +10,11 @@
 	}
 	return &SettingError{Setting: "--log-level", Value: level, Allowed: "debug, info, warn, error"}
 }
+
+// checkPositive returns a SettingError unless d is above zero.
+func checkPositive(setting string, d time.Duration) error {
+	if d > 0 {
+		return nil
+	}
+	return &SettingError{Setting: setting, Value: d.String(), Allowed: "a time above 0, such as 200ms"}
+}
--- /dev/null
+++ b/internal/cli/verifier.go
@@ -0,0 +1,26 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/shallotstage/shallotstage/internal/authenticator"
+	"github.com/shallotstage/shallotstage/internal/operator"
+)
+
+// verifierCommand prints the stored forms of a secret.
+type verifierCommand struct {
+	Secret string `arg:"--secret,required,env:SHALLOTSTAGE_SECRET" help:"a caller's key or an operator's token"`
+}
+
+func (c *verifierCommand) check() error { return checkNotEmpty("--secret", c.Secret) }
+
+func (c *verifierCommand) run(_ context.Context, stdout, _ io.Writer) error {
+	v, err := authenticator.NewVerifier(c.Secret)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(stdout, "key verifier:   %s\noperator token: %s\n", v, operator.Digest(c.Secret))
+	return err
+}
--- a/internal/demonstrator/directory.go
+++ b/internal/demonstrator/directory.go
@@ -14,12 +14,13 @@
 	Announcements []string `json:"announcements"`
 	AnnounceToken string   `json:"announce_token"`
 	// Operators are the addresses of the operators' interface.
-	Operators []string `json:"operators"`
+	Operators      []string          `json:"operators"`
+	OperatorTokens map[string]string `json:"operator_tokens"`
 }
 
 // Directory returns the addresses and keys of the fleet.
 func (f *Fleet) Directory() Directory {
-	d := Directory{Entries: map[string]string{}, Keys: f.Keys, AnnounceToken: announceToken}
+	d := Directory{Entries: map[string]string{}, Keys: f.Keys, AnnounceToken: announceToken, OperatorTokens: OperatorTokens}
 	first := f.Layout.GroupNames()[0]
 	for _, e := range f.Entries {
 		d.Entries[e.Host.ID] = fmt.Sprintf("postgres://USER:KEY@%s/%s?sslmode=disable", e.Address, RouteOf(first))
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/netem"
+	"github.com/shallotstage/shallotstage/internal/operator"
 	"github.com/shallotstage/shallotstage/internal/pooler"
 	"github.com/shallotstage/shallotstage/internal/runner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
@@ -31,6 +32,17 @@
 	OpenRoute = "status"
 )
 
+// OperatorTokens are the tokens of the demonstration's operators.
+var OperatorTokens = map[string]string{"vesna": "token-of-vesna", "marko": "token-of-marko"}
+
+func operatorCredentials() []operator.Credential {
+	var credentials []operator.Credential
+	for name, token := range OperatorTokens {
+		credentials = append(credentials, operator.Credential{Operator: name, TokenSHA256: operator.Digest(token)})
+	}
+	return credentials
+}
+
 // Fleet is a whole fleet in one process, over loopback TCP.
 type Fleet struct {
 	Layout Layout
@@ -233,7 +245,7 @@
 			PlatformToken: platformToken, Client: &http.Client{Transport: &http.Transport{DialContext: dial}}, Log: f.Log,
 		}
 		h := &ControlHost{
-			Control:    &runner.Control{Controller: ctl, Peers: peers, Linker: linker.Linker{DialNet: dial}, Log: f.Log},
+			Control:    &runner.Control{Controller: ctl, Peers: peers, Linker: linker.Linker{DialNet: dial}, Log: f.Log, Pages: operator.Handler{Controller: ctl, Credentials: operatorCredentials()}.Routes()},
 			DataCentre: dc.Name, Address: links[i].Addr().String(), Pages: pages.Addr().String(), done: make(chan struct{}),
 		}
 		f.Controls = append(f.Controls, h)
--- a/pkg/planner/book.go
+++ b/pkg/planner/book.go
@@ -71,7 +71,7 @@
 func (b *Book) intend(o Operation, index uint64) (*Plan, error) {
 	i := *o.Intent
 	if old := b.Plans[i.ID]; old != nil {
-		if !old.Intent.equal(i) {
+		if !old.Intent.Equal(i) {
 			return nil, conflict(i.ID, "an intent with this id and other content exists")
 		}
 		return old, nil
--- a/pkg/planner/intent.go
+++ b/pkg/planner/intent.go
@@ -51,5 +51,5 @@
 	return nil
 }
 
-// equal reports whether two intents ask for the same.
-func (i Intent) equal(o Intent) bool { return fmt.Sprintf("%+v", i) == fmt.Sprintf("%+v", o) }
+// Equal reports whether two intents ask for the same.
+func (i Intent) Equal(o Intent) bool { return fmt.Sprintf("%+v", i) == fmt.Sprintf("%+v", o) }
