Hold no memory for idle callers; forget statements whose answer was lost

A pool whose upstream was at its connection limit excluded the upstream in place of waiting for a connection of its own. Change: a session takes a workspace from a pool when the first byte of a unit arrives and gives it back after the answer; a framer keeps the decoder empty between messages; retracted answers undefine their statements; a pool that may not open waits for what it has.

--- a/internal/emulator/fault.go
+++ b/internal/emulator/fault.go
@@ -9,6 +9,8 @@
 	FaultAccept FaultPoint = "accept"
 	// FaultStatement strikes before a statement runs.
 	FaultStatement FaultPoint = "statement"
+	// FaultDescribe strikes before a Describe is answered.
+	FaultDescribe FaultPoint = "describe"
 	// FaultRow strikes in the middle of an answer.
 	FaultRow FaultPoint = "row"
 	// FaultCommit strikes after a commit and before its answer.
--- a/internal/emulator/session.go
+++ b/internal/emulator/session.go
@@ -356,6 +356,10 @@
 	if !ok {
 		return &failure{stateNoStatement, "prepared statement " + m.Name + " does not exist"}
 	}
+	if action := s.upstream.Faults.strike(FaultDescribe, p.statement.Text); action != FaultNone {
+		_ = s.backend.Flush()
+		return s.suffer(action)
+	}
 	fields, err := s.describeStatement(p)
 	if err != nil {
 		return err
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -101,31 +101,54 @@
 	return c, nil
 }
 
+// takeOrOpen returns an idle connection or opens one. When the upstream accepts
+// no more connections, it waits for one that the pool has.
 func (p *Pool) takeOrOpen(ctx context.Context) (*Conn, error) {
-	p.mu.Lock()
-	for len(p.idle) == 0 && p.open >= p.Connections {
+	for {
+		p.mu.Lock()
+		if c := p.popIdle(); c != nil {
+			p.mu.Unlock()
+			return c, nil
+		}
 		freed := p.freed
+		mayOpen := p.open < p.Connections
+		if mayOpen {
+			p.open++
+			p.signal()
+		}
 		p.mu.Unlock()
+		if mayOpen {
+			c, err := p.connect(ctx)
+			if err == nil || !p.hasOpen() {
+				return c, err
+			}
+		}
 		select {
 		case <-freed:
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		p.mu.Lock()
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle[n-1] = nil
-		p.idle = p.idle[:n-1]
-		if n == 1 {
-			p.signal()
-		}
-		p.mu.Unlock()
-		return c, nil
+}
+
+// popIdle returns the connection that was used last, or nil. The caller holds
+// p.mu.
+func (p *Pool) popIdle() *Conn {
+	n := len(p.idle)
+	if n == 0 {
+		return nil
 	}
-	p.open++
-	p.signal()
-	p.mu.Unlock()
+	c := p.idle[n-1]
+	p.idle[n-1] = nil
+	p.idle = p.idle[:n-1]
+	if n == 1 {
+		p.signal()
+	}
+	return c
+}
+
+// connect opens a connection that was counted before.
+func (p *Pool) connect(ctx context.Context) (*Conn, error) {
 	c, err := p.Connect(ctx)
 	if err != nil {
 		p.mu.Lock()
@@ -137,6 +160,12 @@
 	return c, nil
 }
 
+func (p *Pool) hasOpen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open > 0
+}
+
 // dropOpen counts a closed connection. The caller holds p.mu.
 func (p *Pool) dropOpen() {
 	p.open--
@@ -236,14 +265,12 @@
 	}
 	connectCtx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	c, err := p.Connect(connectCtx)
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	c, err := p.connect(connectCtx)
 	if err != nil {
-		p.dropOpen()
 		return
 	}
-	c.Upstream = p.Upstream.ID
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.addIdle(c)
 }
 
--- /dev/null
+++ b/internal/server/bench_test.go
@@ -0,0 +1,171 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	benchText = "SELECT n FROM t WHERE id = $1"
+	// benchRounds is the number of times that both sides are measured in turn.
+	benchRounds = 7
+	// benchRequests is the number of requests of one side in one round.
+	benchRequests = 3000
+)
+
+// measureRound sends requests over the connections at once and returns the
+// requests a second and the median latency.
+func measureRound(b *testing.B, conns []*pgx.Conn) (perSecond float64, median time.Duration) {
+	h := hdrhistogram.New(1, int64(time.Minute), 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	start := time.Now()
+	for _, conn := range conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			own := hdrhistogram.New(1, int64(time.Minute), 3)
+			var n int
+			for range benchRequests / len(conns) {
+				t := time.Now()
+				if err := conn.QueryRow(context.Background(), benchText, 1).Scan(&n); err != nil {
+					b.Error(err)
+					return
+				}
+				_ = own.RecordValue(int64(time.Since(t)))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			h.Merge(own)
+		}()
+	}
+	wg.Wait()
+	elapsed := time.Since(start)
+	return float64(h.TotalCount()) / elapsed.Seconds(), time.Duration(h.ValueAtQuantile(50))
+}
+
+// BenchmarkAgainstDirect compares reads through an entry host with the same
+// reads straight at a replica, in turn and at equal concurrency.
+func BenchmarkAgainstDirect(b *testing.B) {
+	for _, callers := range []int{1, 8, 32} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			g := startGroup(b, groupConfig{slots: 16})
+			setup := g.connect(0, "")
+			g.exec(setup, "CREATE TABLE t (id bigint PRIMARY KEY, n bigint)")
+			g.exec(setup, "INSERT INTO t (id, n) VALUES (1, 1)")
+			g.until(func() bool { return len(g.upstreams[1].Log()) == 2 })
+			var direct, proxied []*pgx.Conn
+			for range callers {
+				conn, err := pgx.Connect(context.Background(), "postgres://proxy:pw@"+g.direct[1]+"/ledger?sslmode=disable")
+				qt.Assert(b, err, qt.IsNil)
+				b.Cleanup(func() { _ = conn.Close(context.Background()) })
+				direct = append(direct, conn)
+				proxied = append(proxied, g.connect(0, ""))
+			}
+			for range b.N {
+				measureRound(b, direct)
+				measureRound(b, proxied)
+				ratios := hdrhistogram.New(1, 1e6, 3)
+				added := hdrhistogram.New(1, int64(time.Second), 3)
+				for range benchRounds {
+					d, dm := measureRound(b, direct)
+					p, pm := measureRound(b, proxied)
+					_ = ratios.RecordValue(int64(1000 * p / d))
+					_ = added.RecordValue(max(1, int64(pm-dm)))
+				}
+				b.ReportMetric(float64(ratios.ValueAtQuantile(50))/1000, "of_direct_throughput")
+				b.ReportMetric(float64(added.ValueAtQuantile(50))/1000, "added_median_us")
+			}
+		})
+	}
+}
+
+// BenchmarkStatement counts allocations and time of one statement through the
+// proxy, caller and stand-in included.
+func BenchmarkStatement(b *testing.B) {
+	g := startGroup(b, groupConfig{slots: 16})
+	setup := g.connect(0, "")
+	g.exec(setup, "CREATE TABLE t (id bigint PRIMARY KEY, n bigint)")
+	g.exec(setup, "INSERT INTO t (id, n) VALUES (1, 1)")
+	for _, side := range []string{"direct", "proxied"} {
+		b.Run(side, func(b *testing.B) {
+			conn := setup
+			if side == "direct" {
+				var err error
+				conn, err = pgx.Connect(context.Background(), "postgres://proxy:pw@"+g.direct[1]+"/ledger?sslmode=disable")
+				qt.Assert(b, err, qt.IsNil)
+				defer func() { _ = conn.Close(context.Background()) }()
+			}
+			b.ReportAllocs()
+			var n int
+			for b.Loop() {
+				if err := conn.QueryRow(context.Background(), benchText, 1).Scan(&n); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// idleConnections is the number of callers that the idle benchmark holds.
+const idleConnections = 8500
+
+// BenchmarkIdleConnections measures the memory of idle callers that have each
+// sent one statement. The callers' side keeps only the sockets.
+func BenchmarkIdleConnections(b *testing.B) {
+	g := startGroup(b, groupConfig{slots: 16})
+	for range b.N {
+		before := memoryInUse()
+		conns := make([]net.Conn, idleConnections)
+		var wg sync.WaitGroup
+		gate := make(chan struct{}, 64)
+		for i := range conns {
+			wg.Add(1)
+			gate <- struct{}{}
+			go func() {
+				defer wg.Done()
+				defer func() { <-gate }()
+				pc, err := pgconn.Connect(context.Background(), "postgres://anyone@"+g.addresses[0]+"/board?sslmode=disable")
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				if _, err := pc.Exec(context.Background(), "SELECT 1").ReadAll(); err != nil {
+					b.Error(err)
+				}
+				h, err := pc.Hijack()
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				conns[i] = h.Conn
+			}()
+		}
+		wg.Wait()
+		b.ReportMetric(float64(memoryInUse()-before)/idleConnections, "bytes/connection")
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+}
+
+// memoryInUse returns the bytes of heap and stacks after collections that also
+// shrink stacks.
+func memoryInUse() int64 {
+	for range 4 {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -52,6 +52,8 @@
 	hold      int
 	committed bool
 
+	// defined are the caller's statements that this exchange defined.
+	defined []string
 	// sent is true when a byte may have reached the upstream.
 	sent bool
 	// relayed is true when a byte of the answer was written to the caller.
@@ -233,6 +235,7 @@
 				c.statements = map[string]*statement{}
 			}
 			c.statements[e.name] = e.statement
+			x.defined = append(x.defined, e.name)
 		}
 	case stepCloseStatement:
 		if !e.swallowed {
@@ -308,6 +311,10 @@
 	switch {
 	case !x.relayed:
 		c.out = c.out[:min(x.start, len(c.out))]
+		for _, name := range x.defined {
+			// The caller never learns that its statement was defined.
+			delete(c.statements, name)
+		}
 	case x.hold >= 0:
 		c.out = c.out[:x.hold]
 	}
--- a/internal/server/fault_test.go
+++ b/internal/server/fault_test.go
@@ -302,6 +302,24 @@
 	}
 }
 
+// TestLostPreparedStatementCanBePreparedAgain covers a fault found by the
+// demonstration: the upstream died between the answers to Parse and Describe,
+// and the caller's next Parse of the same name was refused as a duplicate.
+func TestLostPreparedStatementCanBePreparedAgain(t *testing.T) {
+	g := startGroup(t, groupConfig{})
+	conn := g.connect(0, "")
+	g.exec(conn, "CREATE TABLE t (id bigint PRIMARY KEY)")
+	ctx := context.Background()
+	g.exec(conn, "BEGIN")
+	g.faults[0].set(emulator.FaultDescribe, "", emulator.FaultClose)
+	_, err := conn.Prepare(ctx, "find", "SELECT id FROM t WHERE id = $1")
+	code, _ := refusal(err)
+	g.c.Assert(code, qt.Equals, "40003")
+	g.exec(conn, "ROLLBACK")
+	_, err = conn.Prepare(ctx, "find", "SELECT id FROM t WHERE id = $1")
+	g.c.Assert(err, qt.IsNil)
+}
+
 func TestCallerDiesInsideTransaction(t *testing.T) {
 	g := startGroup(t, groupConfig{})
 	setup := g.connect(0, "")
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -42,7 +42,9 @@
 type session struct {
 	server *Server
 	conn   net.Conn
-	*wire
+	*workspace
+	// first is where the first byte of a unit is read.
+	first [1]byte
 
 	keyID        string
 	organisation string
@@ -67,8 +69,6 @@
 	aborted bool
 	// skipping drops messages after a failure until the next Sync.
 	skipping bool
-	unit     unit
-	out      []byte
 
 	cancelMu         sync.Mutex
 	running          *pooler.Conn
@@ -82,8 +82,6 @@
 	interrupt     context.CancelFunc
 }
 
-func (c *session) useWire(w *wire) { c.wire = w }
-
 // standing returns a refusal when the state does not admit the session.
 func (c *session) standing(state *configurer.State) *refuser.Refusal {
 	route, ok := state.Routes[c.routeID]
@@ -109,9 +107,12 @@
 // run serves units until the connection or the session ends.
 func (c *session) run(ctx context.Context) {
 	defer c.dropBinding()
-	c.backend.SetMaxBodyLen(c.server.Bounds.MessageBytes)
 	for {
-		if err := c.readUnit(); err != nil {
+		err := c.awaitWork()
+		if err == nil {
+			err = c.readUnit()
+		}
+		if err != nil {
 			c.reportReadError(err)
 			return
 		}
@@ -120,8 +121,9 @@
 			cancel()
 			return
 		}
-		err := c.serve(unitCtx, &c.unit)
+		err = c.serve(unitCtx, &c.unit)
 		cancel()
+		c.detachWorkspace()
 		if r := c.endWork(); r != nil {
 			c.say(r)
 			return
@@ -141,11 +143,10 @@
 
 // say writes a refusal outside of any unit's answer.
 func (c *session) say(r *refuser.Refusal) {
-	b, err := r.Response().Encode(c.out[:0])
+	b, err := r.Response().Encode(nil)
 	if err != nil {
 		return
 	}
-	c.out = c.out[:0]
 	_ = c.conn.SetWriteDeadline(time.Now().Add(time.Second))
 	_, _ = c.conn.Write(b)
 }
--- a/internal/server/startup.go
+++ b/internal/server/startup.go
@@ -24,7 +24,10 @@
 // serveConn runs one caller's connection from startup to its end.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
 	c := &session{server: s, conn: conn, settings: map[string]string{}}
-	defer func() { _ = c.conn.Close() }()
+	defer func() {
+		_ = c.conn.Close()
+		c.detachWorkspace()
+	}()
 	_ = conn.SetDeadline(time.Now().Add(s.Bounds.StartupTimeout))
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	err := c.startup(ctx)
@@ -38,13 +41,15 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
+	c.detachWorkspace()
 	defer s.sessions.remove(c)
 	c.run(ctx)
 }
 
 // startup runs the exchange up to the first ReadyForQuery.
 func (c *session) startup(ctx context.Context) error {
-	c.useWire(newWire(c.conn))
+	c.attachWorkspace(nil)
+	c.framer.startup = true
 	for {
 		msg, err := c.backend.ReceiveStartupMessage()
 		if err != nil {
@@ -63,6 +68,7 @@
 			c.server.cancel(ctx, m.ProcessID, m.SecretKey)
 			return errStartupEnded
 		case *pgproto3.StartupMessage:
+			c.framer.startup = false
 			return c.login(ctx, m.Parameters)
 		default:
 			return errStartupEnded
@@ -85,7 +91,8 @@
 		return errStartupEnded
 	}
 	c.conn = t
-	c.useWire(newWire(t))
+	c.workspace.conn = t
+	c.framer.reset(t, nil)
 	return nil
 }
 
