--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 	Certificate *certificateCommand `arg:"subcommand:certificate" help:"make the certificates of a fleet"`
 	Verifier    *verifierCommand    `arg:"subcommand:verifier" help:"print the stored forms of a secret"`
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run a whole fleet in this process"`
+	Survey      *surveyCommand      `arg:"subcommand:survey" help:"measure the slopes of docs/CAPACITY.md"`
 	Upstream    *upstreamCommand    `arg:"subcommand:upstream" help:"run a stand-in upstream, for tests and demonstrations"`
 	Version     *versionCommand     `arg:"subcommand:version" help:"print the version"`
 }
--- a/internal/controller/attendance.go
+++ b/internal/controller/attendance.go
@@ -182,6 +182,7 @@
 }
 
 func (c *Controller) takeSights(r *messenger.HostReport, now time.Time) {
+	c.lead.reported[holderName(r.GetHostId(), r.GetIncarnation())] = now
 	for _, s := range r.GetSights() {
 		u, ok := c.book.State.Upstreams[s.GetUpstream()]
 		if !ok {
@@ -195,7 +196,7 @@
 		group[sightKey{holderName(r.GetHostId(), r.GetIncarnation()), u.ID}] = promoter.Sight{
 			Host: r.GetHostId(), Upstream: u.ID, Reachable: s.GetReachable(),
 			Position: tracker.Position{Term: s.GetTerm(), Offset: s.GetOffset()},
-			Since:    now.Add(-time.Duration(s.GetForMs()) * time.Millisecond), At: now,
+			Since:    now.Add(-time.Duration(s.GetForMs()) * time.Millisecond),
 		}
 	}
 }
@@ -310,6 +311,7 @@
 	for _, holder := range c.lead.granter.Expire(now) {
 		c.Log.Warn(logger.EventHostLeft, zap.String("holder", holder))
 		c.lead.allocator.Expire(holder)
+		delete(c.lead.reported, holder)
 		for _, group := range c.lead.sights {
 			for k := range group {
 				if k.holder == holder {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -129,8 +129,11 @@
 	registrar registrar.Registrar
 	promoter  promoter.Promoter
 	attendees map[string]*attendee
-	// sights are the newest reports by group, host and upstream.
-	sights  map[string]map[sightKey]promoter.Sight
+	// sights are the newest reports by group, host and upstream. They stand
+	// until the host reports a change or its lease ends.
+	sights map[string]map[sightKey]promoter.Sight
+	// reported is when each holder last reported.
+	reported map[string]time.Time
 	answers map[string]map[string]promoter.Answer
 	orders  map[orderKey]time.Time
 	// pending are subjects with a proposal under way.
@@ -438,6 +441,7 @@
 		},
 		attendees: map[string]*attendee{},
 		sights:    map[string]map[sightKey]promoter.Sight{},
+		reported:  map[string]time.Time{},
 		answers:   map[string]map[string]promoter.Answer{},
 		orders:    map[orderKey]time.Time{},
 		pending:   map[string]bool{},
--- a/internal/controller/groups.go
+++ b/internal/controller/groups.go
@@ -104,7 +104,8 @@
 
 func (c *Controller) evidence(g configurer.Group, now time.Time) promoter.Evidence {
 	e := promoter.Evidence{Now: now, Answers: c.lead.answers[g.ID], Draining: map[string]bool{}}
-	for _, s := range c.lead.sights[g.ID] {
+	for key, s := range c.lead.sights[g.ID] {
+		s.At = c.lead.reported[key.holder]
 		e.Sights = append(e.Sights, s)
 	}
 	for _, id := range g.Members {
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -24,6 +24,7 @@
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/allocator"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/limiter"
@@ -79,6 +80,16 @@
 
 	holder   fencer.Holder
 	sequence uint64
+	// sentSights and sentTokens are what the control host was told over the
+	// present connection; only what differs is sent again.
+	sentSights map[string]sentSight
+	sentTokens map[string]allocator.Report
+}
+
+// sentSight is the part of a sight that control decides on.
+type sentSight struct {
+	reachable bool
+	term      uint64
 }
 
 // Prepare makes the subscriber ready for use. It is called before Run and
@@ -172,6 +183,7 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
+	s.sentSights, s.sentTokens = map[string]sentSight{}, map[string]allocator.Report{}
 	stream, err := messenger.NewDRPCControlClient(conn).Attend(ctx)
 	if err != nil {
 		return err
@@ -252,9 +264,13 @@
 		Announcements: s.takeAnnouncements(),
 	}
 	if s.Sights != nil {
-		r.Sights = s.Sights()
+		r.Sights = s.newSights()
 	}
 	for _, t := range s.Limiter.Reports() {
+		if s.sentTokens[t.Organisation] == t {
+			continue
+		}
+		s.sentTokens[t.Organisation] = t
 		r.Tokens = append(r.Tokens, &messenger.TokenReport{
 			Organisation: t.Organisation, SpentTotal: t.SpentTotal, ReturnedTotal: t.ReturnedTotal,
 			ReceivedTotal: t.ReceivedTotal, Wanted: t.Wanted,
@@ -263,6 +279,19 @@
 	return r
 }
 
+// newSights returns the sights that differ from what was sent.
+func (s *Subscriber) newSights() []*messenger.Sight {
+	var sights []*messenger.Sight
+	for _, v := range s.Sights() {
+		now := sentSight{v.GetReachable(), v.GetTerm()}
+		if old, ok := s.sentSights[v.GetUpstream()]; !ok || old != now {
+			s.sentSights[v.GetUpstream()] = now
+			sights = append(sights, v)
+		}
+	}
+	return sights
+}
+
 // take carries out an order. It reports whether the configuration changed.
 func (s *Subscriber) take(o *messenger.ControlOrder) bool {
 	changed := s.takeChanges(o)
--- /dev/null
+++ b/internal/surveyor/surveyor.go
@@ -0,0 +1,387 @@
+// Package surveyor measures the slopes from which docs/CAPACITY.md is worked
+// out: what each entry, host, report and operation costs in bytes, processor
+// time and memory, at several sizes.
+//
+// # Usage
+//
+//	for _, row := range surveyor.Survey() { fmt.Println(row) }
+//
+// The decision packages are driven as they are, with the messages that the
+// processes send, encoded as they send them. No socket is involved.
+package surveyor
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/allocator"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/fencer"
+	"github.com/shallotstage/shallotstage/pkg/limiter"
+	"github.com/shallotstage/shallotstage/pkg/placer"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+	"github.com/shallotstage/shallotstage/pkg/promoter"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+// Row is one measured value.
+type Row struct {
+	Name  string  `json:"name"`
+	Size  int     `json:"size"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+}
+
+// String returns the row for people.
+func (r Row) String() string {
+	return fmt.Sprintf("%-44s %6d  %12.3f %s", r.Name, r.Size, r.Value, r.Unit)
+}
+
+const (
+	repeats       = 5
+	organisations = 400
+	dataCentres   = 9
+	membersOf     = 3
+)
+
+var (
+	hostSizes  = []int{6, 30, 100, 300, 930}
+	groupSizes = []int{100, 500, 1000, 1900}
+)
+
+// Survey measures everything.
+func Survey() []Row {
+	var rows []Row
+	for _, n := range groupSizes {
+		rows = append(rows, surveyState(n)...)
+		rows = append(rows, surveyPromoter(n))
+		rows = append(rows, surveyPlacer(n)...)
+	}
+	for _, n := range hostSizes {
+		rows = append(rows, surveyGranter(n)...)
+		rows = append(rows, surveyAllocator(n)...)
+	}
+	for _, active := range []int{1, 10, 40, 100} {
+		rows = append(rows, surveyReport(active)...)
+	}
+	return append(rows, surveyBook()...)
+}
+
+// median runs f several times and returns the median of what it returns.
+func median(f func() float64) float64 {
+	values := make([]float64, repeats)
+	for i := range values {
+		values[i] = f()
+	}
+	sort.Float64s(values)
+	return values[repeats/2]
+}
+
+// microseconds returns the median time of f over n calls each.
+func microseconds(n int, f func()) float64 {
+	return median(func() float64 {
+		start := time.Now()
+		for range n {
+			f()
+		}
+		return float64(time.Since(start).Nanoseconds()) / 1000 / float64(n)
+	})
+}
+
+// heap returns the bytes in use after a collection.
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// build returns a fleet's configuration as changes.
+func build(groups int) []configurer.Change {
+	var changes []configurer.Change
+	add := func(kind configurer.Kind, id string, entry any) {
+		c, err := configurer.Put(kind, id, entry)
+		if err != nil {
+			panic(err)
+		}
+		c.Version = 1
+		changes = append(changes, c)
+	}
+	for i := range groups {
+		g := configurer.Group{ID: fmt.Sprintf("audit-ledger-%d", i), Phase: configurer.PhaseServing, Term: 3, Lineage: tracker.Lineage{{Term: 1}, {Term: 2, Offset: 1000}, {Term: 3, Offset: 5000}}}
+		for k := range membersOf {
+			u := configurer.Upstream{
+				ID: fmt.Sprintf("%s-%d", g.ID, k), Group: g.ID, Address: "127.0.0.1:50000", PlatformAddress: "127.0.0.1:50001",
+				DataCentre: fmt.Sprintf("data-centre-%d", k), Region: "sask", Slots: 5, Connections: 30, Lifecycle: configurer.LifecycleServing,
+			}
+			g.Members = append(g.Members, u.ID)
+			add(configurer.KindUpstream, u.ID, u)
+		}
+		g.Primary = g.Members[0]
+		add(configurer.KindGroup, g.ID, g)
+		add(configurer.KindRoute, g.ID, configurer.Route{ID: g.ID, Group: g.ID})
+	}
+	for i := range organisations {
+		id := fmt.Sprintf("organisation_%d", i)
+		add(configurer.KindOrganisation, id, configurer.Organisation{ID: id, Rate: 100, Burst: 50})
+		add(configurer.KindKey, id, configurer.Key{ID: id, Organisation: id, Verifier: "SCRAM-SHA-256$4096:MDEyMzQ1Njc4OWFiY2RlZg==$MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY=:MDEyMzQ1Njc4OWFiY2RlZjAxMjM0NTY3ODlhYmNkZWY="})
+	}
+	for id, h := range buildHosts(930) {
+		add(configurer.KindHost, id, h)
+	}
+	return changes
+}
+
+func buildHosts(n int) map[string]configurer.Host {
+	hosts := map[string]configurer.Host{}
+	for i := range n {
+		id := fmt.Sprintf("entry-host-%d", i)
+		hosts[id] = configurer.Host{ID: id, DataCentre: fmt.Sprintf("data-centre-%d", i%dataCentres), Region: "sask", PeerAddress: "127.0.0.1:6481", Number: uint32(i + 1)}
+	}
+	return hosts
+}
+
+// surveyState measures a host's copy of the configuration.
+func surveyState(groups int) []Row {
+	changes := build(groups)
+	before := heap()
+	state, err := configurer.State{}.ApplyAll(changes)
+	if err != nil {
+		panic(err)
+	}
+	size := heap() - before
+	one := changes[1]
+	version := uint64(1)
+	apply := microseconds(20, func() {
+		version++
+		one.Version = version
+		next, err := state.Apply(one)
+		if err != nil {
+			panic(err)
+		}
+		state = next
+	})
+	o := &messenger.ControlOrder{Snapshot: true}
+	for _, c := range changes {
+		o.Changes = append(o.Changes, &messenger.Change{Version: c.Version, Kind: string(c.Kind), Id: c.ID, Body: c.Body})
+	}
+	body, err := proto.Marshal(o)
+	if err != nil {
+		panic(err)
+	}
+	enc, err := zstd.NewWriter(nil)
+	if err != nil {
+		panic(err)
+	}
+	packed := enc.EncodeAll(body, nil)
+	rebuild := microseconds(1, func() {
+		if _, err := (configurer.State{}).ApplyAll(changes); err != nil {
+			panic(err)
+		}
+	})
+	runtime.KeepAlive(state)
+	return []Row{
+		{"configuration in memory", groups, size / 1e6, "MB"},
+		{"one change applied", groups, apply, "us"},
+		{"snapshot as sent", groups, float64(len(body)) / 1e6, "MB"},
+		{"snapshot compressed", groups, float64(len(packed)) / 1e6, "MB"},
+		{"snapshot applied", groups, rebuild / 1000, "ms"},
+	}
+}
+
+// surveyPromoter measures one round of decisions over all groups, each seen by
+// as many hosts as own it.
+func surveyPromoter(groups int) Row {
+	p := promoter.Promoter{SuspectAfter: time.Second, Fresh: 3 * time.Second, Size: membersOf}
+	now := time.Now()
+	g := configurer.Group{ID: "g", Phase: configurer.PhaseServing, Term: 3, Primary: "u0", Members: []string{"u0", "u1", "u2"}}
+	var e promoter.Evidence
+	e.Now = now
+	for h := range dataCentres {
+		for _, u := range g.Members {
+			e.Sights = append(e.Sights, promoter.Sight{Host: fmt.Sprint(h), Upstream: u, Reachable: true, At: now, Since: now, Position: tracker.Position{Term: 3}})
+		}
+	}
+	round := microseconds(1, func() {
+		for range groups {
+			if actions := p.Decide(g, e); len(actions) != 0 {
+				panic("a healthy group needs no action")
+			}
+		}
+	})
+	return Row{"promoter, one round over all groups", groups, round, "us"}
+}
+
+// surveyPlacer measures owner sets at the full number of hosts.
+func surveyPlacer(groups int) []Row {
+	hosts := buildHosts(930)
+	p := placer.Placer{PerDataCentre: 1}
+	load := map[string]int{}
+	most := 0
+	owners := 0
+	each := microseconds(1, func() {
+		clear(load)
+		for i := range groups {
+			set := p.Owners(fmt.Sprintf("audit-ledger-%d", i), hosts)
+			owners = len(set)
+			for _, o := range set {
+				load[o]++
+			}
+		}
+	})
+	for _, n := range load {
+		most = max(most, n)
+	}
+	return []Row{
+		{"owner sets of all groups at 930 hosts", groups, each / 1000, "ms"},
+		{"groups of the busiest host", groups, float64(most), "groups"},
+		{"connections to an upstream (9 owners x 3)", groups, float64(owners * 3), "connections"},
+	}
+}
+
+// surveyGranter measures leases on the leading control host.
+func surveyGranter(hosts int) []Row {
+	g := fencer.Granter{TTL: 3 * time.Second, Drift: 0.01}
+	now := time.Now()
+	names := make([]string, hosts)
+	for i := range names {
+		names[i] = fmt.Sprintf("entry-host-%d/1234567890", i)
+	}
+	all := microseconds(10, func() {
+		for _, name := range names {
+			g.Grant(name, 7, now)
+		}
+	})
+	inForce := microseconds(10, func() { g.InForce(7, now) })
+	return []Row{
+		{"one lease renewed", hosts, all / float64(hosts), "us"},
+		{"in force on every host?", hosts, inForce, "us"},
+	}
+}
+
+// surveyAllocator measures tokens when every host wants some of each of the
+// organisations that are active on it.
+func surveyAllocator(hosts int) []Row {
+	const activeOn = 20
+	a := &allocator.Allocator{}
+	now := time.Now()
+	for i := range organisations {
+		a.SetOrganisation(fmt.Sprint(i), 100000, 50000, now)
+	}
+	spent := map[string]float64{}
+	before := heap()
+	report := func() {
+		now = now.Add(500 * time.Millisecond)
+		for h := range hosts {
+			name := fmt.Sprintf("entry-host-%d/1234567890", h)
+			for k := range activeOn {
+				spent[name]++
+				a.Report(allocator.Report{Host: name, Organisation: fmt.Sprint((h + k*37) % organisations), SpentTotal: spent[name] / activeOn, Wanted: 5}, now)
+			}
+		}
+	}
+	each := microseconds(2, report) / float64(hosts)
+	allot := median(func() float64 {
+		report()
+		start := time.Now()
+		a.Allot(now)
+		return float64(time.Since(start).Nanoseconds()) / 1000
+	})
+	size := heap() - before
+	runtime.KeepAlive(a)
+	return []Row{
+		{"tokens of one report (20 organisations)", hosts, each, "us"},
+		{"one round of grants", hosts, allot, "us"},
+		{"allocator in memory", hosts, size / 1e6, "MB"},
+	}
+}
+
+// surveyReport measures a host's report with a number of active organisations
+// and the upstreams of 18 owned groups.
+func surveyReport(active int) []Row {
+	l := &limiter.Limiter{Now: time.Now, Wait: time.Second, Waiters: 1}
+	for i := range active {
+		l.Grant(fmt.Sprintf("organisation_%d", i), 1000)
+	}
+	const owned = 18 * membersOf
+	makeReport := func() *messenger.HostReport {
+		r := &messenger.HostReport{HostId: "entry-host-17", DataCentre: "data-centre-1", Region: "sask", PeerAddress: "127.0.0.1:6481", Incarnation: 1 << 60, Sequence: 1 << 20, ConfigVersion: 1 << 20}
+		for _, t := range l.Reports() {
+			r.Tokens = append(r.Tokens, &messenger.TokenReport{Organisation: t.Organisation, SpentTotal: 12345.5, ReturnedTotal: 12, ReceivedTotal: 13000, Wanted: 3})
+		}
+		for i := range owned {
+			r.Sights = append(r.Sights, &messenger.Sight{Upstream: fmt.Sprintf("audit-ledger-%d-1", i), Reachable: true, Term: 3, Offset: 1 << 30, ForMs: 1 << 24})
+		}
+		return r
+	}
+	body, err := proto.Marshal(makeReport())
+	if err != nil {
+		panic(err)
+	}
+	encode := microseconds(200, func() {
+		if _, err := proto.Marshal(makeReport()); err != nil {
+			panic(err)
+		}
+	})
+	decode := microseconds(200, func() {
+		var r messenger.HostReport
+		if err := proto.Unmarshal(body, &r); err != nil {
+			panic(err)
+		}
+	})
+	return []Row{
+		{"report as sent (54 sights)", active, float64(len(body)), "bytes"},
+		{"report made and encoded", active, encode, "us"},
+		{"report decoded", active, decode, "us"},
+	}
+}
+
+// surveyBook measures the agreed state on a control host as the record grows.
+func surveyBook() []Row {
+	var rows []Row
+	for _, n := range []int{1000, 10000, 50000} {
+		b := planner.NewBook()
+		before := heap()
+		start := time.Now()
+		for i := range n {
+			id := fmt.Sprint(i)
+			_, err := b.Apply(planner.Operation{Kind: planner.OperationIntent, At: "2026-01-01T00:00:00.000000000Z", Intent: &planner.Intent{
+				ID: "intent-" + id, Author: "vesna", Kind: planner.IntentAdmitOrganisation, Target: "organisation_" + id, Rate: 10, Burst: 10, Reason: "a new shop was admitted",
+			}}, uint64(2*i+1))
+			if err != nil {
+				panic(err)
+			}
+			if _, err := b.Apply(planner.Operation{Kind: planner.OperationConfirm, At: "2026-01-01T00:00:00.000000000Z", Plan: "intent-" + id, Actor: "marko"}, uint64(2*i+2)); err != nil {
+				panic(err)
+			}
+			if i%1000 == 999 {
+				// The organisations are not what is measured here.
+				b.State = configurer.State{Version: b.State.Version}
+			}
+		}
+		each := float64(time.Since(start).Microseconds()) / float64(n)
+		size := heap() - before
+		var body []byte
+		marshal := microseconds(1, func() {
+			var err error
+			if body, err = b.Marshal(); err != nil {
+				panic(err)
+			}
+		})
+		runtime.KeepAlive(b)
+		rows = append(rows,
+			Row{"one decided intent agreed", n, each, "us"},
+			Row{"record and plans in memory", n, size / 1e6, "MB"},
+			Row{"snapshot of a control host", n, float64(len(body)) / 1e6, "MB"},
+			Row{"snapshot encoded", n, marshal / 1000, "ms"},
+		)
+	}
+	return rows
+}
--- a/internal/watcher/board.go
+++ b/internal/watcher/board.go
@@ -19,6 +19,8 @@
 	Latency time.Duration
 	// Since is the time at which Reachable last changed.
 	Since time.Time
+	// Heard is the time at which traffic last brought a position.
+	Heard time.Time
 }
 
 // Board holds the host's sights of one group's upstreams and wakes those who
@@ -72,7 +74,18 @@
 
 // Report records a position that an upstream reported on any connection.
 func (b *Board) Report(id string, p tracker.Position) {
-	b.update(id, func(s *Sight) { s.Position = p })
+	now := time.Now()
+	b.update(id, func(s *Sight) {
+		s.Position = p
+		s.Heard = now
+	})
+}
+
+// heardSince reports whether traffic has brought a position after t.
+func (b *Board) heardSince(id string, t time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sights[id].Heard.After(t)
 }
 
 // Position returns the last reported position of an upstream.
--- a/internal/watcher/monitor.go
+++ b/internal/watcher/monitor.go
@@ -61,7 +61,23 @@
 			// before the upstream is suspected.
 			return
 		}
+		m.restWhileHeard(ctx)
+	}
+}
+
+// maxUnprobed bounds the probes in a row that traffic makes needless.
+const maxUnprobed = 5
+
+// restWhileHeard waits for the next probe's time. Traffic that has brought a
+// position since takes the place of a probe, unless someone waits.
+func (m *Monitor) restWhileHeard(ctx context.Context) {
+	for range maxUnprobed {
+		start := time.Now()
 		m.rest(ctx)
+		wanted, _ := m.Board.pending()
+		if wanted || ctx.Err() != nil || !m.Board.heardSince(m.Upstream, start) {
+			return
+		}
 	}
 }
 
--- a/pkg/allocator/allocator.go
+++ b/pkg/allocator/allocator.go
@@ -28,6 +28,8 @@
 // Allocator divides the tokens of all organisations.
 type Allocator struct {
 	buckets map[string]*bucket
+	// hungry are the organisations of which some host wants tokens.
+	hungry map[string]bool
 	// pending is true while unknown hosts may hold tokens of an earlier
 	// allocator.
 	pending bool
@@ -37,7 +39,7 @@
 // allocator handed out, up to the whole burst. Nothing is handed out until
 // Settle.
 func (a *Allocator) Lead() {
-	a.buckets = nil
+	a.buckets, a.hungry = nil, nil
 	a.pending = true
 }
 
@@ -79,6 +81,8 @@
 	level       float64
 	at          time.Time
 	holdings    map[string]*holding
+	// held is the sum over the holdings.
+	held float64
 }
 
 // holding is what one incarnation of a host was handed out.
@@ -89,12 +93,11 @@
 
 func (h *holding) held() float64 { return math.Max(0, h.granted-h.spent-h.returned) }
 
-func (b *bucket) held() float64 {
-	sum := 0.0
-	for _, h := range b.holdings {
-		sum += h.held()
-	}
-	return sum
+// update changes a holding and keeps the sum.
+func (b *bucket) update(h *holding, f func()) {
+	before := h.held()
+	f()
+	b.held += h.held() - before
 }
 
 // refill adds the tokens of the elapsed time, within the burst.
@@ -104,7 +107,7 @@
 		b.level += b.rate * elapsed
 		b.at = now
 	}
-	b.level = math.Min(b.level, b.burst-b.held())
+	b.level = math.Min(b.level, b.burst-b.held)
 }
 
 // SetOrganisation sets the rate in tokens a second and the burst in tokens. A
@@ -112,7 +115,7 @@
 // have handed out its burst.
 func (a *Allocator) SetOrganisation(organisation string, rate, burst float64, now time.Time) {
 	if a.buckets == nil {
-		a.buckets = map[string]*bucket{}
+		a.buckets, a.hungry = map[string]*bucket{}, map[string]bool{}
 	}
 	b := a.buckets[organisation]
 	if b == nil {
@@ -140,14 +143,18 @@
 		// The host may hold tokens of an earlier allocator.
 		h = &holding{granted: r.ReceivedTotal, spent: r.SpentTotal, returned: r.ReturnedTotal}
 		b.holdings[r.Host] = h
+		b.held += h.held()
 	}
-	h.spent = math.Max(h.spent, r.SpentTotal)
+	b.update(h, func() { h.spent = math.Max(h.spent, r.SpentTotal) })
 	if returned := r.ReturnedTotal - h.returned; returned > 0 {
-		h.returned = r.ReturnedTotal
+		b.update(h, func() { h.returned = r.ReturnedTotal })
 		b.level += returned
 	}
 	underway := h.granted - r.ReceivedTotal
 	h.wanted = math.Max(0, r.Wanted-math.Max(0, underway))
+	if h.wanted > 0 {
+		a.hungry[r.Organisation] = true
+	}
 	b.refill(now)
 }
 
@@ -164,7 +171,10 @@
 // it held counts as spent.
 func (a *Allocator) Expire(host string) {
 	for _, b := range a.buckets {
-		delete(b.holdings, host)
+		if h := b.holdings[host]; h != nil {
+			b.held -= h.held()
+			delete(b.holdings, host)
+		}
 	}
 }
 
@@ -174,14 +184,14 @@
 	if a.pending {
 		return nil
 	}
-	names := make([]string, 0, len(a.buckets))
-	for name := range a.buckets {
+	names := make([]string, 0, len(a.hungry))
+	for name := range a.hungry {
 		names = append(names, name)
 	}
 	sort.Strings(names)
 	var grants []Grant
 	for _, name := range names {
-		grants = append(grants, a.buckets[name].allot(name, now)...)
+		grants = append(grants, a.AllotTo(name, now)...)
 	}
 	return grants
 }
@@ -189,13 +199,22 @@
 // AllotTo is Allot for one organisation.
 func (a *Allocator) AllotTo(organisation string, now time.Time) []Grant {
 	b := a.buckets[organisation]
-	if b == nil || a.pending {
+	if a.pending || !a.hungry[organisation] {
+		return nil
+	}
+	if b == nil {
+		delete(a.hungry, organisation)
 		return nil
 	}
-	return b.allot(organisation, now)
+	grants, hungry := b.allot(organisation, now)
+	if !hungry {
+		delete(a.hungry, organisation)
+	}
+	return grants
 }
 
-func (b *bucket) allot(name string, now time.Time) []Grant {
+// allot returns the grants, and whether some host still wants tokens.
+func (b *bucket) allot(name string, now time.Time) (grants []Grant, hungry bool) {
 	b.refill(now)
 	hosts := make([]string, 0, len(b.holdings))
 	for host, h := range b.holdings {
@@ -204,7 +223,7 @@
 		}
 	}
 	if len(hosts) == 0 || b.level < minGrant {
-		return nil
+		return nil, len(hosts) > 0
 	}
 	sort.Slice(hosts, func(i, j int) bool {
 		wi, wj := b.holdings[hosts[i]].wanted, b.holdings[hosts[j]].wanted
@@ -213,19 +232,19 @@
 		}
 		return hosts[i] < hosts[j]
 	})
-	var grants []Grant
 	for i, host := range hosts {
 		h := b.holdings[host]
 		share := math.Min(h.wanted, b.level/float64(len(hosts)-i))
 		if share <= 0 {
 			continue
 		}
-		h.granted += share
+		b.update(h, func() { h.granted += share })
 		h.wanted -= share
+		hungry = hungry || h.wanted > 0
 		b.level -= share
 		grants = append(grants, Grant{Host: host, Organisation: name, GrantedTotal: h.granted})
 	}
-	return grants
+	return grants, hungry
 }
 
 // minGrant keeps dust from being handed out.
@@ -237,5 +256,5 @@
 	if b == nil {
 		return 0, 0
 	}
-	return b.level, b.held()
+	return b.level, b.held
 }
