--- a/internal/controller/attendance.go
+++ b/internal/controller/attendance.go
@@ -281,17 +281,39 @@
 		return
 	}
 	changes, ok := c.book.Since(a.sentVersion)
-	if !ok || a.sentVersion == 0 {
-		snapshot, err := c.book.State.Snapshot()
-		if err != nil {
-			return
-		}
-		changes, o.Snapshot = snapshot, true
+	if ok && a.sentVersion > 0 {
+		o.Changes = encodeChanges(changes)
+		a.sentVersion = version
+		return
 	}
-	o.Changes = encodeChanges(changes)
+	packed, err := c.packedSnapshot()
+	if err != nil {
+		c.Log.Error(logger.EventConfigurationBad, zap.Error(err))
+		return
+	}
+	o.Snapshot = packed
 	a.sentVersion = version
 }
 
+// packedSnapshot returns the present configuration as hosts take it. It is made
+// once for each version, however many hosts start together.
+func (c *Controller) packedSnapshot() ([]byte, error) {
+	version := c.book.State.Version
+	if c.lead.packedVersion == version {
+		return c.lead.packed, nil
+	}
+	changes, err := c.book.State.Snapshot()
+	if err != nil {
+		return nil, err
+	}
+	packed, err := messenger.PackSnapshot(&messenger.Snapshot{Changes: encodeChanges(changes)})
+	if err != nil {
+		return nil, err
+	}
+	c.lead.packed, c.lead.packedVersion = packed, version
+	return packed, nil
+}
+
 // pushChanges sends new changes to all attending hosts.
 func (c *Controller) pushChanges() {
 	if !c.lead.active {
@@ -301,7 +323,7 @@
 		o := &messenger.ControlOrder{}
 		sent := a.sentVersion
 		c.addChanges(a, o)
-		if len(o.GetChanges()) > 0 && !a.send(o) {
+		if a.sentVersion != sent && !a.send(o) {
 			a.sentVersion = sent
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -143,6 +143,9 @@
 	held     map[string]heldPromotion
 	inForce  uint64
 	settled  bool
+	// packed is the snapshot of packedVersion as hosts take it.
+	packed        []byte
+	packedVersion uint64
 }
 
 // heldPromotion is a term that has no primary yet.
--- /dev/null
+++ b/internal/messenger/packer.go
@@ -0,0 +1,51 @@
+package messenger
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
+)
+
+// maxSnapshotBytes bounds a snapshot after decompression.
+const maxSnapshotBytes = 256 << 20
+
+// packer and unpacker are safe for concurrent use through their EncodeAll and
+// DecodeAll.
+var (
+	packer   = sync.OnceValues(func() (*zstd.Encoder, error) { return zstd.NewWriter(nil) })
+	unpacker = sync.OnceValues(func() (*zstd.Decoder, error) {
+		return zstd.NewReader(nil, zstd.WithDecoderMaxMemory(maxSnapshotBytes))
+	})
+)
+
+// PackSnapshot encodes and compresses a snapshot.
+func PackSnapshot(s *Snapshot) ([]byte, error) {
+	body, err := proto.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("messenger: encode snapshot: %w", err)
+	}
+	enc, err := packer()
+	if err != nil {
+		return nil, fmt.Errorf("messenger: create compressor: %w", err)
+	}
+	return enc.EncodeAll(body, nil), nil
+}
+
+// UnpackSnapshot reads what PackSnapshot made.
+func UnpackSnapshot(packed []byte) (*Snapshot, error) {
+	dec, err := unpacker()
+	if err != nil {
+		return nil, fmt.Errorf("messenger: create decompressor: %w", err)
+	}
+	body, err := dec.DecodeAll(packed, nil)
+	if err != nil {
+		return nil, fmt.Errorf("messenger: decompress snapshot: %w", err)
+	}
+	s := &Snapshot{}
+	if err := proto.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("messenger: decode snapshot: %w", err)
+	}
+	return s, nil
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -331,35 +331,43 @@
 	return changed
 }
 
+// takeChanges puts the changes or the snapshot of an order in force.
 func (s *Subscriber) takeChanges(o *messenger.ControlOrder) bool {
-	if len(o.GetChanges()) == 0 {
+	old := s.State()
+	next, err := nextState(old, o)
+	if err != nil {
+		s.Log.Error(logger.EventConfigurationBad, zap.Error(err))
 		return false
 	}
-	old := s.State()
-	base := *old
-	if o.GetSnapshot() {
-		base = configurer.State{}
+	if next.Version <= old.Version {
+		return false
+	}
+	s.state.Store(next)
+	if s.Changed != nil {
+		s.Changed(next)
+	}
+	s.Log.Info(logger.EventConfigurationTaken, zap.Uint64("version", next.Version))
+	return true
+}
+
+// nextState returns the configuration after an order.
+func nextState(old *configurer.State, o *messenger.ControlOrder) (*configurer.State, error) {
+	base, sent := *old, o.GetChanges()
+	if packed := o.GetSnapshot(); len(packed) > 0 {
+		snapshot, err := messenger.UnpackSnapshot(packed)
+		if err != nil {
+			return old, err
+		}
+		base, sent = configurer.State{}, snapshot.GetChanges()
 	}
 	var changes []configurer.Change
-	for _, c := range o.GetChanges() {
-		if o.GetSnapshot() || c.GetVersion() > old.Version {
+	for _, c := range sent {
+		if c.GetVersion() > base.Version {
 			changes = append(changes, configurer.Change{
 				Version: c.GetVersion(), Kind: configurer.Kind(c.GetKind()), ID: c.GetId(), Body: c.GetBody(),
 			})
 		}
 	}
 	next, err := base.ApplyAll(changes)
-	if err == nil && next.Version <= old.Version {
-		return false
-	}
-	if err != nil {
-		s.Log.Error(logger.EventConfigurationBad, zap.Error(err))
-		return false
-	}
-	s.state.Store(&next)
-	if s.Changed != nil {
-		s.Changed(&next)
-	}
-	s.Log.Info(logger.EventConfigurationTaken, zap.Uint64("version", next.Version))
-	return true
+	return &next, err
 }
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -16,7 +16,6 @@
 	"sort"
 	"time"
 
-	"github.com/klauspost/compress/zstd"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/shallotstage/shallotstage/internal/messenger"
@@ -168,7 +167,7 @@
 		}
 		state = next
 	})
-	o := &messenger.ControlOrder{Snapshot: true}
+	o := &messenger.Snapshot{}
 	for _, c := range changes {
 		o.Changes = append(o.Changes, &messenger.Change{Version: c.Version, Kind: string(c.Kind), Id: c.ID, Body: c.Body})
 	}
@@ -176,11 +175,10 @@
 	if err != nil {
 		panic(err)
 	}
-	enc, err := zstd.NewWriter(nil)
+	packed, err := messenger.PackSnapshot(o)
 	if err != nil {
 		panic(err)
 	}
-	packed := enc.EncodeAll(body, nil)
 	rebuild := microseconds(1, func() {
 		if _, err := (configurer.State{}).ApplyAll(changes); err != nil {
 			panic(err)
