--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 	Record      *recordCommand      `arg:"subcommand:record" help:"print the written record"`
 	Certificate *certificateCommand `arg:"subcommand:certificate" help:"make the certificates of a fleet"`
 	Verifier    *verifierCommand    `arg:"subcommand:verifier" help:"print the stored forms of a secret"`
+	Load        *loadCommand        `arg:"subcommand:load" help:"send an open-loop load and measure what callers see"`
 	Demo        *demoCommand        `arg:"subcommand:demo" help:"run a whole fleet in this process"`
 	Survey      *surveyCommand      `arg:"subcommand:survey" help:"measure the slopes of docs/CAPACITY.md"`
 	Upstream    *upstreamCommand    `arg:"subcommand:upstream" help:"run a stand-in upstream, for tests and demonstrations"`
--- /dev/null
+++ b/internal/loader/loader.go
@@ -0,0 +1,286 @@
+// Package loader sends an open-loop load over the usual driver and measures
+// what callers see.
+//
+// Requests are due at times that do not depend on answers, and latency is
+// counted from when a request was due, so that a slow answer counts against the
+// requests behind it.
+//
+// # Usage
+//
+//	l := &loader.Loader{Name: "proxy", URLs: urls, Profile: profile, Seed: 1}
+//	result, err := l.Run(ctx)
+package loader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	// maxLatency is the highest latency that the histograms tell apart.
+	maxLatency = 2 * time.Minute
+	// requestTimeout bounds one request.
+	requestTimeout = 30 * time.Second
+	// reconnectPause is the pause after a failed connection.
+	reconnectPause = 50 * time.Millisecond
+	table          = "shallotstage_load"
+)
+
+// Loader is one load run. Exported fields are set before Run.
+type Loader struct {
+	Name    string
+	URLs    []string
+	Profile Profile
+	Seed    uint64
+
+	mu      sync.Mutex
+	start   time.Time
+	reads   *hdrhistogram.Histogram
+	writes  *hdrhistogram.Histogram
+	result  Result
+	seconds map[int]*second
+}
+
+type second struct {
+	Second
+	latencies []float64
+}
+
+// Run sends the load until its duration or ctx ends.
+func (l *Loader) Run(ctx context.Context) (*Result, error) {
+	if err := l.Profile.Validate(); err != nil {
+		return nil, err
+	}
+	if err := l.prepare(ctx); err != nil {
+		return nil, err
+	}
+	l.reads = hdrhistogram.New(1, int64(maxLatency), 3)
+	l.writes = hdrhistogram.New(1, int64(maxLatency), 3)
+	l.seconds = map[int]*second{}
+	l.result = Result{Name: l.Name, Profile: l.Profile, Codes: map[string]int{}}
+	l.start = time.Now()
+	ctx, cancel := context.WithTimeout(ctx, l.Profile.duration())
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range l.Profile.Callers {
+		c := &caller{loader: l, id: fmt.Sprintf("%s-%d", l.Name, i), url: i, rand: rand.New(rand.NewPCG(l.Seed, uint64(i)))}
+		wg.Add(1)
+		go func() { defer wg.Done(); c.run(ctx) }()
+	}
+	wg.Wait()
+	return l.finish(), nil
+}
+
+// prepare makes the table and the callers' rows.
+func (l *Loader) prepare(ctx context.Context) error {
+	conn, err := pgx.Connect(ctx, l.URLs[0])
+	if err != nil {
+		return fmt.Errorf("loader: connect: %w", err)
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	if _, err := conn.Exec(ctx, "CREATE TABLE IF NOT EXISTS "+table+" (id text PRIMARY KEY, n bigint)"); err != nil {
+		return fmt.Errorf("loader: create table: %w", err)
+	}
+	rows := make([]string, l.Profile.Callers)
+	for i := range rows {
+		rows[i] = fmt.Sprintf("('%s-%d', 0)", l.Name, i)
+	}
+	if _, err := conn.Exec(ctx, "DELETE FROM "+table+" WHERE id LIKE '"+l.Name+"-%'"); err != nil {
+		return fmt.Errorf("loader: clear rows: %w", err)
+	}
+	if _, err := conn.Exec(ctx, "INSERT INTO "+table+" (id, n) VALUES "+strings.Join(rows, ", ")); err != nil {
+		return fmt.Errorf("loader: insert rows: %w", err)
+	}
+	return nil
+}
+
+// caller is one connection of a run.
+type caller struct {
+	loader       *Loader
+	id           string
+	url          int
+	rand         *rand.Rand
+	conn         *pgx.Conn
+	acknowledged int
+	unknown      int
+}
+
+func (c *caller) run(ctx context.Context) {
+	p := c.loader.Profile
+	interval := float64(p.Callers) / p.Rate * float64(time.Second)
+	due := time.Now()
+	for {
+		due = due.Add(time.Duration(c.rand.ExpFloat64() * interval))
+		if !pause(ctx, time.Until(due)) {
+			c.close()
+			return
+		}
+		c.request(ctx, due)
+	}
+}
+
+// pause waits for d. It returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *caller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close(context.Background())
+		c.conn = nil
+	}
+}
+
+func (c *caller) request(ctx context.Context, due time.Time) {
+	if c.rand.Float64() < c.loader.Profile.RoamShare {
+		c.close()
+	}
+	if c.conn == nil || c.conn.IsClosed() {
+		if err := c.connect(ctx); err != nil {
+			c.loader.observe(false, due, err)
+			pause(ctx, reconnectPause)
+			return
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
+	defer cancel()
+	if c.rand.Float64() < c.loader.Profile.WriteShare {
+		c.write(ctx, due)
+		return
+	}
+	c.read(ctx, due)
+}
+
+func (c *caller) connect(ctx context.Context) error {
+	c.url++
+	cfg, err := pgx.ParseConfig(c.loader.URLs[c.url%len(c.loader.URLs)])
+	if err != nil {
+		return fmt.Errorf("loader: parse URL: %w", err)
+	}
+	if age := c.loader.Profile.maxAge(); age > 0 {
+		cfg.RuntimeParams["shallotstage.max_age"] = age.String()
+	}
+	c.conn, err = pgx.ConnectConfig(ctx, cfg)
+	return err
+}
+
+func (c *caller) write(ctx context.Context, due time.Time) {
+	_, err := c.conn.Exec(ctx, "UPDATE "+table+" SET n = n + 1 WHERE id = $1", c.id)
+	switch c.loader.observe(true, due, err) {
+	case outcomeServed:
+		c.acknowledged++
+	case outcomeUnknown:
+		c.unknown++
+	}
+}
+
+func (c *caller) read(ctx context.Context, due time.Time) {
+	var n int
+	err := c.conn.QueryRow(ctx, "SELECT n FROM "+table+" WHERE id = $1", c.id).Scan(&n)
+	if c.loader.observe(false, due, err) != outcomeServed {
+		return
+	}
+	c.loader.mu.Lock()
+	defer c.loader.mu.Unlock()
+	if n < c.acknowledged && c.loader.Profile.MaxAgeMS == 0 {
+		c.loader.result.Stale++
+	}
+	if n > c.acknowledged+c.unknown {
+		c.loader.result.Doubled++
+	}
+}
+
+// outcome is what a caller knows of its request.
+type outcome string
+
+const (
+	outcomeServed  outcome = "served"
+	outcomeRefused outcome = "refused"
+	outcomeUnknown outcome = "unknown"
+)
+
+func outcomeOf(err error) (outcome, string) {
+	var pe *pgconn.PgError
+	switch {
+	case err == nil:
+		return outcomeServed, ""
+	case errors.As(err, &pe) && strings.Contains(pe.Detail, "verdict=not_run"):
+		return outcomeRefused, pe.Code
+	case errors.As(err, &pe):
+		return outcomeUnknown, pe.Code
+	}
+	return outcomeUnknown, "connection"
+}
+
+// observe records one request.
+func (l *Loader) observe(write bool, due time.Time, err error) outcome {
+	latency := time.Since(due)
+	o, code := outcomeOf(err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := int(due.Sub(l.start) / time.Second)
+	s := l.seconds[at]
+	if s == nil {
+		s = &second{Second: Second{At: at}}
+		l.seconds[at] = s
+	}
+	switch o {
+	case outcomeServed:
+		s.Served++
+		s.latencies = append(s.latencies, milliseconds(int64(latency)))
+		h := l.reads
+		if write {
+			h = l.writes
+		}
+		_ = h.RecordValue(min(int64(latency), int64(maxLatency)))
+		return o
+	case outcomeRefused:
+		s.Refused++
+		l.result.Refused++
+	case outcomeUnknown:
+		s.Unknown++
+		l.result.Unknown++
+	}
+	l.result.Codes[code]++
+	return o
+}
+
+func milliseconds(ns int64) float64 { return float64(ns/1000) / 1000 }
+
+// finish computes the result.
+func (l *Loader) finish() *Result {
+	l.result.Reads, l.result.Writes = quantiles(l.reads), quantiles(l.writes)
+	for _, s := range l.seconds {
+		sort.Float64s(s.latencies)
+		if n := len(s.latencies); n > 0 {
+			s.MedianMS, s.MaxMS = s.latencies[n/2], s.latencies[n-1]
+		}
+		l.result.Seconds = append(l.result.Seconds, s.Second)
+	}
+	sort.Slice(l.result.Seconds, func(i, j int) bool { return l.result.Seconds[i].At < l.result.Seconds[j].At })
+	return &l.result
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(), P50: milliseconds(h.ValueAtQuantile(50)), P99: milliseconds(h.ValueAtQuantile(99)),
+		P999: milliseconds(h.ValueAtQuantile(99.9)), Max: milliseconds(h.Max()),
+	}
+}
--- /dev/null
+++ b/internal/loader/profile.go
@@ -0,0 +1,42 @@
+package loader
+
+import (
+	"fmt"
+	"time"
+)
+
+// Profile is what a load run sends. Shares are parts of all requests; what is
+// left of writes are reads.
+type Profile struct {
+	// Rate is in requests a second over all callers; arrivals are exponential.
+	Rate float64 `json:"rate"`
+	// Callers is the number of connections.
+	Callers int `json:"callers"`
+	// WriteShare is the part of requests that write.
+	WriteShare float64 `json:"write_share"`
+	// RoamShare is the part of requests before which a caller reconnects to
+	// the next URL.
+	RoamShare       float64 `json:"roam_share"`
+	DurationSeconds float64 `json:"duration_seconds"`
+	// MaxAgeMS, when set, is the age that reads accept, in milliseconds.
+	MaxAgeMS int `json:"max_age_ms"`
+}
+
+func (p Profile) duration() time.Duration {
+	return time.Duration(p.DurationSeconds * float64(time.Second))
+}
+
+func (p Profile) maxAge() time.Duration { return time.Duration(p.MaxAgeMS) * time.Millisecond }
+
+// Validate returns an error when a field is out of range.
+func (p Profile) Validate() error {
+	if !(p.Rate > 0) || p.Callers < 1 || p.DurationSeconds <= 0 {
+		return fmt.Errorf("loader: rate, callers and duration must be above 0")
+	}
+	for _, share := range []float64{p.WriteShare, p.RoamShare} {
+		if share < 0 || share > 1 {
+			return fmt.Errorf("loader: share %g must be between 0 and 1", share)
+		}
+	}
+	return nil
+}
--- a/internal/messenger/packer.go
+++ b/internal/messenger/packer.go
@@ -1,3 +1,11 @@
+// Package messenger holds the messages between the processes of the fleet and
+// their generated code. control.proto describes them; "make generate" makes the
+// code anew.
+//
+// # Usage
+//
+//	stream, err := messenger.NewDRPCControlClient(conn).Attend(ctx)
+//	err = stream.Send(&messenger.HostReport{HostId: "regina-a-1"})
 package messenger
 
 import (
