Keep tokens in proportion to the burst

Cause: ways to share were weighed on paper only. Change: the time of demand kept follows from burst and rate, so that all hosts together keep half of the burst at full rate; surplus is returned above 1.5 times.

--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -106,6 +106,10 @@
 	}
 	h.sub.Prepare()
 	h.limiter.Starved = h.sub.Poke
+	h.limiter.Limits = func(organisation string) (rate, burst float64) {
+		o := h.sub.State().Organisations[organisation]
+		return o.Rate, o.Burst
+	}
 	h.watch = &watcher.Watcher{
 		Connect: h.Connector.OpenMonitor, Interval: h.ProbeInterval, Timeout: h.ProbeTimeout,
 		IsPrimary: h.sub.IsPrimary, Turned: h.sub.Poke, Missed: func(upstream string) { h.pools.Break(upstream) },
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -39,7 +39,7 @@
 
 // String returns the row for people.
 func (r Row) String() string {
-	return fmt.Sprintf("%-44s %6d  %12.3f %s", r.Name, r.Size, r.Value, r.Unit)
+	return fmt.Sprintf("%-72s %6d  %12.4f %s", r.Name, r.Size, r.Value, r.Unit)
 }
 
 const (
@@ -69,7 +69,8 @@
 	for _, active := range []int{1, 10, 40, 100} {
 		rows = append(rows, surveyReport(active)...)
 	}
-	return append(rows, surveyBook()...)
+	rows = append(rows, surveyBook()...)
+	return append(rows, surveyShares()...)
 }
 
 // median runs f several times and returns the median of what it returns.
--- a/pkg/limiter/bucket.go
+++ b/pkg/limiter/bucket.go
@@ -19,8 +19,13 @@
 const (
 	// demandWindow is the time constant of the demand's average.
 	demandWindow = time.Second
-	// horizon is the time of demand for which a host keeps tokens.
-	horizon = 800 * time.Millisecond
+	// minHorizon and maxHorizon bound the time of demand for which a host
+	// keeps tokens.
+	minHorizon = 100 * time.Millisecond
+	maxHorizon = 800 * time.Millisecond
+	// keptPart is the part of the burst that all hosts together keep when the
+	// organisation asks for its whole rate.
+	keptPart = 0.5
 	// spread is the number of standard deviations of the demand's arrivals
 	// that a host keeps tokens for.
 	spread = 1.5
@@ -30,12 +35,16 @@
 	// lowPart is the part of the kept tokens below which more are asked for.
 	lowPart = 0.4
 	// returnFactor times the kept tokens is what a host holds at most.
-	returnFactor = 3
+	returnFactor = 1.5
 )
 
 // Bucket holds one organisation's tokens on one host. Totals count from the
 // start of the host.
 type Bucket struct {
+	// Horizon is the time of demand for which the host keeps tokens; zero
+	// means the longest.
+	Horizon time.Duration
+
 	Spent    float64
 	Returned float64
 	Received float64
@@ -47,6 +56,16 @@
 	waiting float64
 }
 
+// HorizonOf returns the horizon for an organisation's rate and burst. What
+// hosts keep is missing elsewhere, so that a small burst makes it short.
+func HorizonOf(rate, burst float64) time.Duration {
+	if !(rate > 0) {
+		return maxHorizon
+	}
+	h := time.Duration(keptPart * burst / rate * float64(time.Second))
+	return min(max(h, minHorizon), maxHorizon)
+}
+
 // Held returns the tokens that can be spent.
 func (b *Bucket) Held() float64 { return b.Received - b.Spent - b.Returned }
 
@@ -81,6 +100,10 @@
 	if b.demand < minDemand {
 		return b.waiting
 	}
+	horizon := b.Horizon
+	if horizon == 0 {
+		horizon = maxHorizon
+	}
 	mean := b.demand * horizon.Seconds()
 	return math.Ceil(mean+spread*math.Sqrt(mean)) + b.waiting
 }
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -20,6 +20,9 @@
 	Wait time.Duration
 	// Waiters bounds the requests of one organisation that wait.
 	Waiters int
+	// Limits returns an organisation's rate and burst over all hosts; nil means
+	// unknown.
+	Limits func(organisation string) (rate, burst float64)
 	// Starved is called, without locks held, when tokens run low.
 	Starved func()
 
@@ -57,6 +60,9 @@
 func (l *Limiter) Limit(ctx context.Context, organisation string, n int, urgent bool) *refuser.Refusal {
 	l.mu.Lock()
 	a := l.account(organisation)
+	if l.Limits != nil {
+		a.Horizon = HorizonOf(l.Limits(organisation))
+	}
 	a.Ask(float64(n), l.Now())
 	if (urgent || len(a.queue) == 0) && a.Take(float64(n)) {
 		low := a.IsLow()
