--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -13,7 +13,6 @@
 	"crypto/tls"
 
 	"github.com/shallotstage/shallotstage/internal/controller"
-	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/operator"
 	"github.com/shallotstage/shallotstage/internal/runner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
@@ -117,11 +116,7 @@
 }
 
 func (c *controlCommand) run(ctx context.Context, _, _ io.Writer) error {
-	log, err := logger.Open(c.LogLevel)
-	if err != nil {
-		return err
-	}
-	link, err := c.linker()
+	log, link, err := openProcess(c.LogLevel, c.linkSettings)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/pooler"
 	"github.com/shallotstage/shallotstage/internal/runner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
@@ -59,11 +58,7 @@
 }
 
 func (c *serveCommand) run(ctx context.Context, _, _ io.Writer) error {
-	log, err := logger.Open(c.LogLevel)
-	if err != nil {
-		return err
-	}
-	link, err := c.linker()
+	log, link, err := openProcess(c.LogLevel, c.linkSettings)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/controller/status.go
@@ -0,0 +1,42 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/elector"
+)
+
+// Status is what a control host tells of itself.
+type Status struct {
+	ID        string             `json:"id"`
+	Role      elector.Role       `json:"role"`
+	Leader    string             `json:"leader"`
+	Term      uint64             `json:"term"`
+	Committed uint64             `json:"committed"`
+	Members   elector.Membership `json:"members"`
+	Hosts     int                `json:"hosts"`
+	Version   uint64             `json:"version"`
+	InForce   uint64             `json:"in_force"`
+}
+
+// Status returns the present status.
+func (c *Controller) Status(ctx context.Context) (Status, error) {
+	done := make(chan Status, 1)
+	ok := c.do(func() {
+		done <- Status{
+			ID: c.ID, Role: c.elector.Role(), Leader: c.elector.Leader(), Term: c.elector.Term(),
+			Committed: c.elector.Committed(), Members: c.elector.Membership(),
+			Hosts: c.lead.granter.Count(time.Now()), Version: c.book.State.Version, InForce: c.lead.inForce,
+		}
+	})
+	if !ok {
+		return Status{}, ErrStopped
+	}
+	select {
+	case s := <-done:
+		return s, nil
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	}
+}
--- a/internal/netem/conn.go
+++ b/internal/delayer/conn.go
@@ -1,9 +1,11 @@
-package netem
+package delayer
 
 import (
 	"context"
 	"net"
 	"time"
+
+	"github.com/shallotstage/shallotstage/internal/pauser"
 )
 
 const (
@@ -53,7 +55,7 @@
 	go func() {
 		defer cancel()
 		for c := range chunks {
-			if pause(ctx, time.Until(c.due)) != nil {
+			if pauser.Pause(ctx, time.Until(c.due)) != nil {
 				return
 			}
 			if n.waitUncut(ctx, from, to) != nil {
--- a/internal/netem/network.go
+++ b/internal/delayer/network.go
@@ -1,22 +1,24 @@
-// Package netem delays and cuts loopback connections, so that processes on one
+// Package delayer delays and cuts loopback connections, so that processes on one
 // machine see the latencies, the bandwidth and the partitions of several data
 // centres.
 //
 // # Usage
 //
-//	n := &netem.Network{Latency: latency, LinkBits: 30e6}
+//	n := &delayer.Network{Latency: latency, LinkBits: 30e6}
 //	n.Place("127.0.0.1:7001", "regina-a")
 //	dial := n.Dialer("winnipeg-a")
 //	conn, err := dial(ctx, "tcp", "127.0.0.1:7001")
 //	n.Cut("regina-a", "winnipeg-a")
 //	n.Heal()
-package netem
+package delayer
 
 import (
 	"context"
 	"net"
 	"sync"
 	"time"
+
+	"github.com/shallotstage/shallotstage/internal/pauser"
 )
 
 // Network knows where addresses are. Exported fields are set before use.
@@ -134,7 +136,7 @@
 		if err := n.waitUncut(ctx, place, to); err != nil {
 			return nil, err
 		}
-		if err := pause(ctx, 2*n.Latency(place, to)); err != nil {
+		if err := pauser.Pause(ctx, 2*n.Latency(place, to)); err != nil {
 			return nil, err
 		}
 		var d net.Dialer
@@ -145,17 +147,3 @@
 		return n.wrap(conn, place, to), nil
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/demonstrator/baseline.go
+++ b/internal/demonstrator/baseline.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5"
 
 	"github.com/shallotstage/shallotstage/internal/emulator"
+	"github.com/shallotstage/shallotstage/internal/pauser"
 )
 
 // runBaseline loads the same upstreams without a proxy: callers connect to the
@@ -61,11 +62,11 @@
 		wg.Add(1)
 		go func() { defer wg.Done(); c.Run(loadCtx) }()
 	}
-	if d.Failovers > 0 && pause(loadCtx, duration/3) == nil {
+	if d.Failovers > 0 && pauser.Pause(loadCtx, duration/3) == nil {
 		group := d.Layout.GroupNames()[0]
 		faults = append(faults, Fault{Kind: "primary_cut_off", Group: group, At: time.Now(), End: time.Now().Add(cutOffTime)})
 		primaries[group].SetCutOff(true)
-		_ = pause(loadCtx, cutOffTime)
+		_ = pauser.Pause(loadCtx, cutOffTime)
 		primaries[group].SetCutOff(false)
 	}
 	wg.Wait()
--- a/internal/demonstrator/breaker.go
+++ b/internal/demonstrator/breaker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/authenticator"
+	"github.com/shallotstage/shallotstage/internal/pauser"
 	"github.com/shallotstage/shallotstage/pkg/planner"
 )
 
@@ -31,7 +32,7 @@
 	gap := d.Duration / time.Duration(steps+1)
 	groups := d.Layout.GroupNames()
 	for i := range steps {
-		if pause(ctx, gap) != nil {
+		if pauser.Pause(ctx, gap) != nil {
 			return
 		}
 		if d.Partition && i == steps-1 {
@@ -65,14 +66,14 @@
 	for _, dc := range dcs[:len(dcs)-1] {
 		d.fleet.Network.Cut(dc.Name, last)
 	}
-	_ = pause(ctx, partitionTime)
+	_ = pauser.Pause(ctx, partitionTime)
 	d.fleet.Network.Heal()
 }
 
 // withdrawKey grants a key by intent, uses it on an open connection, withdraws
 // it, and records when the last statement with it was accepted.
 func (d *Demo) withdrawKey(ctx context.Context) {
-	if pause(ctx, d.Duration/8) != nil {
+	if pauser.Pause(ctx, d.Duration/8) != nil {
 		return
 	}
 	organisation := d.Layout.Organisations[len(d.Layout.Organisations)-1].ID
@@ -105,7 +106,7 @@
 			break
 		}
 		last = time.Now()
-		if pause(ctx, 2*time.Millisecond) != nil {
+		if pauser.Pause(ctx, 2*time.Millisecond) != nil {
 			break
 		}
 	}
@@ -146,7 +147,7 @@
 		if all {
 			return true
 		}
-		if pause(ctx, 5*time.Millisecond) != nil {
+		if pauser.Pause(ctx, 5*time.Millisecond) != nil {
 			return false
 		}
 	}
--- a/internal/demonstrator/caller.go
+++ b/internal/demonstrator/caller.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"github.com/shallotstage/shallotstage/internal/pauser"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 )
 
@@ -62,7 +63,7 @@
 		if behind := time.Since(due); behind > 2*time.Second {
 			due = time.Now()
 		}
-		if pause(ctx, time.Until(due)) != nil {
+		if pauser.Pause(ctx, time.Until(due)) != nil {
 			break
 		}
 		c.step(ctx, due)
@@ -70,20 +71,6 @@
 	c.disconnect()
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (c *Caller) disconnect() {
 	if c.conn == nil {
 		return
@@ -122,7 +109,7 @@
 	}
 	conn, err := c.Connect(ctx, token)
 	if err != nil {
-		_ = pause(ctx, reconnectPause)
+		_ = pauser.Pause(ctx, reconnectPause)
 		return false
 	}
 	c.conn = conn
--- a/internal/emulator/executor.go
+++ b/internal/emulator/executor.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
 
+	"github.com/shallotstage/shallotstage/internal/pauser"
 	"github.com/shallotstage/shallotstage/pkg/classifier"
 )
 
@@ -89,24 +90,13 @@
 		return ctx.Err()
 	}
 	if s.upstream.ServiceTime > 0 {
-		return pause(ctx, s.upstream.ServiceTime)
+		return pauser.Pause(ctx, s.upstream.ServiceTime)
 	}
 	return nil
 }
 
 func (s *sqlSession) releaseSlot() { <-s.upstream.slots }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (s *sqlSession) runBegin(readOnly bool) error {
 	if s.tx == nil {
 		tx, err := s.upstream.begin(s.ctx, true, readOnly)
@@ -204,7 +194,7 @@
 	if err != nil {
 		return &failure{stateSyntax, err.Error()}
 	}
-	if err := pause(ctx, time.Duration(f*float64(time.Second))); err != nil {
+	if err := pauser.Pause(ctx, time.Duration(f*float64(time.Second))); err != nil {
 		return err
 	}
 	if x.describe {
--- a/internal/emulator/session.go
+++ b/internal/emulator/session.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -14,10 +15,14 @@
 	"github.com/jackc/pgx/v5/pgtype"
 
 	"github.com/shallotstage/shallotstage/internal/authenticator"
+	"github.com/shallotstage/shallotstage/internal/pauser"
 	"github.com/shallotstage/shallotstage/pkg/classifier"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
+// parameterConnection is the parameter that names the connection.
+const parameterConnection = "upstream_connection"
+
 // sqlSession is one SQL connection.
 type sqlSession struct {
 	upstream *Upstream
@@ -115,7 +120,7 @@
 			s.upstream.cancels.cancel(m.ProcessID)
 			return false
 		case *pgproto3.StartupMessage:
-			if pause(s.ctx, s.upstream.ConnectDelay) != nil {
+			if pauser.Pause(s.ctx, s.upstream.ConnectDelay) != nil {
 				return false
 			}
 			user := m.Parameters["user"]
@@ -134,6 +139,7 @@
 
 func (s *sqlSession) greet(pid uint32) error {
 	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.settings[parameterConnection] = strconv.FormatUint(uint64(pid), 10)
 	for _, p := range [][2]string{
 		{"server_version", "16.0 (stand-in)"},
 		{"server_encoding", "UTF8"},
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -24,6 +24,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/shallotstage/shallotstage/internal/pauser"
 )
 
 const (
@@ -121,7 +123,7 @@
 	due := time.Now()
 	for {
 		due = due.Add(time.Duration(c.rand.ExpFloat64() * interval))
-		if !pause(ctx, time.Until(due)) {
+		if pauser.Pause(ctx, time.Until(due)) != nil {
 			c.close()
 			return
 		}
@@ -129,18 +131,6 @@
 	}
 }
 
-// pause waits for d. It returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *caller) close() {
 	if c.conn != nil {
 		_ = c.conn.Close(context.Background())
@@ -155,7 +145,7 @@
 	if c.conn == nil || c.conn.IsClosed() {
 		if err := c.connect(ctx); err != nil {
 			c.loader.observe(false, due, err)
-			pause(ctx, reconnectPause)
+			_ = pauser.Pause(ctx, reconnectPause)
 			return
 		}
 	}
--- /dev/null
+++ b/internal/pauser/pauser.go
@@ -0,0 +1,35 @@
+// Package pauser waits without outliving a context.
+//
+// # Usage
+//
+//	if err := pauser.Pause(ctx, time.Second); err != nil {
+//		return err // ctx ended first
+//	}
+package pauser
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for d. It returns the error of ctx when ctx ends first.
+func Pause(ctx context.Context, d time.Duration) error {
+	return Until(ctx, nil, d)
+}
+
+// Until waits for changed or for d, whichever comes first. It returns the error
+// of ctx when ctx ends before both.
+func Until(ctx context.Context, changed <-chan struct{}, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -30,10 +30,14 @@
 // binding is an upstream connection that belongs to a session for longer than
 // one unit.
 type binding struct {
-	conn    *pooler.Conn
-	pool    *pooler.Pool
-	target  target
-	pinned  bool
+	conn   *pooler.Conn
+	pool   *pooler.Pool
+	target target
+	// pinned is true once the connection holds state that cannot be replayed.
+	pinned bool
+	// open is true inside a transaction, and between a Flush and its Sync.
+	open bool
+	// pending are the statements of the open transaction.
 	pending []classifier.Statement
 }
 
@@ -178,7 +182,7 @@
 	defer c.mu.Unlock()
 	c.busy = false
 	c.interrupt = nil
-	c.inTransaction = c.bound != nil
+	c.inTransaction = c.bound != nil && c.bound.open
 	if c.revoked != nil && (c.mode == revokeNow || !c.inTransaction) {
 		return c.revoked
 	}
@@ -235,7 +239,7 @@
 	switch {
 	case c.aborted:
 		return txFailed
-	case c.bound != nil && !c.bound.pinned:
+	case c.bound != nil && c.bound.open:
 		return txOpen
 	}
 	return txIdle
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -49,7 +49,7 @@
 				stop = tokens[i].start
 			}
 			s := classify(tokens[first:i])
-			s.Text = strings.TrimSpace(sql[tokens[first].start:stop])
+			s.Text = strings.Trim(sql[tokens[first].start:stop], whiteSpace)
 			statements = append(statements, s)
 		}
 		first = i + 1
--- a/pkg/classifier/lexer.go
+++ b/pkg/classifier/lexer.go
@@ -20,6 +20,9 @@
 
 func (t token) isSemicolon() bool { return t.kind == kindSymbol && t.text == ";" }
 
+// whiteSpace holds the bytes that separate tokens.
+const whiteSpace = " \t\n\r\f\v"
+
 // lex splits SQL into tokens. Comments and white space are dropped. An
 // unterminated string or comment extends to the end of the text.
 func lex(sql string) []token {
@@ -27,7 +30,7 @@
 	for i := 0; i < len(sql); {
 		c := sql[i]
 		switch {
-		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f':
+		case strings.IndexByte(whiteSpace, c) >= 0:
 			i++
 		case strings.HasPrefix(sql[i:], "--"):
 			i = lineCommentEnd(sql, i)
