Make the test of pinned connections able to fail

Change: the stand-in names its connections with its own id. Measured: with the fault put back the test fails (ledger-0/2 became ledger-1/1, another upstream's); without it, it passes three times.

--- a/internal/emulator/session.go
+++ b/internal/emulator/session.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -139,7 +139,7 @@
 
 func (s *sqlSession) greet(pid uint32) error {
 	s.backend.Send(&pgproto3.AuthenticationOk{})
-	s.settings[parameterConnection] = strconv.FormatUint(uint64(pid), 10)
+	s.settings[parameterConnection] = fmt.Sprintf("%s/%d", s.upstream.ID, pid)
 	for _, p := range [][2]string{
 		{"server_version", "16.0 (stand-in)"},
 		{"server_encoding", "UTF8"},
