Acknowledge no COMMIT before it is safe, whatever stands behind it

Cause, found by reading: three ways let an acknowledgement out that no quorum held. An error behind a COMMIT in the same query skipped the wait; a Sync after a Flush commits an implicit transaction, which was taken for one that goes on; a COMMIT followed by Flush was answered at once. Also a unit that an upstream refused after a COMMIT in it could have been repeated, and its connection went back to the pool inside a failed transaction. Change: the wait depends on whether a commit was reported; a binding tells an implicit transaction from a block; COMMIT with Flush is refused as not run; a unit that committed anything is never repeated; only idle connections are returned.

--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -64,7 +64,7 @@
 // serveBound runs a unit on the connection that the session holds.
 func (c *session) serveBound(ctx context.Context, u *unit) error {
 	b := c.bound
-	x := &exchange{session: c, conn: b.conn, target: b.target, unit: u, inTransaction: b.open}
+	x := &exchange{session: c, conn: b.conn, target: b.target, unit: u, inTransaction: b.open && !b.implicit}
 	if err := c.runExchange(ctx, x, b.pool); err != nil {
 		return c.breakOff(u, x, err)
 	}
@@ -81,8 +81,8 @@
 			return c.refuse(u, r)
 		}
 		err := c.runExchange(ctx, x, pool)
-		if err == nil && x.failed == stateReadOnly && !x.relayed {
-			// The upstream refused to write, so nothing ran.
+		if err == nil && x.failed == stateReadOnly && !x.relayed && !x.reported {
+			// The upstream refused to write and has committed nothing.
 			if attempt.retryReadOnly(x) {
 				x.retract()
 				c.release(x, pool)
@@ -133,14 +133,14 @@
 		c.skipping = x.failed != ""
 		return c.flush()
 	}
-	if x.reported && x.failed == "" {
+	if x.reported {
 		c.raiseFloor(x.position)
 	}
 	if r := x.confirm(ctx); r != nil {
 		x.retract()
 		return c.refuse(u, r)
 	}
-	if x.reported && x.failed == "" && x.target.primary {
+	if x.reported && x.target.primary {
 		if err := c.emit(&pgproto3.ParameterStatus{Name: settingToken, Value: c.token().String()}); err != nil {
 			return err
 		}
@@ -191,6 +191,7 @@
 	}
 	c.bound.pinned = pins
 	c.bound.open = open
+	c.bound.implicit = u.end == endFlush && !x.inTransaction && !u.begins()
 	if open {
 		c.bound.pending = append(c.bound.pending, u.executed...)
 	} else {
@@ -203,7 +204,7 @@
 	c.bound = nil
 	cancelled := c.clearRunning()
 	tainted := x.unit.has(classifier.ClassDiscard) || x.failed != "" && x.unit.has(classifier.ClassSet)
-	if cancelled || tainted {
+	if cancelled || tainted || x.status != txIdle {
 		pool.Discard(x.conn)
 		return
 	}
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -337,7 +337,7 @@
 // refusal that takes the place of the acknowledgement.
 func (x *exchange) confirm(ctx context.Context) *refuser.Refusal {
 	s := x.session.server
-	if !x.acknowledges() || x.failed != "" {
+	if !x.acknowledges() || x.failed != "" && !x.reported {
 		return nil
 	}
 	if x.reported {
--- a/internal/server/fault_test.go
+++ b/internal/server/fault_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/shallotstage/shallotstage/internal/emulator"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
@@ -158,6 +159,55 @@
 			return run(conn, updateText)
 		},
 	},
+	{
+		name: "no replica holds a commit that an error follows", code: "08007", verdict: refuser.MayHaveRun, runs: 1,
+		cfg: groupConfig{bounds: Bounds{SafeTimeout: 300 * time.Millisecond}},
+		act: func(g *group, conn *pgx.Conn) error {
+			g.upstreams[1].SetCutOff(true)
+			g.upstreams[2].SetCutOff(true)
+			tags := 0
+			results, err := conn.PgConn().Exec(context.Background(), "BEGIN; "+updateText+"; COMMIT; SELECT * FROM nowhere").ReadAll()
+			for _, r := range results {
+				if r.CommandTag.String() == "COMMIT" {
+					tags++
+				}
+			}
+			g.c.Assert(tags, qt.Equals, 0, qt.Commentf("an unsafe COMMIT was acknowledged"))
+			return err
+		},
+	},
+	{
+		name: "no replica holds a commit that a Sync makes after a Flush", code: "08007", verdict: refuser.MayHaveRun, runs: 1,
+		cfg: groupConfig{bounds: Bounds{SafeTimeout: 300 * time.Millisecond}},
+		act: func(g *group, conn *pgx.Conn) error {
+			g.upstreams[1].SetCutOff(true)
+			g.upstreams[2].SetCutOff(true)
+			p := conn.PgConn().StartPipeline(context.Background())
+			p.SendQueryParams(updateText, nil, nil, nil, nil)
+			p.SendFlushRequest()
+			g.c.Assert(p.Flush(), qt.IsNil)
+			r, err := p.GetResults()
+			g.c.Assert(err, qt.IsNil)
+			_, err = r.(*pgconn.ResultReader).Close()
+			g.c.Assert(err, qt.IsNil)
+			g.c.Assert(p.Sync(), qt.IsNil)
+			_, err = p.GetResults()
+			return errors.Join(err, p.Close())
+		},
+	},
+	{
+		name: "COMMIT followed by Flush", code: "0A000", verdict: refuser.NotRun, runs: 0,
+		act: func(g *group, conn *pgx.Conn) error {
+			g.exec(conn, "BEGIN")
+			g.exec(conn, updateText)
+			p := conn.PgConn().StartPipeline(context.Background())
+			p.SendQueryParams("COMMIT", nil, nil, nil, nil)
+			p.SendFlushRequest()
+			g.c.Assert(p.Flush(), qt.IsNil)
+			_, err := p.GetResults()
+			return errors.Join(err, p.Close())
+		},
+	},
 	{
 		name: "no primary", code: "57P03", verdict: refuser.NotRun, runs: 0,
 		cfg: groupConfig{wait: 300 * time.Millisecond},
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -37,6 +37,9 @@
 	pinned bool
 	// open is true inside a transaction, and between a Flush and its Sync.
 	open bool
+	// implicit is true while the open transaction is not a block of the
+	// caller's own and will be committed by its Sync.
+	implicit bool
 	// pending are the statements of the open transaction.
 	pending []classifier.Statement
 }
--- a/internal/server/unit.go
+++ b/internal/server/unit.go
@@ -152,12 +152,20 @@
 	return false
 }
 
+// begins reports whether the unit opens a transaction block.
+func (u *unit) begins() bool {
+	return u.has(classifier.ClassBegin) || u.has(classifier.ClassBeginReadOnly)
+}
+
 // check returns a refusal when the unit holds a statement that the proxy does
 // not carry.
 func (u *unit) check() *refuser.Refusal {
 	if u.has(classifier.ClassUnsupported) {
 		return refuser.New(refuser.ReasonUnsupported, "COPY, LISTEN and NOTIFY are not carried")
 	}
+	if u.end == endFlush && u.has(classifier.ClassCommit) {
+		return refuser.New(refuser.ReasonUnsupported, "COMMIT must be followed by Sync, not by Flush")
+	}
 	settings := u.has(classifier.ClassSet) || u.has(classifier.ClassReset)
 	if settings && u.end == endQuery && len(u.executed) > 1 {
 		return refuser.New(refuser.ReasonUnsupported, "SET and RESET must be sent one to a query")
