Count no member that lost its disk until it has caught up

Cause, found by reading: an upstream that comes back empty still answered a fence as one of the quorum. With the primary cut off and the third member behind, the third was promoted and an acknowledged write was gone. Ruled out: positions alone, which an emptied member may reach again under entries that are not the same; and the order of reports, which carry no positions. Change: upstreams announce the name of their data; the agreed group says which data count; the promoter holds a promotion without a quorum of these, replaces a primary that lost its data, and lets a member count again, by an agreed change, once it holds what the primary held after the loss was seen.

--- a/internal/controller/groups.go
+++ b/internal/controller/groups.go
@@ -51,13 +51,24 @@
 			}
 			c.lead.allocator.SetOrganisation(org.ID, org.Rate, org.Burst, now)
 		case configurer.KindUpstream:
-			c.lead.registrar.Adopt(c.book.State.Upstreams[ch.ID])
+			u := c.book.State.Upstreams[ch.ID]
+			c.lead.registrar.Adopt(u)
+			c.dropOldAnswers(u)
 		case configurer.KindGroup:
 			c.groupChanged(c.book.State.Groups[ch.ID], index, o.Text)
 		}
 	}
 }
 
+// dropOldAnswers forgets what the members of a group answered before one of
+// them lost its data.
+func (c *Controller) dropOldAnswers(u configurer.Upstream) {
+	g := c.book.State.Groups[u.Group]
+	if slices.Contains(g.Members, u.ID) && g.Instances[u.ID] != u.Instance && g.Phase == configurer.PhaseServing {
+		delete(c.lead.answers, u.Group)
+	}
+}
+
 func (c *Controller) groupChanged(g configurer.Group, index uint64, why string) {
 	if g.Phase == configurer.PhaseFenced {
 		c.lead.fencedAt[g.ID] = index
@@ -146,12 +157,13 @@
 }
 
 func (c *Controller) evidence(g configurer.Group, now time.Time) promoter.Evidence {
-	e := promoter.Evidence{Now: now, Answers: c.lead.answers[g.ID], Draining: map[string]bool{}}
+	e := promoter.Evidence{Now: now, Answers: c.lead.answers[g.ID], Draining: map[string]bool{}, Instances: map[string]string{}}
 	for key, s := range c.lead.sights[g.ID] {
 		s.At = c.lead.reported[key.holder]
 		e.Sights = append(e.Sights, s)
 	}
 	for _, id := range g.Members {
+		e.Instances[id] = c.book.State.Upstreams[id].Instance
 		if c.book.State.Upstreams[id].Lifecycle == configurer.LifecycleDraining {
 			e.Draining[id] = true
 		}
@@ -190,6 +202,7 @@
 // platformStatus is an upstream's answer to an order.
 type platformStatus struct {
 	Role       string           `json:"role"`
+	Instance   string           `json:"instance"`
 	Position   tracker.Position `json:"position"`
 	FencedTerm uint64           `json:"fenced_term"`
 	Lineage    tracker.Lineage  `json:"lineage"`
@@ -220,7 +233,7 @@
 			c.lead.answers[group] = map[string]promoter.Answer{}
 		}
 		c.lead.answers[group][u.ID] = promoter.Answer{
-			Upstream: u.ID, Position: status.Position, FencedTerm: status.FencedTerm,
+			Upstream: u.ID, Instance: status.Instance, Position: status.Position, FencedTerm: status.FencedTerm,
 			Primary: status.Role == "primary", Lineage: status.Lineage,
 		}
 	})
--- /dev/null
+++ b/internal/demonstrator/lost_disk_test.go
@@ -0,0 +1,81 @@
+package demonstrator
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/internal/emulator"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+)
+
+// TestLostDiskDoesNotLoseWrites loses the disk of one of the two upstreams that
+// hold the last acknowledged write, and cuts off the other. The third upstream
+// lacks the write; it must not be promoted with the emptied one as its quorum.
+func TestLostDiskDoesNotLoseWrites(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	layout := Association()
+	layout.Groups = 1
+	f := &Fleet{Layout: layout}
+	c.Assert(f.Start(t.Context()), qt.IsNil)
+	defer f.Stop()
+	group := layout.GroupNames()[0]
+	primary := f.Upstream(f.Group(group).Primary)
+	var others []*emulator.Upstream
+	for _, u := range f.Upstreams {
+		if u != primary {
+			others = append(others, u)
+		}
+	}
+	c.Assert(f.try(0, group, "CREATE TABLE t (id text)"), qt.IsNil)
+	f.await(c, func() bool { return others[0].Status().Position == others[1].Status().Position })
+
+	others[1].SetCutOff(true)
+	c.Assert(f.try(0, group, "INSERT INTO t (id) VALUES ('last')"), qt.IsNil)
+	primary.SetCutOff(true)
+	c.Assert(others[0].LoseData(""), qt.IsNil)
+	others[1].SetCutOff(false)
+	f.await(c, func() bool { return f.isHeld(group) })
+
+	primary.SetCutOff(false)
+	f.await(c, func() bool { return f.try(0, group, "INSERT INTO t (id) VALUES ('next')") == nil })
+	dc := layout.DataCentres[0].Name
+	conn, err := f.Connect(t.Context(), f.Entries[0], dc, layout.Organisations[0].ID, group, "")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close(t.Context()) }()
+	var n int
+	c.Assert(conn.QueryRow(t.Context(), "SELECT count(*) FROM t WHERE id = 'last'").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 1, qt.Commentf("an acknowledged write was lost"))
+	f.await(c, func() bool {
+		g := f.Group(group)
+		return g.Instances[others[0].ID] == others[0].Status().Instance
+	})
+}
+
+// isHeld reports whether the record says that a promotion is held.
+func (f *Fleet) isHeld(group string) bool {
+	leader := f.Leader(context.Background())
+	if leader == nil {
+		return false
+	}
+	held := false
+	_ = leader.Controller.Read(context.Background(), func(b *planner.Book) {
+		for _, r := range b.Explain(group) {
+			held = held || strings.Contains(r.Text, "is held")
+		}
+	})
+	return held
+}
+
+// await polls a condition that the fleet brings about.
+func (f *Fleet) await(c *qt.C, ok func() bool) {
+	deadline := time.Now().Add(partitionBound)
+	for !ok() {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("condition not met in time"))
+		<-time.After(20 * time.Millisecond)
+	}
+}
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -38,6 +38,7 @@
 func (u *Upstream) platformHandler(ctx context.Context) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { u.respond(w, nil) })
+	mux.HandleFunc("POST /v1/inspect", u.orderHandler(func(Order) error { return nil }))
 	mux.HandleFunc("POST /v1/fence", u.orderHandler(u.Fence))
 	mux.HandleFunc("POST /v1/promote", u.orderHandler(u.Promote))
 	mux.HandleFunc("POST /v1/follow", u.orderHandler(u.Follow))
--- a/internal/emulator/status.go
+++ b/internal/emulator/status.go
@@ -15,6 +15,7 @@
 type Status struct {
 	ID       string           `json:"id"`
 	Group    string           `json:"group"`
+	Instance string           `json:"instance"`
 	Role     Role             `json:"role"`
 	Position tracker.Position `json:"position"`
 	// FencedTerm is the lowest term whose entries the upstream still accepts.
--- a/internal/emulator/upstream.go
+++ b/internal/emulator/upstream.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"maps"
 	"net"
@@ -75,6 +76,7 @@
 
 	mu         sync.Mutex
 	engine     *engine
+	instance   string
 	role       Role
 	position   tracker.Position
 	fencedTerm uint64
@@ -137,6 +139,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.engine = e
+	u.instance = rand.Text()
 	u.role = u.Role
 	u.fencedTerm = u.Term
 	u.logChanged = make(chan struct{})
@@ -166,7 +169,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return Status{
-		ID: u.ID, Group: u.Group, Role: u.role, Position: u.position,
+		ID: u.ID, Group: u.Group, Instance: u.instance, Role: u.role, Position: u.position,
 		FencedTerm: u.fencedTerm, Lineage: slices.Clone(u.lineage),
 	}
 }
@@ -195,6 +198,24 @@
 	u.logChanged = make(chan struct{})
 }
 
+// LoseData empties the upstream, as a restart on a new disk does. It follows
+// the same primary again.
+func (u *Upstream) LoseData(primaryAddress string) error {
+	e, err := newEngine(u.Slots + 2)
+	if err != nil {
+		return err
+	}
+	u.mu.Lock()
+	old := u.engine
+	u.engine, u.log, u.lineage = e, nil, nil
+	u.position, u.role, u.instance = tracker.Position{}, RoleReplica, rand.Text()
+	u.followSource(source{address: primaryAddress, term: u.fencedTerm})
+	u.mu.Unlock()
+	u.socks.closeAll()
+	old.close()
+	return nil
+}
+
 func (u *Upstream) currentPosition() tracker.Position {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -244,6 +265,7 @@
 		Upstream: configurer.Upstream{
 			ID: u.ID, Group: u.Group, Address: sqlAddress, PlatformAddress: platformAddress,
 			DataCentre: u.DataCentre, Region: u.Region, Slots: u.Slots, Connections: u.Connections,
+			Instance: s.Instance,
 		},
 		Role: string(s.Role), Position: s.Position, Lineage: s.Lineage,
 	}
--- a/pkg/configurer/group.go
+++ b/pkg/configurer/group.go
@@ -32,8 +32,11 @@
 	// Candidate is the upstream chosen to become primary under Term.
 	Candidate string `json:"candidate,omitempty"`
 	// Members is the agreed set from which a primary may be chosen.
-	Members []string        `json:"members"`
-	Lineage tracker.Lineage `json:"lineage,omitempty"`
+	Members []string `json:"members"`
+	// Instances are the members' data that count for a promotion. A member
+	// whose data differs counts again once it has caught up.
+	Instances map[string]string `json:"instances,omitempty"`
+	Lineage   tracker.Lineage   `json:"lineage,omitempty"`
 }
 
 // Quorum returns the number of members that any safe commit must reach.
--- a/pkg/configurer/upstream.go
+++ b/pkg/configurer/upstream.go
@@ -30,8 +30,11 @@
 	// Slots is the number of statements that run at the same time.
 	Slots int `json:"slots"`
 	// Connections is the upstream's connection limit.
-	Connections int       `json:"connections"`
-	Lifecycle   Lifecycle `json:"lifecycle"`
+	Connections int `json:"connections"`
+	// Instance names the data that the upstream holds. It differs after the
+	// data was lost.
+	Instance  string    `json:"instance,omitempty"`
+	Lifecycle Lifecycle `json:"lifecycle"`
 }
 
 // TakesWork reports whether new work may go to the upstream. A suspected one
--- a/pkg/promoter/action.go
+++ b/pkg/promoter/action.go
@@ -13,6 +13,8 @@
 	ActionFence ActionKind = "fence"
 	// ActionPromote orders an upstream to become primary.
 	ActionPromote ActionKind = "promote"
+	// ActionInspect asks an upstream for its position.
+	ActionInspect ActionKind = "inspect"
 	// ActionFollow orders an upstream to follow the primary.
 	ActionFollow ActionKind = "follow"
 )
--- a/pkg/promoter/evidence.go
+++ b/pkg/promoter/evidence.go
@@ -22,6 +22,7 @@
 // Answer is an upstream's answer to a fence or promote order.
 type Answer struct {
 	Upstream   string
+	Instance   string
 	Position   tracker.Position
 	FencedTerm uint64
 	Primary    bool
@@ -39,6 +40,8 @@
 	Released bool
 	// Announced are the upstreams of the group that have announced themselves.
 	Announced map[string]configurer.Announcement
+	// Instances are the data that the members last announced.
+	Instances map[string]string
 	// Draining are the upstreams that take no new work.
 	Draining map[string]bool
 }
--- a/pkg/promoter/machine.go
+++ b/pkg/promoter/machine.go
@@ -17,16 +17,16 @@
 	triggerTermBegun  trigger = "term_begun"
 	triggerChosen     trigger = "candidate_chosen"
 	triggerPromoted   trigger = "candidate_promoted"
-	triggerMemberSeen trigger = "member_seen"
+	triggerReadmitted trigger = "member_readmitted"
 )
 
 // next returns the phase that follows phase on t.
 func next(phase configurer.Phase, t trigger) (configurer.Phase, error) {
 	m := stateless.NewStateMachine(phase)
 	m.Configure(configurer.PhaseForming).
-		PermitReentry(triggerMemberSeen).
 		Permit(triggerFormed, configurer.PhaseServing)
 	m.Configure(configurer.PhaseServing).
+		PermitReentry(triggerReadmitted).
 		Permit(triggerTermBegun, configurer.PhaseFenced)
 	m.Configure(configurer.PhaseFenced).
 		Permit(triggerChosen, configurer.PhasePromoting).
--- a/pkg/promoter/promoter.go
+++ b/pkg/promoter/promoter.go
@@ -20,6 +20,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -84,6 +85,10 @@
 	}
 	sort.Strings(members)
 	g.Members = members
+	g.Instances = map[string]string{}
+	for id, a := range e.Announced {
+		g.Instances[id] = a.Instance
+	}
 	g.Primary = primary.ID
 	g.Term = primary.Position.Term
 	g.Lineage = primary.Lineage
@@ -100,7 +105,31 @@
 	if e.Draining[g.Primary] && p.reachableMembers(g, e) > g.Quorum() {
 		return p.beginTerm(g, fmt.Sprintf("primary %s is draining", g.Primary))
 	}
-	return p.followers(g, e)
+	if e.Instances[g.Primary] != g.Instances[g.Primary] && p.reachableMembers(g, e) >= g.Quorum() {
+		return p.beginTerm(g, fmt.Sprintf("primary %s has lost its data", g.Primary))
+	}
+	return append(p.followers(g, e), p.readmit(g, e)...)
+}
+
+// readmit lets a member that lost its data count again once it holds what the
+// primary held after the loss was seen.
+func (p Promoter) readmit(g configurer.Group, e Evidence) []Action {
+	for _, id := range g.Members {
+		if id == g.Primary || e.Instances[id] == g.Instances[id] || e.Instances[id] == "" {
+			continue
+		}
+		primary, member := e.Answers[g.Primary], e.Answers[id]
+		caughtUp := primary.Primary && primary.Position.Term == g.Term && primary.Instance == g.Instances[g.Primary] &&
+			member.Instance == e.Instances[id] && g.Lineage.Holds(member.Position, primary.Position)
+		if !caughtUp {
+			return []Action{{Kind: ActionInspect, Upstream: g.Primary, Term: g.Term}, {Kind: ActionInspect, Upstream: id, Term: g.Term}}
+		}
+		instances := maps.Clone(g.Instances)
+		instances[id] = member.Instance
+		g.Instances = instances
+		return propose(g, triggerReadmitted, fmt.Sprintf("%s lost its data and has caught up to %s", id, member.Position))
+	}
+	return nil
 }
 
 func (p Promoter) beginTerm(g configurer.Group, why string) []Action {
@@ -148,7 +177,7 @@
 			actions = append(actions, Action{Kind: ActionFence, Upstream: id, Term: g.Term})
 			continue
 		}
-		if !e.Draining[id] {
+		if !e.Draining[id] && a.Instance == g.Instances[id] {
 			answers = append(answers, a)
 		}
 	}
--- a/pkg/promoter/promoter_test.go
+++ b/pkg/promoter/promoter_test.go
@@ -89,6 +89,7 @@
 		{"equal positions: first name", []Answer{answer("c", 1, 9), answer("b", 1, 9)}, true, "", "b"},
 		{"answer to an earlier fence does not count", []Answer{answer("b", 1, 9), {Upstream: "c", FencedTerm: 1, Position: tracker.Position{Term: 1, Offset: 99}}}, true, "", ""},
 		{"draining member is passed over", []Answer{answer("a", 1, 9), answer("b", 1, 8), answer("c", 1, 8)}, true, "a", "b"},
+		{"member that lost its data does not count", []Answer{{Upstream: "b", Instance: "new", FencedTerm: 2}, answer("c", 1, 8)}, true, "", ""},
 		{"draining member leaves no quorum", []Answer{answer("a", 1, 9), answer("b", 1, 8)}, true, "a", ""},
 	} {
 		e := Evidence{Now: now, Answers: map[string]Answer{}, Released: tc.released, Draining: map[string]bool{tc.draining: true}}
@@ -115,6 +116,38 @@
 	qt.Assert(t, best.Upstream, qt.Equals, "new")
 }
 
+func TestMemberThatLostItsDataCountsOnceCaughtUp(t *testing.T) {
+	g := serving()
+	g.Instances = map[string]string{"a": "1", "b": "1", "c": "1"}
+	position := func(offset uint64) tracker.Position { return tracker.Position{Term: 1, Offset: offset} }
+	for _, tc := range []struct {
+		name     string
+		instance string
+		answers  map[string]Answer
+		want     ActionKind
+	}{
+		{"nothing lost", "1", nil, ""},
+		{"positions unknown", "2", nil, ActionInspect},
+		{"behind", "2", map[string]Answer{"a": {Instance: "1", Primary: true, Position: position(9)}, "b": {Instance: "2", Position: position(8)}}, ActionInspect},
+		{"answer of the lost data", "2", map[string]Answer{"a": {Instance: "1", Primary: true, Position: position(9)}, "b": {Instance: "1", Position: position(9)}}, ActionInspect},
+		{"caught up", "2", map[string]Answer{"a": {Instance: "1", Primary: true, Position: position(9)}, "b": {Instance: "2", Position: position(9)}}, ActionPropose},
+	} {
+		e := Evidence{Now: now, Sights: sights("abc"), Answers: tc.answers, Instances: map[string]string{"a": "1", "b": tc.instance, "c": "1"}}
+		actions := testPromoter.Decide(g, e)
+		got := ActionKind("")
+		if len(actions) > 0 {
+			got = actions[0].Kind
+		}
+		qt.Check(t, got, qt.Equals, tc.want, qt.Commentf(tc.name))
+		if got == ActionPropose {
+			qt.Check(t, actions[0].Group.Instances["b"], qt.Equals, "2")
+			qt.Check(t, g.Instances["b"], qt.Equals, "1", qt.Commentf("the agreed state must not change in place"))
+		}
+	}
+	lost := Evidence{Now: now, Sights: sights("abc"), Instances: map[string]string{"a": "2", "b": "1", "c": "1"}}
+	qt.Assert(t, testPromoter.Decide(g, lost)[0].Group.Phase, qt.Equals, configurer.PhaseFenced)
+}
+
 func TestLostCandidateEndsItsTerm(t *testing.T) {
 	g := serving()
 	g.Phase, g.Term, g.Primary, g.Candidate = configurer.PhasePromoting, 2, "", "b"
