Read a stated age in one place and test it

Cause: the floor of a read was worked out in two functions, one of which took the other's method as an argument; reads of a stated age had no test. Change: prepareFloor and askPrimary; TestReadsOfAStatedAge (old data while replicas lag, newer when the age demands it, own writes always).

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -154,38 +154,37 @@
 	}
 	a.floorReady = true
 	c := a.session
-	board := c.server.Watcher.Board(c.group)
+	recent, known := tracker.Position{}, false
 	if c.maxAge > 0 {
-		p, ok := board.AgeFloor(time.Now(), c.maxAge)
-		if !ok {
-			return c.askFloor(ctx, a, board.FloorSince)
-		}
-		a.floor = p
-	} else if !c.floorKnown {
-		if r := c.askFloor(ctx, a, board.FloorSince); r != nil {
+		recent, known = c.server.Watcher.Board(c.group).AgeFloor(time.Now(), c.maxAge)
+	}
+	if !known && (c.maxAge > 0 || !c.floorKnown) {
+		p, r := a.askPrimary(ctx)
+		if r != nil {
 			return r
 		}
-		c.raiseFloor(a.floor)
+		recent = p
+		if c.maxAge == 0 {
+			c.raiseFloor(p)
+		}
 	}
-	if a.floor.Less(c.floor) {
-		a.floor = c.floor
+	a.floor = c.floor
+	if a.floor.Less(recent) {
+		a.floor = recent
 	}
 	return nil
 }
 
-// askFloor waits for the primary's position as of now.
-func (c *session) askFloor(ctx context.Context, a *attempt, ask func(context.Context, time.Time) (tracker.Position, error)) *refuser.Refusal {
+// askPrimary waits for the primary's position as of now.
+func (a *attempt) askPrimary(ctx context.Context) (tracker.Position, *refuser.Refusal) {
+	c := a.session
 	ctx, cancel := context.WithTimeout(ctx, c.server.Bounds.FloorTimeout)
 	defer cancel()
-	p, err := ask(ctx, time.Now())
+	p, err := c.server.Watcher.Board(c.group).FloorSince(ctx, time.Now())
 	if err != nil {
-		return refuser.Wrap(refuser.ReasonNoFloor, "group "+c.group, err)
-	}
-	a.floor = p
-	if p.Less(c.floor) {
-		a.floor = c.floor
+		return p, refuser.Wrap(refuser.ReasonNoFloor, "group "+c.group, err)
 	}
-	return nil
+	return p, nil
 }
 
 // candidates describes the upstreams of a group to the router.
--- a/internal/server/scenario_test.go
+++ b/internal/server/scenario_test.go
@@ -192,6 +192,32 @@
 	g.c.Assert(err, qt.Not(qt.IsNil))
 }
 
+func TestReadsOfAStatedAge(t *testing.T) {
+	g := startGroup(t, groupConfig{lag: 400 * time.Millisecond})
+	writer := g.connect(0, "")
+	g.exec(writer, "CREATE TABLE t (id bigint PRIMARY KEY, n bigint)")
+	g.exec(writer, "INSERT INTO t (id, n) VALUES (1, 0)")
+	read := func(conn *pgx.Conn) int {
+		n := -1
+		g.c.Assert(conn.QueryRow(context.Background(), "SELECT n FROM t WHERE id = 1").Scan(&n), qt.IsNil)
+		return n
+	}
+	tolerant, strict := g.connect(0, "&shallotstage.max_age=1h"), g.connect(0, "&shallotstage.max_age=1ns")
+	g.until(func() bool {
+		return g.upstreams[1].Status().Position.Offset == 2 && g.upstreams[2].Status().Position.Offset == 2
+	})
+	g.c.Assert(read(tolerant), qt.Equals, 0)
+	done := make(chan error, 1)
+	go func() { done <- run(writer, updateText) }()
+	g.until(func() bool { return g.upstreams[0].Status().Position.Offset == 3 })
+	g.c.Assert(read(tolerant), qt.Equals, 0, qt.Commentf("old data are accepted while replicas lag"))
+	g.c.Assert(read(strict), qt.Equals, 1, qt.Commentf("older data than stated"))
+	g.c.Assert(<-done, qt.IsNil)
+	g.exec(tolerant, updateText)
+	g.c.Assert(read(tolerant), qt.Equals, 2, qt.Commentf("a session sees its own writes whatever age it accepts"))
+	g.c.Assert(run(tolerant, "SET shallotstage.max_age TO 'soon'"), qt.Not(qt.IsNil))
+}
+
 // TestPinnedConnectionOutlastsTransactions covers a fault found by reading: the
 // end of a transaction gave a pinned connection back to the pool.
 func TestPinnedConnectionOutlastsTransactions(t *testing.T) {
