Say when a failover of the demonstration is not over by its end

Cause: the baseline's failover gap read 0 when its group acknowledged no write until the end; the measures had no test.

--- a/internal/demonstrator/measures.go
+++ b/internal/demonstrator/measures.go
@@ -10,12 +10,15 @@
 type Measures struct {
 	ReplicaReadShare float64 `json:"replica_read_share"`
 	// FailoverGapMS is the median gap; the rest of the distribution follows.
-	FailoverGapMS     float64   `json:"failover_gap_ms"`
-	FailoverGapsMS    []float64 `json:"failover_gaps_ms"`
-	WorstShare        float64   `json:"worst_organisation_share"`
-	WorstOrganisation string    `json:"worst_organisation"`
-	WrongfulRefusals  float64   `json:"wrongful_refusal_share"`
-	WrongfulSteady    float64   `json:"wrongful_refusal_share_steady"`
+	FailoverGapMS  float64   `json:"failover_gap_ms"`
+	FailoverGapsMS []float64 `json:"failover_gaps_ms"`
+	// FailoversUnended counts the faults after which the group acknowledged no
+	// write until the end.
+	FailoversUnended  int     `json:"failovers_unended"`
+	WorstShare        float64 `json:"worst_organisation_share"`
+	WorstOrganisation string  `json:"worst_organisation"`
+	WrongfulRefusals  float64 `json:"wrongful_refusal_share"`
+	WrongfulSteady    float64 `json:"wrongful_refusal_share_steady"`
 	// WrongfulByOrganisation counts wrongful refusals.
 	WrongfulByOrganisation map[string]int `json:"wrongful_refusals_by_organisation"`
 	Requests               int            `json:"requests"`
@@ -87,6 +90,8 @@
 		if f.Kind == "primary_cut_off" {
 			if gap, ok := failoverGap(observations, f); ok {
 				m.FailoverGapsMS = append(m.FailoverGapsMS, gap)
+			} else {
+				m.FailoversUnended++
 			}
 		}
 	}
--- a/internal/demonstrator/table.go
+++ b/internal/demonstrator/table.go
@@ -19,7 +19,7 @@
 	line("measure\tshallotstage\tbaseline")
 	a, b := r.Measures, r.Baseline
 	line("replica_read_share\t%.3f\t%.3f", a.ReplicaReadShare, b.ReplicaReadShare)
-	line("failover_gap_ms\t%.0f (max %.0f of %d)\t%.0f", a.FailoverGapMS, quantile(a.FailoverGapsMS, 1), len(a.FailoverGapsMS), b.FailoverGapMS)
+	line("failover_gap_ms\t%s\t%s", gaps(a), gaps(b))
 	line("worst_organisation_share\t%.3f (%s)\t%.3f (%s)", a.WorstShare, a.WorstOrganisation, b.WorstShare, b.WorstOrganisation)
 	line("wrongful_refusal_share\t%.4f (steady %.4f)\t%.4f (steady %.4f)", a.WrongfulRefusals, a.WrongfulSteady, b.WrongfulRefusals, b.WrongfulSteady)
 	line("requests, refusals\t%d, %d\t%d, %d", a.Requests, a.Refusals, b.Requests, b.Refusals)
@@ -31,3 +31,15 @@
 	line("in force, key stopped ms\t%v, %v\t", a.InForceMS, a.KeyLastAcceptedMS)
 	return t.Flush()
 }
+
+// gaps writes the failover gaps of one side.
+func gaps(m Measures) string {
+	text := fmt.Sprintf("%.0f (max %.0f of %d)", m.FailoverGapMS, quantile(m.FailoverGapsMS, 1), len(m.FailoverGapsMS))
+	if len(m.FailoverGapsMS) == 0 {
+		text = "none"
+	}
+	if m.FailoversUnended > 0 {
+		text += fmt.Sprintf(", %d not over by the end", m.FailoversUnended)
+	}
+	return text
+}
