Take a free place without a timer; lead a new fleet at once

Cause: each statement made two contexts with timers although a place was free; the first leader of a new fleet waited 3 s for leases that nobody can hold. Change: a free place or an idle connection is taken without a context; a leader waits for earlier leases only when hosts were agreed on.

--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -90,7 +90,10 @@
 		held:      map[string]heldPromotion{},
 		inForce:   0,
 	}
-	c.lead.granter.Lead(now)
+	if len(c.book.State.Hosts) > 0 {
+		// Only a host that was agreed on can hold a lease of an earlier leader.
+		c.lead.granter.Lead(now)
+	}
 	c.lead.allocator.Lead()
 	c.lead.registrar.Restore(c.book.State.Upstreams, now)
 	for _, o := range c.book.State.Organisations {
--- a/internal/pooler/gate.go
+++ b/internal/pooler/gate.go
@@ -25,11 +25,25 @@
 	g.admit()
 }
 
+// TryEnter takes a place if one is free and nobody waits.
+func (g *Gate) TryEnter() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tryEnter()
+}
+
+func (g *Gate) tryEnter() bool {
+	if g.held >= g.limit || g.queue.Len() > 0 {
+		return false
+	}
+	g.held++
+	return true
+}
+
 // Enter waits for a place until ctx ends.
 func (g *Gate) Enter(ctx context.Context, organisation string) error {
 	g.mu.Lock()
-	if g.held < g.limit && g.queue.Len() == 0 {
-		g.held++
+	if g.tryEnter() {
 		g.mu.Unlock()
 		return nil
 	}
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -9,7 +9,7 @@
 //
 //	p := &pooler.Pool{Upstream: u, Config: cfg, Connections: 5, Slots: 2}
 //	go p.Run(ctx)
-//	conn, err := p.Take(ctx, "prairie_1")
+//	conn, err := p.Take(ctx, "prairie_1", 2*time.Second)
 //	...
 //	p.Return(conn) // or p.Discard(conn) when its state is in doubt
 package pooler
@@ -81,22 +81,49 @@
 	return p.slots.Load()
 }
 
-// Take returns a connection for one transaction of an organisation.
-func (p *Pool) Take(ctx context.Context, organisation string) (*Conn, error) {
+// Take returns a connection for one transaction of an organisation. It waits
+// for at most bound.
+func (p *Pool) Take(ctx context.Context, organisation string, bound time.Duration) (*Conn, error) {
 	p.mu.Lock()
 	p.init()
 	p.mu.Unlock()
+	start := time.Now()
+	if p.conns.TryEnter() {
+		if c := p.takeIdle(organisation, start); c != nil {
+			return c, nil
+		}
+		ctx, cancel := context.WithTimeout(ctx, bound)
+		defer cancel()
+		return p.takeEntered(ctx, organisation, start)
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
 	if err := p.conns.Enter(ctx, organisation); err != nil {
 		return nil, refuser.Wrap(refuser.ReasonPoolFull, "upstream "+p.Upstream.ID, err)
 	}
-	start := time.Now()
+	return p.takeEntered(ctx, organisation, time.Now())
+}
+
+// takeIdle hands an idle connection to an organisation, or returns nil.
+func (p *Pool) takeIdle(organisation string, since time.Time) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.popIdle()
+	if c != nil {
+		p.taken[c] = holder{organisation: organisation, since: since}
+	}
+	return c
+}
+
+// takeEntered takes a connection for an organisation that has its place.
+func (p *Pool) takeEntered(ctx context.Context, organisation string, since time.Time) (*Conn, error) {
 	c, err := p.takeOrOpen(ctx)
 	if err != nil {
-		p.conns.Leave(organisation, time.Since(start))
+		p.conns.Leave(organisation, time.Since(since))
 		return nil, refuser.Wrap(refuser.ReasonNoUpstream, "upstream "+p.Upstream.ID, err)
 	}
 	p.mu.Lock()
-	p.taken[c] = holder{organisation: organisation, since: start}
+	p.taken[c] = holder{organisation: organisation, since: since}
 	p.mu.Unlock()
 	return c, nil
 }
@@ -191,8 +218,14 @@
 	}
 }
 
-// StartStatement waits for a slot for one statement on a taken connection.
-func (p *Pool) StartStatement(ctx context.Context, organisation string) error {
+// StartStatement waits for a slot for one statement on a taken connection, for
+// at most bound.
+func (p *Pool) StartStatement(ctx context.Context, organisation string, bound time.Duration) error {
+	if p.slots.TryEnter() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
 	if err := p.slots.Enter(ctx, organisation); err != nil {
 		return refuser.Wrap(refuser.ReasonPoolFull, "upstream "+p.Upstream.ID, err)
 	}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -81,9 +81,7 @@
 	if pool == nil {
 		return nil, nil, a.giveUp("pool of the upstream")
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.server.Bounds.QueueTimeout)
-	defer cancel()
-	conn, err := pool.Take(ctx, c.organisation)
+	conn, err := pool.Take(ctx, c.organisation, c.server.Bounds.QueueTimeout)
 	if r := refuser.From(err); r != nil && r.Reason == refuser.ReasonPoolFull {
 		return nil, nil, r
 	}
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -108,11 +108,8 @@
 
 // runExchange runs an exchange while it holds a slot of the upstream.
 func (c *session) runExchange(ctx context.Context, x *exchange, pool *pooler.Pool) error {
-	queueCtx, cancel := context.WithTimeout(ctx, c.server.Bounds.QueueTimeout)
 	queued := time.Now()
-	err := pool.StartStatement(queueCtx, c.organisation)
-	cancel()
-	if err != nil {
+	if err := pool.StartStatement(ctx, c.organisation, c.server.Bounds.QueueTimeout); err != nil {
 		return err
 	}
 	start := time.Now()
@@ -208,7 +205,6 @@
 		pool.Discard(x.conn)
 		return
 	}
-	x.conn.SetDeadline(time.Time{})
 	pool.Return(x.conn)
 }
 
