--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -87,9 +87,6 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-// Registry returns the registry, from which reports read.
-func (m *Meter) Registry() *prometheus.Registry { return m.registry }
-
 // Served counts statements of an organisation.
 func (m *Meter) Served(organisation string, target Target, n int) {
 	if m == nil {
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -144,22 +144,6 @@
 // FirstIndex returns the index of the first entry behind the snapshot.
 func (e *Elector) FirstIndex() uint64 { return e.log.first() }
 
-// Match returns the index up to which another host's log is known to match.
-func (e *Elector) Match(id string) uint64 {
-	if p := e.progress[id]; p != nil {
-		return p.match
-	}
-	return 0
-}
-
-// LastContact returns when the newest answered message to id was sent.
-func (e *Elector) LastContact(id string) time.Time {
-	if p := e.progress[id]; p != nil {
-		return p.acked
-	}
-	return time.Time{}
-}
-
 // HasLease reports whether no other host can lead at now, and this leader has
 // committed an entry of its own term.
 func (e *Elector) HasLease(now time.Time) bool {
--- a/pkg/elector/membership.go
+++ b/pkg/elector/membership.go
@@ -17,9 +17,6 @@
 // IsVoter reports whether id votes.
 func (m Membership) IsVoter(id string) bool { return slices.Contains(m.Voters, id) }
 
-// Has reports whether id is a voter or a learner.
-func (m Membership) Has(id string) bool { return m.IsVoter(id) || slices.Contains(m.Learners, id) }
-
 // All returns voters and learners.
 func (m Membership) All() []string { return append(slices.Clone(m.Voters), m.Learners...) }
 
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -169,15 +169,3 @@
 	sort.Slice(reports, func(i, j int) bool { return reports[i].Organisation < reports[j].Organisation })
 	return reports
 }
-
-// Wants reports whether an organisation lacks tokens.
-func (l *Limiter) Wants() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, a := range l.buckets {
-		if len(a.queue) > 0 || a.Wanted(l.Now()) > 0 {
-			return true
-		}
-	}
-	return false
-}
