Answer those who ask a control host that has stopped

Cause: a question handed to a control host that stopped meanwhile waited for ever, since its queue still had room; the first test that stopped a leader in the orderly way hung. Ruled out: the stop itself, which ends with entry hosts connected.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -285,6 +285,8 @@
 	select {
 	case err := <-done:
 		return err
+	case <-c.stopped:
+		return ErrStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -36,6 +36,8 @@
 	select {
 	case s := <-done:
 		return s, nil
+	case <-c.stopped:
+		return Status{}, ErrStopped
 	case <-ctx.Done():
 		return Status{}, ctx.Err()
 	}
