--- a/internal/demonstrator/leader_test.go
+++ b/internal/demonstrator/leader_test.go
@@ -11,12 +11,7 @@
 func TestControlHostStopsWhileHostsAttend(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	layout := Association()
-	layout.Groups = 1
-	f := &Fleet{Layout: layout}
-	c.Assert(f.Start(t.Context()), qt.IsNil)
-	defer f.Stop()
-	group := layout.GroupNames()[0]
+	f, group := startSmallFleet(c, Association())
 	c.Assert(f.try(1, group, "CREATE TABLE t (id text)"), qt.IsNil)
 	leader := f.Leader(t.Context())
 	f.StopControl(leader)
--- a/internal/demonstrator/lost_disk_test.go
+++ b/internal/demonstrator/lost_disk_test.go
@@ -18,12 +18,7 @@
 func TestLostDiskDoesNotLoseWrites(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	layout := Association()
-	layout.Groups = 1
-	f := &Fleet{Layout: layout}
-	c.Assert(f.Start(t.Context()), qt.IsNil)
-	defer f.Stop()
-	group := layout.GroupNames()[0]
+	f, group := startSmallFleet(c, Association())
 	primary := f.Upstream(f.Group(group).Primary)
 	var others []*emulator.Upstream
 	for _, u := range f.Upstreams {
@@ -43,8 +38,8 @@
 
 	primary.SetCutOff(false)
 	f.await(c, func() bool { return f.try(0, group, "INSERT INTO t (id) VALUES ('next')") == nil })
-	dc := layout.DataCentres[0].Name
-	conn, err := f.Connect(t.Context(), f.Entries[0], dc, layout.Organisations[0].ID, group, "")
+	dc := f.Layout.DataCentres[0].Name
+	conn, err := f.Connect(t.Context(), f.Entries[0], dc, f.Layout.Organisations[0].ID, group, "")
 	c.Assert(err, qt.IsNil)
 	defer func() { _ = conn.Close(t.Context()) }()
 	var n int
--- a/internal/demonstrator/partition_test.go
+++ b/internal/demonstrator/partition_test.go
@@ -49,13 +49,19 @@
 	}
 }
 
+// startSmallFleet starts a fleet with one group, which the end of the test
+// stops, and returns the group's name.
+func startSmallFleet(c *qt.C, layout Layout) (f *Fleet, group string) {
+	layout.Groups = 1
+	f = &Fleet{Layout: layout}
+	c.Assert(f.Start(context.Background()), qt.IsNil)
+	c.Cleanup(f.Stop)
+	return f, layout.GroupNames()[0]
+}
+
 func checkPartition(t *testing.T, layout Layout, cuts [][2]int, want [3]served) {
 	c := qt.New(t)
-	layout.Groups = 1
-	f := &Fleet{Layout: layout}
-	c.Assert(f.Start(t.Context()), qt.IsNil)
-	defer f.Stop()
-	group := layout.GroupNames()[0]
+	f, group := startSmallFleet(c, layout)
 	c.Assert(f.try(0, group, "CREATE TABLE t (id text)"), qt.IsNil)
 	for _, cut := range cuts {
 		f.Network.Cut(layout.DataCentres[cut[0]].Name, layout.DataCentres[cut[1]].Name)
