Let the load tool's callers finish what was due in the run

Cause: a caller that roamed opened its connection under the context of the run, so a connection in progress when the run's time was over ended in an error that counted as unknown. Ruled out: an answer lost by the stand-in (the request itself had its own time limit). Change: a request that was due in the run is finished past the run's end, connecting included; a connection that could not be opened counts as refused, as nothing was sent. TestConnectOutlastsTheRun fails without the change. Conclusion: the fault was the tool's, not the proxy's.

--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -44,6 +44,8 @@
 	URLs    []string
 	Profile Profile
 	Seed    uint64
+	// Dial opens a caller's connection; the default is pgx's own.
+	Dial pgconn.DialFunc
 
 	mu      sync.Mutex
 	start   time.Time
@@ -127,7 +129,7 @@
 			c.close()
 			return
 		}
-		c.request(ctx, due)
+		c.request(context.WithoutCancel(ctx), due)
 	}
 }
 
@@ -138,19 +140,21 @@
 	}
 }
 
+// request sends one request and awaits its answer, also past the end of the run:
+// a request that was due in the run counts with its whole latency.
 func (c *caller) request(ctx context.Context, due time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
 	if c.rand.Float64() < c.loader.Profile.RoamShare {
 		c.close()
 	}
 	if c.conn == nil || c.conn.IsClosed() {
 		if err := c.connect(ctx); err != nil {
-			c.loader.observe(false, due, err)
+			c.loader.observe(false, due, &connectError{err})
 			_ = pauser.Pause(ctx, reconnectPause)
 			return
 		}
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), requestTimeout)
-	defer cancel()
 	if c.rand.Float64() < c.loader.Profile.WriteShare {
 		c.write(ctx, due)
 		return
@@ -167,6 +171,9 @@
 	if age := c.loader.Profile.maxAge(); age > 0 {
 		cfg.RuntimeParams["shallotstage.max_age"] = age.String()
 	}
+	if c.loader.Dial != nil {
+		cfg.DialFunc = c.loader.Dial
+	}
 	c.conn, err = pgx.ConnectConfig(ctx, cfg)
 	return err
 }
@@ -206,11 +213,25 @@
 	outcomeUnknown outcome = "unknown"
 )
 
+// connectError is a connection that could not be opened: no request was sent.
+type connectError struct{ err error }
+
+// Error implements error.
+func (e *connectError) Error() string { return "loader: connect: " + e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *connectError) Unwrap() error { return e.err }
+
 func outcomeOf(err error) (outcome, string) {
 	var pe *pgconn.PgError
+	var ce *connectError
 	switch {
 	case err == nil:
 		return outcomeServed, ""
+	case errors.As(err, &ce) && errors.As(err, &pe):
+		return outcomeRefused, pe.Code
+	case errors.As(err, &ce):
+		return outcomeRefused, "connect"
 	case errors.As(err, &pe) && strings.Contains(pe.Detail, "verdict=not_run"):
 		return outcomeRefused, pe.Code
 	case errors.As(err, &pe):
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 
 	"github.com/shallotstage/shallotstage/internal/emulator"
+	"github.com/shallotstage/shallotstage/internal/pauser"
 )
 
 // startUpstream starts a stand-in primary and returns its URL.
@@ -50,6 +51,24 @@
 	c.Assert(xml.Unmarshal([]byte(plot(r.Seconds)), new(struct{ XMLName xml.Name })), qt.IsNil)
 }
 
+// TestConnectOutlastsTheRun has callers that are opening a connection when the
+// run's time is over.
+func TestConnectOutlastsTheRun(t *testing.T) {
+	c := qt.New(t)
+	profile := Profile{Rate: 40, Callers: 4, DurationSeconds: 1}
+	slow := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if err := pauser.Pause(ctx, 2*profile.duration()); err != nil {
+			return nil, err
+		}
+		return new(net.Dialer).DialContext(ctx, network, addr)
+	}
+	l := &Loader{Name: "slow", URLs: []string{startUpstream(t)}, Seed: 1, Dial: slow, Profile: profile}
+	r, err := l.Run(t.Context())
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Codes, qt.HasLen, 0)
+	c.Assert(r.Reads.Count, qt.Equals, int64(4))
+}
+
 func TestOutcomes(t *testing.T) {
 	for _, tc := range []struct {
 		err  error
@@ -59,6 +78,7 @@
 		{&pgconn.PgError{Code: "53400", Detail: "verdict=not_run; organisation a"}, outcomeRefused},
 		{&pgconn.PgError{Code: "08007", Detail: "verdict=may_have_run; upstream a"}, outcomeUnknown},
 		{errors.New("connection reset"), outcomeUnknown},
+		{&connectError{errors.New("connection refused")}, outcomeRefused},
 	} {
 		got, _ := outcomeOf(tc.err)
 		qt.Check(t, got, qt.Equals, tc.want)
