Report the burn of service levels, with causes and the record behind them

Cause: nobody could see which organisation was served worse than agreed, on which route and through what; refusals were counted by reason only. Change: objectives by intent; each host counts statements by minute with cause, group, term and upstream; 'shallotstage report' merges the pages of all hosts into burn rates over 4 windows as text, JSON or HTML, with the entries of the record from the time of the failures; alert rules with the same windows. A refusal over the rate burns only as far as the rate over all hosts covered it. TestProcesses gets a report from real processes.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,6 +34,7 @@
 	Intent      *intentCommand      `arg:"subcommand:intent" help:"ask for a change and get its plan"`
 	Plan        *planCommand        `arg:"subcommand:plan" help:"read, discuss, confirm or reject a plan"`
 	Record      *recordCommand      `arg:"subcommand:record" help:"print the written record"`
+	Report      *reportCommand      `arg:"subcommand:report" help:"print how much of each service level's error budget was burned, and by what"`
 	Certificate *certificateCommand `arg:"subcommand:certificate" help:"make the certificates of a fleet"`
 	Verifier    *verifierCommand    `arg:"subcommand:verifier" help:"print the stored forms of a secret"`
 	Load        *loadCommand        `arg:"subcommand:load" help:"send an open-loop load and measure what callers see"`
--- a/internal/cli/processes_test.go
+++ b/internal/cli/processes_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/authenticator"
 	"github.com/shallotstage/shallotstage/internal/operator"
+	"github.com/shallotstage/shallotstage/pkg/burner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/planner"
 )
@@ -156,11 +157,12 @@
 		startControl(id)
 	}
 	callers := map[string]string{}
-	var announce []string
+	var announce, reported []string
 	for _, id := range []string{"entry-1", "entry-2"} {
 		callers[id] = f.freeAddress()
 		page := f.freeAddress()
 		announce = append(announce, "--announce", "http://"+page)
+		reported = append(reported, "--host", "http://"+page)
 		args := []string{
 			"serve", "--host", id, "--data-centre", "regina-a", "--region", "sask", "--callers", callers[id], "--pages", page,
 			"--peers", f.freeAddress(), "--upstream-user", "shallotstage", "--upstream-password", "pw", "--announce-token", "p",
@@ -239,6 +241,17 @@
 		}
 		return err
 	})
+	report := append([]string{"report", "--format", "json", "--token", "v"}, reported...)
+	for _, id := range controls {
+		report = append(report, "--control", "http://"+pages[id])
+	}
+	var out, errs lines
+	c.Assert(Run(report, &out, &errs), qt.Equals, exitOK, qt.Commentf("%s", errs))
+	var burn burner.Report
+	c.Assert(json.Unmarshal(out, &burn), qt.IsNil)
+	c.Assert(burn.Hosts, qt.DeepEquals, []string{"entry-1", "entry-2"})
+	c.Assert(burn.Subjects, qt.HasLen, 1)
+	c.Assert(burn.Subjects[0].Windows[0].Statements >= 4, qt.IsTrue)
 	startControl(leader)
 	f.eventually(try("entry-1", "INSERT INTO t (id) VALUES (4)"))
 	c.Assert(f.running["entry-1"].Process.Signal(syscall.SIGTERM), qt.IsNil)
@@ -266,6 +279,8 @@
 		{[]string{"control", "--id", "c", "--link-insecure", "--platform-token", "t", "--peer", "c"}, "--peer"},
 		{[]string{"demo", "--duration", "1s"}, "--duration"},
 		{[]string{"plan", "praise", "x", "--token", "t", "--control", "u"}, "VERB"},
+		{[]string{"report", "--token", "t", "--control", "u"}, "--host"},
+		{[]string{"report", "--token", "t", "--control", "u", "--host", "u", "--format", "verse"}, "--format"},
 		{[]string{"nothing"}, "nothing"},
 	} {
 		var out, errs lines
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -42,6 +42,8 @@
 	registry *prometheus.Registry
 	served   *prometheus.CounterVec
 	refused  *prometheus.CounterVec
+	counted  *prometheus.CounterVec
+	burned   *prometheus.CounterVec
 	retried  prometheus.Counter
 	commit   prometheus.Histogram
 	queue    prometheus.Histogram
@@ -60,6 +62,12 @@
 		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotstage_refusals_total", Help: "Requests refused.",
 		}, []string{"reason", "verdict"}),
+		counted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstage_objective_statements_total", Help: "Statements that count against an objective.",
+		}, []string{"organisation"}),
+		burned: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstage_objective_burned_total", Help: "Bad statements divided by the budget of their objective.",
+		}, []string{"organisation"}),
 		retried: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotstage_retries_total", Help: "Requests sent to another upstream after a failure.",
 		}),
@@ -73,7 +81,7 @@
 		}),
 		organisations: map[string]bool{},
 	}
-	m.registry.MustRegister(m.served, m.refused, m.retried, m.commit, m.queue)
+	m.registry.MustRegister(m.served, m.refused, m.counted, m.burned, m.retried, m.commit, m.queue)
 	return m
 }
 
@@ -103,6 +111,17 @@
 	m.refused.WithLabelValues(string(r.Reason), string(r.Verdict)).Inc()
 }
 
+// Burned counts n statements against an objective. burned is the number of bad
+// ones divided by the objective's budget.
+func (m *Meter) Burned(organisation string, n int, burned float64) {
+	if m == nil {
+		return
+	}
+	label := m.label(organisation)
+	m.counted.WithLabelValues(label).Add(float64(n))
+	m.burned.WithLabelValues(label).Add(burned)
+}
+
 // Retried counts a retry.
 func (m *Meter) Retried() {
 	if m == nil {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -68,6 +68,12 @@
 	return records, c.call(ctx, http.MethodGet, path, nil, &records)
 }
 
+// Levels returns the agreed service levels.
+func (c *Client) Levels(ctx context.Context) (Levels, error) {
+	var l Levels
+	return l, c.call(ctx, http.MethodGet, "/v1/levels", nil, &l)
+}
+
 // call sends a request to the control hosts in turn until one does not refer
 // it to another.
 func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -87,6 +87,7 @@
 	mux.HandleFunc("POST /v1/plans/{id}/confirm", h.signed(h.remark(planner.OperationConfirm)))
 	mux.HandleFunc("POST /v1/plans/{id}/reject", h.signed(h.remark(planner.OperationReject)))
 	mux.HandleFunc("GET /v1/record", h.signed(h.record))
+	mux.HandleFunc("GET /v1/levels", h.signed(h.levels))
 	return mux
 }
 
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -33,6 +33,7 @@
 	"github.com/shallotstage/shallotstage/internal/server"
 	"github.com/shallotstage/shallotstage/internal/subscriber"
 	"github.com/shallotstage/shallotstage/internal/watcher"
+	"github.com/shallotstage/shallotstage/pkg/burner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/limiter"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
@@ -82,6 +83,7 @@
 	Log    *logger.Logger
 
 	Meter   *meter.Meter
+	Burn    *burner.Counter
 	sub     *subscriber.Subscriber
 	watch   *watcher.Watcher
 	pools   *pooler.Set
@@ -99,6 +101,9 @@
 	if h.Meter == nil {
 		h.Meter = meter.New()
 	}
+	if h.Burn == nil {
+		h.Burn = &burner.Counter{}
+	}
 	h.limiter = &limiter.Limiter{Now: time.Now, Wait: limitWait, Waiters: limitWaiters}
 	h.sub = &subscriber.Subscriber{
 		Host: h.Host, Incarnation: binary.BigEndian.Uint64(seed[:]) >> 1, Controls: h.Controls, Linker: h.Linker,
@@ -126,7 +131,7 @@
 			Region: h.Host.Region, DataCentre: h.Host.DataCentre, CatchUpWait: h.CatchUpWait, PrimaryWait: h.PrimaryWait,
 		},
 		Retries: &retrier.Budget{Ratio: retryRatio, Reserve: retryReserve},
-		Dial:    h.Connector.DialFunc(), TLS: h.TLS, Bounds: h.Bounds, Meter: h.Meter, Log: h.Log,
+		Dial:    h.Connector.DialFunc(), TLS: h.TLS, Bounds: h.Bounds, Meter: h.Meter, Burn: h.Burn, Log: h.Log,
 	}
 	return nil
 }
@@ -219,6 +224,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", h.Meter.Handler())
 	mux.HandleFunc("GET /healthz", h.health)
+	mux.HandleFunc("GET /v1/burn", h.burn)
 	mux.HandleFunc("POST /v1/announcements", h.takeAnnouncement)
 	return mux
 }
@@ -238,6 +244,12 @@
 	}{h.Host.ID, authority, h.sub.State().Version, h.server.Sessions()})
 }
 
+// burn answers what the host has counted for the burn report.
+func (h *Entry) burn(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(h.Burn.Page(h.Host.ID))
+}
+
 func (h *Entry) takeAnnouncement(w http.ResponseWriter, r *http.Request) {
 	want := "Bearer " + h.AnnounceToken
 	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
--- a/internal/server/dispatch.go
+++ b/internal/server/dispatch.go
@@ -128,6 +128,7 @@
 	c.rebind(u, x, pool)
 	if u.end == endFlush {
 		c.skipping = x.failed != ""
+		c.countServed(u)
 		return c.flush()
 	}
 	if x.reported {
@@ -142,6 +143,7 @@
 			return err
 		}
 	}
+	c.countServed(u)
 	return c.finish(x.status)
 }
 
@@ -224,6 +226,7 @@
 		if inTransaction && x.verdict() == refuser.NotRun {
 			r = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+x.target.upstream, err)
 		}
+		r.Upstream = x.target.upstream
 	}
 	if revoked := c.revocation(); revoked != nil {
 		r = revoked.WithVerdict(r.Verdict)
@@ -239,7 +242,7 @@
 
 // refuse answers a unit with a refusal. A transaction that is open is ended.
 func (c *session) refuse(u *unit, r *refuser.Refusal) error {
-	c.server.Meter.Refused(r)
+	c.countRefused(u, r)
 	if c.bound != nil {
 		c.aborted = c.bound.open
 		c.dropBinding()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"github.com/shallotstage/shallotstage/internal/meter"
 	"github.com/shallotstage/shallotstage/internal/pooler"
 	"github.com/shallotstage/shallotstage/internal/watcher"
+	"github.com/shallotstage/shallotstage/pkg/burner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/retrier"
@@ -102,6 +103,7 @@
 	TLS    *tls.Config
 	Bounds Bounds
 	Meter  *meter.Meter
+	Burn   *burner.Counter
 	Log    *logger.Logger
 
 	sessions sessionSet
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -70,6 +70,10 @@
 	floorKnown bool
 	maxAge     time.Duration
 
+	// unitStart is when the present unit was complete.
+	unitStart time.Time
+	owed      owed
+
 	bound *binding
 	// aborted is true while the caller is in a transaction that the proxy
 	// ended.
@@ -128,6 +132,7 @@
 			cancel()
 			return
 		}
+		c.unitStart = time.Now()
 		err = c.serve(unitCtx, &c.unit)
 		cancel()
 		c.detachWorkspace()
--- /dev/null
+++ b/pkg/burner/bench_test.go
@@ -0,0 +1,48 @@
+package burner
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkAdd counts one statement of 40 organisations in turn.
+func BenchmarkAdd(b *testing.B) {
+	c := &Counter{}
+	cells := make([]Cell, 40)
+	for i := range cells {
+		cells[i] = cell(fmt.Sprintf("organisation_%d", i), OutcomeServed, "")
+	}
+	for i := range b.N {
+		c.Add(cells[i%len(cells)], 1)
+	}
+}
+
+// BenchmarkHeld gives the memory and the page of a host that served 40
+// organisations on one route each through the whole longest window.
+func BenchmarkHeld(b *testing.B) {
+	for range b.N {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		at := noon
+		c := &Counter{Now: func() time.Time { return at }}
+		for range int(longestWindow / DefaultSlot) {
+			at = at.Add(DefaultSlot)
+			for i := range 40 {
+				c.Add(cell(fmt.Sprintf("organisation_%d", i), OutcomeServed, ""), 1)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		page, err := json.Marshal(c.Page("h"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "held-B")
+		b.ReportMetric(float64(len(page)), "page-B")
+		runtime.KeepAlive(c)
+	}
+}
--- /dev/null
+++ b/pkg/burner/burner_test.go
@@ -0,0 +1,156 @@
+package burner
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+	"github.com/shallotstage/shallotstage/pkg/refuser"
+)
+
+var noon = time.Date(2026, 12, 4, 12, 0, 30, 0, time.UTC)
+
+func cell(organisation string, o Outcome, r refuser.Reason) Cell {
+	return Cell{Organisation: organisation, Route: "ledger", Outcome: o, Reason: r, Group: "g"}
+}
+
+// pageOf returns the page of a host that counted at several times before noon.
+func pageOf(host string, counts map[time.Duration][]Count) Page {
+	at := noon
+	c := &Counter{Now: func() time.Time { return at }}
+	for _, ago := range []time.Duration{7 * time.Hour, 5 * time.Hour, 50 * time.Minute, 20 * time.Minute, time.Minute, 0} {
+		at = noon.Add(-ago)
+		for _, n := range counts[ago] {
+			c.Add(n.Cell, n.Statements)
+		}
+	}
+	return c.Page(host)
+}
+
+func TestBurnRates(t *testing.T) {
+	served := Count{cell("a", OutcomeServed, ""), 9900}
+	failed := Count{cell("a", OutcomeFailed, refuser.ReasonNoUpstream), 100}
+	for _, tc := range []struct {
+		name      string
+		counts    map[time.Duration][]Count
+		objective float64
+		rates     []float64
+		alert     Alert
+	}{
+		{"nothing bad", map[time.Duration][]Count{0: {served}}, 0.99, []float64{0, 0, 0, 0}, AlertNone},
+		{"exactly the budget", map[time.Duration][]Count{0: {served, failed}}, 0.99, []float64{1, 1, 1, 1}, AlertNone},
+		{"fast and still going", map[time.Duration][]Count{0: {served, failed}}, 0.9995, []float64{20, 20, 20, 20}, AlertPage},
+		{"fast but over", map[time.Duration][]Count{50 * time.Minute: {served, failed}}, 0.9995, []float64{0, 0, 20, 20}, AlertNone},
+		{"slow", map[time.Duration][]Count{20 * time.Minute: {served, failed}}, 0.999, []float64{0, 10, 10, 10}, AlertTicket},
+		{"older than the longest window", map[time.Duration][]Count{7 * time.Hour: {failed}, 0: {served}}, 0.99, []float64{0, 0, 0, 0}, AlertNone},
+		{"slow answers count", map[time.Duration][]Count{0: {served, {cell("a", OutcomeSlow, ""), 100}}}, 0.99, []float64{1, 1, 1, 1}, AlertNone},
+		{"callers' faults do not count", map[time.Duration][]Count{0: {served, {cell("a", OutcomeCaller, refuser.ReasonUnsupported), 100}}}, 0.99, []float64{0, 0, 0, 0}, AlertNone},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := qt.New(t)
+			state := configurer.State{Objectives: map[string]configurer.Objective{
+				"a/*": {Organisation: "a", Route: "*", Availability: tc.objective},
+			}}
+			r := Assess(Input{Now: noon, Pages: []Page{pageOf("h", tc.counts)}, State: state})
+			c.Assert(r.Subjects, qt.HasLen, 1)
+			for i, w := range r.Subjects[0].Windows {
+				c.Check(strconv.FormatFloat(w.BurnRate, 'f', 3, 64), qt.Equals, strconv.FormatFloat(tc.rates[i], 'f', 3, 64), qt.Commentf("window %d s", w.Seconds))
+			}
+			c.Check(r.Subjects[0].Alert, qt.Equals, tc.alert)
+		})
+	}
+}
+
+func TestOverRateIsWrongfulOnlyWithinTheRate(t *testing.T) {
+	// The rate covers 6,000 statements in a slot of one minute.
+	state := configurer.State{Organisations: map[string]configurer.Organisation{"a": {ID: "a", Rate: 100, Burst: 1}}}
+	for _, tc := range []struct {
+		name             string
+		served, refused  int
+		wrongful, beyond int
+	}{
+		{"far below the rate", 1000, 50, 50, 0},
+		{"at the rate", 6000, 50, 0, 50},
+		{"partly", 5980, 50, 20, 30},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			// The two hosts know nothing of each other.
+			one := pageOf("h1", map[time.Duration][]Count{0: {{cell("a", OutcomeServed, ""), tc.served}}})
+			two := pageOf("h2", map[time.Duration][]Count{0: {{cell("a", OutcomeOverRate, refuser.ReasonRateExceeded), tc.refused}}})
+			r := Assess(Input{Now: noon, Pages: []Page{one, two}, State: state})
+			qt.Check(t, r.Subjects[0].Windows[0].Bad, qt.Equals, tc.wrongful)
+			qt.Check(t, r.Subjects[0].OverRate, qt.Equals, tc.beyond)
+		})
+	}
+}
+
+func TestCausesLeadIntoTheRecord(t *testing.T) {
+	c := qt.New(t)
+	failed := Count{cell("a", OutcomeFailed, refuser.ReasonNoUpstream), 30}
+	failed.Term = 7
+	lost := Count{cell("a", OutcomeFailed, refuser.ReasonUpstreamLost), 10}
+	lost.Upstream = "u"
+	records := []planner.Record{
+		{Index: 1, At: noon.Add(-2 * time.Hour).Format(time.RFC3339Nano), Subject: "g", Text: "an earlier failover"},
+		{Index: 2, At: noon.Add(-5 * time.Second).Format(time.RFC3339Nano), Subject: "g", Text: "term 7 begins"},
+		{Index: 3, At: noon.Add(-5 * time.Second).Format(time.RFC3339Nano), Subject: "other", Text: "another group"},
+	}
+	pages := []Page{
+		pageOf("h1", map[time.Duration][]Count{0: {failed}}),
+		pageOf("h2", map[time.Duration][]Count{0: {lost}}),
+	}
+	r := Assess(Input{Now: noon, Pages: pages, Records: records})
+	causes := r.Subjects[0].Causes
+	c.Assert(causes, qt.HasLen, 2)
+	c.Check(causes[0].Host+" "+string(causes[0].Reason), qt.Equals, "h1 no_upstream")
+	c.Check(causes[0].Share, qt.Equals, 0.75)
+	c.Check(causes[0].Term, qt.Equals, uint64(7))
+	c.Assert(causes[0].Records, qt.HasLen, 1)
+	c.Check(causes[0].Records[0].Index, qt.Equals, uint64(2))
+	c.Check(causes[1].Upstream, qt.Equals, "u")
+}
+
+func TestCounterIsBounded(t *testing.T) {
+	c := qt.New(t)
+	at := noon
+	counter := &Counter{Now: func() time.Time { return at }}
+	for i := range 2 * maxCells {
+		counter.Add(cell(strconv.Itoa(i), OutcomeServed, ""), 1)
+	}
+	p := counter.Page("h")
+	c.Assert(len(p.Slots[0].Counts) <= maxCells+1, qt.IsTrue)
+	sum := 0
+	for _, n := range p.Slots[0].Counts {
+		sum += n.Statements
+	}
+	c.Assert(sum, qt.Equals, 2*maxCells)
+	for range 1000 {
+		at = at.Add(time.Minute)
+		counter.Add(cell("a", OutcomeServed, ""), 1)
+	}
+	c.Assert(counter.Page("h").Slots, qt.HasLen, 361)
+	at = at.Add(-time.Hour)
+	counter.Add(cell("a", OutcomeServed, ""), 1)
+	c.Assert(counter.Page("h").Slots, qt.HasLen, 361, qt.Commentf("a clock that steps back"))
+}
+
+// TestAlertRulesFollowTheWindows holds deploy/burn-alerts.yml and the report
+// together.
+func TestAlertRulesFollowTheWindows(t *testing.T) {
+	rules, err := os.ReadFile("../../deploy/burn-alerts.yml")
+	qt.Assert(t, err, qt.IsNil)
+	short := map[time.Duration]string{5 * time.Minute: "5m", 30 * time.Minute: "30m", time.Hour: "1h", 6 * time.Hour: "6h"}
+	for _, p := range pairs {
+		rate := strconv.FormatFloat(p.rate, 'f', -1, 64)
+		for _, w := range []time.Duration{p.long, p.short} {
+			qt.Check(t, string(rules), qt.Contains, "rate(shallotstage_objective_statements_total["+short[w]+"])) >= "+rate)
+			qt.Check(t, string(rules), qt.Contains, "rate(shallotstage_objective_burned_total["+short[w]+"]))")
+		}
+		qt.Check(t, string(rules), qt.Contains, "severity: "+string(p.alert))
+	}
+}
--- /dev/null
+++ b/pkg/burner/counter.go
@@ -0,0 +1,125 @@
+// Package burner measures how much of each service-level objective's error
+// budget is burned, and by what.
+//
+// Each entry host counts statements in slots of wall-clock time. A report
+// merges the pages of all hosts, applies the agreed objectives and gives burn
+// rates over several windows with the causes behind them.
+//
+// # Usage
+//
+//	c := &burner.Counter{Now: time.Now}
+//	c.Add(burner.Cell{Organisation: "prairie_1", Route: "ledger_1", Outcome: burner.OutcomeServed}, 1)
+//	report := burner.Assess(burner.Input{Now: now, Pages: pages, State: state})
+//
+// A burn rate of 1 spends exactly the budget. The pairs of windows and their
+// thresholds follow the multiwindow, multi-burn-rate method of "The Site
+// Reliability Workbook", chapter 5.
+package burner
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+const (
+	// DefaultSlot is the length of a slot.
+	DefaultSlot = time.Minute
+	// maxCells bounds the cells of one slot; further ones are counted under
+	// otherID.
+	maxCells = 4096
+	otherID  = "other"
+)
+
+// Counter counts the statements of one host. The zero value works.
+type Counter struct {
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	// Slot is the length of a slot in whole seconds; zero means DefaultSlot.
+	Slot time.Duration
+
+	mu    sync.Mutex
+	slots []slot
+}
+
+type slot struct {
+	start int64
+	cells map[Cell]int
+}
+
+func (c *Counter) slotSeconds() int64 {
+	if c.Slot < time.Second {
+		return int64(DefaultSlot / time.Second)
+	}
+	return int64(c.Slot / time.Second)
+}
+
+// Add counts n statements. A nil Counter counts nothing.
+func (c *Counter) Add(cell Cell, n int) {
+	if c == nil || n == 0 {
+		return
+	}
+	now := time.Now
+	if c.Now != nil {
+		now = c.Now
+	}
+	seconds := c.slotSeconds()
+	start := now().Unix() / seconds * seconds
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.slotAt(start)
+	if _, ok := s.cells[cell]; !ok && len(s.cells) >= maxCells {
+		cell = Cell{Organisation: otherID, Route: otherID, Outcome: cell.Outcome, Reason: cell.Reason}
+	}
+	s.cells[cell] += n
+}
+
+// slotAt returns the slot that begins at start. A clock that steps back adds to
+// the newest slot.
+func (c *Counter) slotAt(start int64) *slot {
+	if n := len(c.slots); n > 0 && c.slots[n-1].start >= start {
+		return &c.slots[n-1]
+	}
+	c.slots = append(c.slots, slot{start: start, cells: map[Cell]int{}})
+	oldest := start - int64(longestWindow/time.Second)
+	for c.slots[0].start < oldest {
+		c.slots = c.slots[1:]
+	}
+	return &c.slots[len(c.slots)-1]
+}
+
+// Page returns all counts of the longest window.
+func (c *Counter) Page(host string) Page {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := Page{Host: host, SlotSeconds: c.slotSeconds(), Slots: []Slot{}}
+	for _, s := range c.slots {
+		p.Slots = append(p.Slots, Slot{Start: s.start, Counts: countsOf(s.cells)})
+	}
+	return p
+}
+
+func countsOf(cells map[Cell]int) []Count {
+	counts := make([]Count, 0, len(cells))
+	for cell, n := range cells {
+		counts = append(counts, Count{Cell: cell, Statements: n})
+	}
+	sort.Slice(counts, func(i, j int) bool { return isBefore(counts[i].Cell, counts[j].Cell) })
+	return counts
+}
+
+func isBefore(a, b Cell) bool {
+	switch {
+	case a.Organisation != b.Organisation:
+		return a.Organisation < b.Organisation
+	case a.Route != b.Route:
+		return a.Route < b.Route
+	case a.Outcome != b.Outcome:
+		return a.Outcome < b.Outcome
+	case a.Reason != b.Reason:
+		return a.Reason < b.Reason
+	case a.Upstream != b.Upstream:
+		return a.Upstream < b.Upstream
+	}
+	return a.Term < b.Term
+}
--- a/pkg/configurer/change.go
+++ b/pkg/configurer/change.go
@@ -16,6 +16,7 @@
 	KindGroup        Kind = "group"
 	KindUpstream     Kind = "upstream"
 	KindHost         Kind = "host"
+	KindObjective    Kind = "objective"
 )
 
 // Change puts or removes one entry. An empty Body removes it.
--- a/pkg/configurer/state.go
+++ b/pkg/configurer/state.go
@@ -28,6 +28,7 @@
 	Groups        map[string]Group
 	Upstreams     map[string]Upstream
 	Hosts         map[string]Host
+	Objectives    map[string]Objective
 }
 
 // Apply returns the state after a change. Versions rise by any step above
@@ -89,6 +90,11 @@
 		if s.Hosts == nil {
 			s.Hosts = map[string]Host{}
 		}
+	case KindObjective:
+		s.Objectives = maps.Clone(s.Objectives)
+		if s.Objectives == nil {
+			s.Objectives = map[string]Objective{}
+		}
 	}
 }
 
@@ -134,6 +140,12 @@
 			return err
 		}
 		s.Hosts[c.ID] = h
+	case KindObjective:
+		var o Objective
+		if err := decode(c, &o); err != nil {
+			return err
+		}
+		s.Objectives[c.ID] = o
 	default:
 		return fmt.Errorf("configurer: unknown kind %q", c.Kind)
 	}
@@ -154,6 +166,8 @@
 		delete(s.Upstreams, c.ID)
 	case KindHost:
 		delete(s.Hosts, c.ID)
+	case KindObjective:
+		delete(s.Objectives, c.ID)
 	default:
 		return fmt.Errorf("configurer: unknown kind %q", c.Kind)
 	}
@@ -204,6 +218,9 @@
 	for id, e := range s.Hosts {
 		add(KindHost, id, e)
 	}
+	for id, e := range s.Objectives {
+		add(KindObjective, id, e)
+	}
 	sort.Slice(changes, func(i, j int) bool {
 		if changes[i].Kind != changes[j].Kind {
 			return changes[i].Kind < changes[j].Kind
--- a/pkg/planner/drafter.go
+++ b/pkg/planner/drafter.go
@@ -30,6 +30,10 @@
 		err = b.draftRemoveRoute(i, p)
 	case IntentDrainUpstream, IntentReturnUpstream:
 		err = b.draftUpstream(i, p)
+	case IntentPutObjective:
+		err = b.draftObjective(i, p)
+	case IntentRemoveObjective:
+		err = b.draftRemoveObjective(i, p)
 	default:
 		err = fmt.Errorf("planner: unknown kind of intent %q", i.Kind)
 	}
@@ -177,3 +181,32 @@
 	}
 	return p.add(configurer.KindUpstream, u.ID, u)
 }
+
+func (b *Book) draftObjective(i Intent, p *Plan) error {
+	organisation, route, err := configurer.SplitObjectiveID(i.Target)
+	if err != nil {
+		return err
+	}
+	o := configurer.Objective{Organisation: organisation, Route: route, Availability: i.Availability, LatencyMS: i.LatencyMS}
+	if err := o.Validate(); err != nil {
+		return err
+	}
+	old := b.State.Objective(organisation, route)
+	p.effect("objective %s: availability %g to %g, latency bound %d to %d ms", i.Target, old.Availability, o.Availability, old.LatencyMS, o.LatencyMS)
+	if _, ok := b.State.Organisations[organisation]; !ok && organisation != configurer.AnyID {
+		p.risk("organisation %s is not admitted", organisation)
+	}
+	if _, ok := b.State.Routes[route]; !ok && route != configurer.AnyID {
+		p.risk("route %s does not exist", route)
+	}
+	return p.add(configurer.KindObjective, i.Target, o)
+}
+
+func (b *Book) draftRemoveObjective(i Intent, p *Plan) error {
+	if _, ok := b.State.Objectives[i.Target]; !ok {
+		return conflict(i.ID, "objective %s does not exist", i.Target)
+	}
+	p.effect("objective %s is removed; a wider one or the default of availability %g applies", i.Target, configurer.DefaultObjective.Availability)
+	p.Changes = append(p.Changes, configurer.Remove(configurer.KindObjective, i.Target))
+	return nil
+}
--- a/pkg/planner/intent.go
+++ b/pkg/planner/intent.go
@@ -19,6 +19,8 @@
 	IntentRemoveRoute          IntentKind = "remove_route"
 	IntentDrainUpstream        IntentKind = "drain_upstream"
 	IntentReturnUpstream       IntentKind = "return_upstream"
+	IntentPutObjective         IntentKind = "put_objective"
+	IntentRemoveObjective      IntentKind = "remove_objective"
 )
 
 // Intent is what an operator asks for. Fields that a kind does not use stay
@@ -28,7 +30,7 @@
 	ID     string     `json:"id"`
 	Author string     `json:"author"`
 	Kind   IntentKind `json:"kind"`
-	// Target is the id of the organisation, key, route or upstream.
+	// Target is the id of the organisation, key, route, upstream or objective.
 	Target        string   `json:"target"`
 	Organisation  string   `json:"organisation,omitempty"`
 	Rate          float64  `json:"rate,omitempty"`
@@ -37,6 +39,8 @@
 	Group         string   `json:"group,omitempty"`
 	Open          bool     `json:"open,omitempty"`
 	Organisations []string `json:"organisations,omitempty"`
+	Availability  float64  `json:"availability,omitempty"`
+	LatencyMS     uint32   `json:"latency_ms,omitempty"`
 	Reason        string   `json:"reason,omitempty"`
 }
 
--- a/pkg/refuser/refusal.go
+++ b/pkg/refuser/refusal.go
@@ -30,6 +30,8 @@
 	Verdict Verdict
 	// Detail names the object concerned, for example an organisation.
 	Detail string
+	// Upstream is the upstream that failed, when the refusal is due to one.
+	Upstream string
 	// RetryAfter is zero when no time is known.
 	RetryAfter time.Duration
 	// Err is the cause and may be nil.
