Replace a lost control host by a spare, and refuse an empty folder under an old id

Cause: the members of the agreement were fixed at the first start. After the loss of one of three control hosts a second loss stopped all changes, leases and promotions; a host with an emptied folder could vote twice in a term. Change: control hosts announce themselves and their folder's identity; the leader lets a spare catch up as a learner, removes the lost voter, and gives the spare its vote, each step recorded with its reason; intents to replace, return and forget a control host; entry hosts follow agreed addresses and the leader's name. A new folder that is to vote asks all peers first. TestReplacementsEnd checks random failures of 3 and 5 voters.

--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -26,6 +26,7 @@
 	Links string   `arg:"--links,env:SHALLOTSTAGE_LINKS" default:"127.0.0.1:7400" help:"address for entry hosts and other control hosts"`
 	Pages string   `arg:"--operators,env:SHALLOTSTAGE_OPERATORS" default:"127.0.0.1:7480" help:"address of the operators' interface"`
 	Peers []string `arg:"--peer,separate,env:SHALLOTSTAGE_CONTROL_PEERS" placeholder:"ID=HOST:PORT" help:"another control host; repeat for each"`
+	Spare bool     `arg:"--spare,env:SHALLOTSTAGE_SPARE" help:"wait to take the place of a lost control host; needs an empty or its own data folder"`
 	linkSettings
 	Initial       string        `arg:"--initial,env:SHALLOTSTAGE_INITIAL" placeholder:"FILE" help:"first configuration of a new fleet"`
 	Credentials   string        `arg:"--credentials,env:SHALLOTSTAGE_CREDENTIALS" placeholder:"FILE" help:"operators and the digests of their tokens"`
@@ -35,6 +36,9 @@
 	GroupSize     int           `arg:"--group-size,env:SHALLOTSTAGE_GROUP_SIZE" default:"3" help:"upstreams with which a group forms"`
 	LeaseTTL      time.Duration `arg:"--lease,env:SHALLOTSTAGE_LEASE" default:"3s" help:"length of an entry host's lease"`
 	SuspectAfter  time.Duration `arg:"--suspect-after,env:SHALLOTSTAGE_SUSPECT_AFTER" default:"600ms" help:"how long a primary is missed before it is replaced"`
+	ReplaceAfter  time.Duration `arg:"--replace-after,env:SHALLOTSTAGE_REPLACE_AFTER" default:"2m" help:"silence after which a spare takes the place of a control host; longer than a restart"`
+	DataCentre    string        `arg:"--data-centre,env:SHALLOTSTAGE_DATA_CENTRE" help:"data centre of this host; spares of the same one go first"`
+	Region        string        `arg:"--region,env:SHALLOTSTAGE_REGION" help:"region of the data centre"`
 	LogLevel      string        `arg:"--log-level,env:SHALLOTSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
 }
 
@@ -44,10 +48,13 @@
 		size = &SettingError{Setting: "--group-size", Value: fmt.Sprint(c.GroupSize), Allowed: "2 or more"}
 	}
 	_, peers := c.peers()
+	if c.Spare && len(c.Peers) == 0 {
+		peers = &SettingError{Setting: "--peer", Allowed: "at least one control host, with --spare"}
+	}
 	return firstError(
 		checkNotEmpty("--id", c.ID), checkAddress("--links", c.Links), checkAddress("--operators", c.Pages),
 		checkNotEmpty("--platform-token", c.PlatformToken), peers, c.linkSettings.check(), size, checkPositive("--lease", c.LeaseTTL),
-		checkPositive("--suspect-after", c.SuspectAfter), checkLogLevel(c.LogLevel),
+		checkPositive("--suspect-after", c.SuspectAfter), checkPositive("--replace-after", c.ReplaceAfter), checkLogLevel(c.LogLevel),
 	)
 }
 
@@ -149,16 +156,19 @@
 	if operatorsTLS != nil {
 		pages = tls.NewListener(pages, operatorsTLS)
 	}
-	voters := []string{c.ID}
-	for id := range peers {
-		voters = append(voters, id)
+	var voters []string
+	if !c.Spare {
+		voters = append(voters, c.ID)
+		for id := range peers {
+			voters = append(voters, id)
+		}
 	}
 	ctl := &controller.Controller{
 		ID: c.ID, DataDir: c.Data, Initial: voters, Seed: seed, GroupSize: c.GroupSize, PlatformToken: c.PlatformToken,
-		Timing: controller.Timing{LeaseTTL: c.LeaseTTL, SuspectAfter: c.SuspectAfter}, Log: log,
+		Timing: controller.Timing{LeaseTTL: c.LeaseTTL, SuspectAfter: c.SuspectAfter, ReplaceAfter: c.ReplaceAfter}, Log: log,
 	}
 	h := &runner.Control{
-		Controller: ctl, Peers: peers, Linker: link, Log: log,
+		Controller: ctl, Peers: peers, IsSpare: c.Spare, DataCentre: c.DataCentre, Region: c.Region, Linker: link, Log: log,
 		Pages: operator.Handler{Controller: ctl, Credentials: credentials}.Routes(),
 	}
 	return h.Run(ctx, links, pages)
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -40,8 +40,8 @@
 type intentCommand struct {
 	operatorSettings
 	ID            string   `arg:"--id,required" help:"the intent's id; the same id gets the same answer"`
-	Kind          string   `arg:"positional,required" help:"admit_organisation, withdraw_organisation, change_rate, grant_key, withdraw_key, put_route, remove_route, drain_upstream, return_upstream, put_objective or remove_objective"`
-	Target        string   `arg:"positional,required" help:"id of the organisation, key, route, upstream or objective (organisation/route, * for any)"`
+	Kind          string   `arg:"positional,required" help:"admit_organisation, withdraw_organisation, change_rate, grant_key, withdraw_key, put_route, remove_route, drain_upstream, return_upstream, put_objective, remove_objective, replace_control_host, return_control_host or forget_control_host"`
+	Target        string   `arg:"positional,required" help:"id of the organisation, key, route, upstream, control host or objective (organisation/route, * for any)"`
 	Organisation  string   `arg:"--organisation"`
 	Rate          float64  `arg:"--rate" help:"statements a second"`
 	Burst         float64  `arg:"--burst" help:"statements"`
@@ -50,6 +50,7 @@
 	Organisations []string `arg:"--admit,separate" help:"organisation that a route admits; repeat for each"`
 	Availability  float64  `arg:"--availability" help:"share of statements that must be served, such as 0.999"`
 	LatencyMS     uint32   `arg:"--latency-ms" help:"time above which a served statement counts against the objective"`
+	Successor     string   `arg:"--successor" help:"spare control host that is to take the place"`
 	Reason        string   `arg:"--reason" help:"why, for the reviewer and the record"`
 }
 
@@ -59,7 +60,7 @@
 	a, err := c.client().Intend(ctx, planner.Intent{
 		ID: c.ID, Kind: planner.IntentKind(c.Kind), Target: c.Target, Organisation: c.Organisation, Rate: c.Rate, Burst: c.Burst,
 		Group: c.Group, Open: c.Open, Organisations: c.Organisations,
-		Availability: c.Availability, LatencyMS: c.LatencyMS, Reason: c.Reason,
+		Availability: c.Availability, LatencyMS: c.LatencyMS, Successor: c.Successor, Reason: c.Reason,
 	})
 	if err != nil {
 		return err
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -7,8 +7,10 @@
 //
 // # Usage
 //
-//	c := &controller.Controller{ID: "control-1", DataDir: dir, Peers: peers, ...}
-//	err := c.Run(ctx)
+//	c := &controller.Controller{ID: "control-1", DataDir: dir, SendPeer: send, ...}
+//	c.Prepare()
+//	err := c.Open()
+//	err = c.Run(ctx)
 //
 // The agreement is in package elector, the agreed state in package planner,
 // and the decisions in packages fencer, allocator, promoter and registrar.
@@ -19,10 +21,12 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/storer"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/planner"
 )
@@ -52,6 +56,9 @@
 	SuspectAfter time.Duration
 	// Drift bounds how much faster one clock runs than another.
 	Drift float64
+	// ReplaceAfter is the silence after which a control host is replaced by a
+	// spare; zero means two minutes.
+	ReplaceAfter time.Duration
 }
 
 // withDefaults returns t with zero fields replaced.
@@ -78,7 +85,7 @@
 type Controller struct {
 	ID      string
 	DataDir string
-	// Initial are the voters of a new fleet.
+	// Initial are the voters of a new fleet. A spare has none.
 	Initial []string
 	// Seed is the configuration of a new fleet, used when the log is empty.
 	Seed []planner.Operation
@@ -92,7 +99,10 @@
 	Client *http.Client
 	// SendPeer hands a message to the transport, which may drop it.
 	SendPeer func(m elector.Message)
-	Log      *logger.Logger
+	// MembersChanged is called in the control goroutine with the agreed
+	// control hosts whenever they may have changed.
+	MembersChanged func(map[string]configurer.ControlHost)
+	Log            *logger.Logger
 
 	inbox   chan func()
 	stopped chan struct{}
@@ -100,20 +110,17 @@
 	store   *storer.Storer
 	elector *elector.Elector
 	book    *planner.Book
+	// controlHosts are the agreed control hosts, for other goroutines.
+	controlHosts atomic.Pointer[map[string]configurer.ControlHost]
 	// waiting are proposals of this host by log index.
 	waiting map[uint64]proposal
 
 	lead leadership
 }
 
-// Run takes part in the agreement until ctx ends.
+// Run takes part in the agreement until ctx ends. It closes the data folder.
 func (c *Controller) Run(ctx context.Context) error {
-	c.Timing = c.Timing.withDefaults()
-	if err := c.open(); err != nil {
-		return err
-	}
-	defer func() { _ = c.store.Close() }()
-	defer close(c.stopped)
+	defer c.Close()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -153,7 +160,15 @@
 	c.stopped = make(chan struct{})
 }
 
-func (c *Controller) open() error {
+// Close closes the data folder without Run, or at its end.
+func (c *Controller) Close() {
+	close(c.stopped)
+	_ = c.store.Close()
+}
+
+// Open opens the data folder. It is called after Prepare and before Run.
+func (c *Controller) Open() error {
+	c.Timing = c.Timing.withDefaults()
 	store, err := storer.Open(c.DataDir, c.ID)
 	if err != nil {
 		return err
@@ -179,9 +194,13 @@
 	}
 	c.store, c.book, c.elector = store, book, e
 	c.waiting = map[uint64]proposal{}
+	c.publishMembers()
 	return nil
 }
 
+// Do runs f in the control goroutine. It returns false when the host stops.
+func (c *Controller) Do(f func()) bool { return c.do(f) }
+
 // do runs f in the control goroutine. It returns false when the host stops.
 func (c *Controller) do(f func()) bool {
 	select {
@@ -217,6 +236,7 @@
 				return err
 			}
 			c.book = book
+			c.publishMembers()
 		}
 		for _, m := range out.Messages {
 			c.SendPeer(m)
--- a/internal/controller/groups.go
+++ b/internal/controller/groups.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		c.Log.Warn(logger.EventConfigurationBad, zap.Error(err))
 	}
+	if err == nil && c.book.State.Version == index {
+		c.publishMembers()
+	}
 	if !c.lead.active || err != nil || c.book.State.Version != index {
 		return
 	}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -35,8 +35,12 @@
 	// fencedAt is the version at which each group's term began.
 	fencedAt map[string]uint64
 	held     map[string]heldPromotion
-	inForce  uint64
-	settled  bool
+	// heard is when each control host last announced itself.
+	heard map[string]time.Time
+	// membersLooked is when the members were last looked at.
+	membersLooked time.Time
+	inForce       uint64
+	settled       bool
 	// packed is the snapshot of packedVersion as hosts take it.
 	packed        []byte
 	packedVersion uint64
@@ -67,6 +71,7 @@
 	c.syncUpstreams()
 	c.decideGroups(now)
 	c.allot(now)
+	c.decideMembers(now)
 	c.noteInForce(now)
 }
 
@@ -88,6 +93,7 @@
 		pending:   map[string]bool{},
 		fencedAt:  map[string]uint64{},
 		held:      map[string]heldPromotion{},
+		heard:     map[string]time.Time{},
 		inForce:   0,
 	}
 	if len(c.book.State.Hosts) > 0 {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -29,6 +29,9 @@
 	EventPromotionHeld      = Event{1405, "promotion_held"}
 	EventOrderFailed        = Event{1406, "platform_order_failed"}
 	EventInForce            = Event{1407, "configuration_in_force"}
+	EventMembersChanged     = Event{1408, "control_members_changed"}
+	EventControlHostRefused = Event{1409, "control_host_refused"}
+	EventClearanceAwaited   = Event{1410, "clearance_awaited"}
 )
 
 // Events returns the whole catalogue.
@@ -39,6 +42,7 @@
 		EventControlConnected, EventControlLost, EventAuthorityLost, EventAuthorityGained,
 		EventConfigurationTaken, EventConfigurationBad,
 		EventHostJoined, EventHostLeft, EventTermStarted, EventPromotionDone, EventPromotionHeld,
-		EventOrderFailed, EventInForce,
+		EventOrderFailed, EventInForce, EventMembersChanged, EventControlHostRefused,
+		EventClearanceAwaited,
 	}
 }
--- /dev/null
+++ b/internal/runner/peers_service.go
@@ -0,0 +1,66 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/klauspost/compress/zstd"
+
+	"github.com/shallotstage/shallotstage/internal/controller"
+	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/elector"
+)
+
+// peersService takes messages from other control hosts.
+type peersService struct {
+	controller *controller.Controller
+}
+
+// Exchange takes messages until the stream ends.
+func (s peersService) Exchange(stream messenger.DRPCPeers_ExchangeStream) error {
+	dec, err := zstd.NewReader(nil)
+	if err != nil {
+		return fmt.Errorf("runner: create decompressor: %w", err)
+	}
+	defer dec.Close()
+	for {
+		p, err := stream.Recv()
+		if err != nil {
+			return nil
+		}
+		body, err := dec.DecodeAll(p.GetBody(), nil)
+		if err != nil {
+			return fmt.Errorf("runner: decompress message: %w", err)
+		}
+		var m elector.Message
+		if err := json.Unmarshal(body, &m); err != nil {
+			return fmt.Errorf("runner: decode message: %w", err)
+		}
+		s.controller.Step(m)
+	}
+}
+
+// Announce takes the announcement of a control host and answers with what is
+// agreed on, also before this host takes part.
+func (s peersService) Announce(_ context.Context, notice *messenger.ControlHostNotice) (*messenger.ControlHostsAnswer, error) {
+	var h configurer.ControlHost
+	if err := json.Unmarshal(notice.GetHost(), &h); err != nil {
+		return nil, fmt.Errorf("runner: decode announcement: %w", err)
+	}
+	if err := h.Validate(); err != nil {
+		return nil, err
+	}
+	hosts := s.controller.ControlHosts()
+	answer := &messenger.ControlHostsAnswer{Instance: hosts[h.ID].Instance}
+	for _, known := range hosts {
+		body, err := json.Marshal(known)
+		if err != nil {
+			return nil, fmt.Errorf("runner: encode control host: %w", err)
+		}
+		answer.Hosts = append(answer.Hosts, body)
+	}
+	s.controller.AnnounceControlHost(h)
+	return answer, nil
+}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -14,7 +14,9 @@
 package storer
 
 import (
+	"crypto/rand"
 	"encoding/binary"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -33,6 +35,7 @@
 	dirMode       = 0o700
 	lockTimeout   = 2 * time.Second
 	checksumBytes = 8
+	instanceBytes = 8
 )
 
 var (
@@ -41,13 +44,23 @@
 	keyOwner   = []byte("owner")
 	keyHard    = []byte("hard_state")
 	keySnap    = []byte("snapshot")
+	// keyInstance holds the identity of the folder.
+	keyInstance = []byte("instance")
 )
 
 // Storer is an open data folder.
 type Storer struct {
-	db *bbolt.DB
+	db       *bbolt.DB
+	instance string
+	isNew    bool
 }
 
+// Instance returns the identity of the folder, made when the folder was.
+func (s *Storer) Instance() string { return s.instance }
+
+// IsNew reports whether the folder was made by this Open.
+func (s *Storer) IsNew() bool { return s.isNew }
+
 // Loaded is the state found at the start.
 type Loaded struct {
 	Hard     elector.HardState
@@ -104,7 +117,7 @@
 		}
 		owner := meta.Get(keyOwner)
 		if owner == nil {
-			return put(meta, keyOwner, []byte(id))
+			return s.found(meta, id)
 		}
 		name, err := unseal(keyOwner, owner)
 		if err != nil {
@@ -113,10 +126,36 @@
 		if string(name) != id {
 			return &OwnerError{Owner: string(name), ID: id}
 		}
-		return nil
+		sealed := meta.Get(keyInstance)
+		if sealed == nil {
+			// The folder is of a version without identities.
+			return s.identify(meta)
+		}
+		instance, err := unseal(keyInstance, sealed)
+		s.instance = string(instance)
+		return err
 	})
 }
 
+// found writes the owner and the identity of a new folder.
+func (s *Storer) found(meta *bbolt.Bucket, id string) error {
+	s.isNew = true
+	if err := s.identify(meta); err != nil {
+		return err
+	}
+	return put(meta, keyOwner, []byte(id))
+}
+
+// identify gives the folder an identity.
+func (s *Storer) identify(meta *bbolt.Bucket) error {
+	var raw [instanceBytes]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		return fmt.Errorf("storer: read random bytes: %w", err)
+	}
+	s.instance = hex.EncodeToString(raw[:])
+	return put(meta, keyInstance, []byte(s.instance))
+}
+
 // Close closes the file.
 func (s *Storer) Close() error { return s.db.Close() }
 
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -15,6 +15,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,8 +46,12 @@
 	maxAnnouncements = 1024
 )
 
-// errNotLeader means that the control host named another one.
-var errNotLeader = errors.New("subscriber: control host does not lead")
+// notLeaderError means that the control host does not lead. leader is the id of
+// the one that does, if it is known.
+type notLeaderError struct{ leader string }
+
+// Error implements error.
+func (e *notLeaderError) Error() string { return "subscriber: control host does not lead" }
 
 // errSilent means that the control host did not answer in time.
 var errSilent = errors.New("subscriber: control host is silent")
@@ -161,13 +167,23 @@
 	return bodies
 }
 
-// Run attends one control host after another until ctx ends.
+// Run attends one control host after another until ctx ends. A host that does
+// not lead names the one that does, which is tried next.
 func (s *Subscriber) Run(ctx context.Context) {
+	hint := ""
 	for i := 0; ctx.Err() == nil && len(s.Controls) > 0; i++ {
-		address := s.Controls[i%len(s.Controls)]
+		addresses := s.controls()
+		address := addresses[i%len(addresses)]
+		if hint != "" {
+			address = hint
+		}
 		err := s.attend(ctx, address)
 		s.noteAuthority()
-		if ctx.Err() == nil && !errors.Is(err, errNotLeader) {
+		var notLeader *notLeaderError
+		hint = ""
+		if errors.As(err, &notLeader) {
+			hint = s.State().ControlHosts[notLeader.leader].Address
+		} else if ctx.Err() == nil {
 			s.Log.Warn(logger.EventControlLost, zap.String("address", address), zap.Error(err))
 		}
 		select {
@@ -177,6 +193,24 @@
 	}
 }
 
+// controls returns the addresses of the agreed control hosts, and of those in
+// the settings that are not among them.
+func (s *Subscriber) controls() []string {
+	var addresses []string
+	for _, h := range s.State().ControlHosts {
+		if !h.Leaving {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	sort.Strings(addresses)
+	for _, address := range s.Controls {
+		if !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // noteAuthority writes an event when the lease has ended or begun.
 func (s *Subscriber) noteAuthority() {
 	has := s.Authority()
@@ -246,7 +280,7 @@
 			return err
 		case o := <-orders:
 			if o.GetSequence() > 0 && o.GetLeaseMs() == 0 {
-				return errNotLeader
+				return &notLeaderError{leader: o.GetLeader()}
 			}
 			lastOrder = time.Now()
 			if !connected {
--- a/pkg/configurer/change.go
+++ b/pkg/configurer/change.go
@@ -17,6 +17,7 @@
 	KindUpstream     Kind = "upstream"
 	KindHost         Kind = "host"
 	KindObjective    Kind = "objective"
+	KindControlHost  Kind = "control_host"
 )
 
 // Change puts or removes one entry. An empty Body removes it.
--- a/pkg/configurer/state.go
+++ b/pkg/configurer/state.go
@@ -29,6 +29,7 @@
 	Upstreams     map[string]Upstream
 	Hosts         map[string]Host
 	Objectives    map[string]Objective
+	ControlHosts  map[string]ControlHost
 }
 
 // Apply returns the state after a change. Versions rise by any step above
@@ -95,6 +96,11 @@
 		if s.Objectives == nil {
 			s.Objectives = map[string]Objective{}
 		}
+	case KindControlHost:
+		s.ControlHosts = maps.Clone(s.ControlHosts)
+		if s.ControlHosts == nil {
+			s.ControlHosts = map[string]ControlHost{}
+		}
 	}
 }
 
@@ -146,6 +152,12 @@
 			return err
 		}
 		s.Objectives[c.ID] = o
+	case KindControlHost:
+		var h ControlHost
+		if err := decode(c, &h); err != nil {
+			return err
+		}
+		s.ControlHosts[c.ID] = h
 	default:
 		return fmt.Errorf("configurer: unknown kind %q", c.Kind)
 	}
@@ -168,6 +180,8 @@
 		delete(s.Hosts, c.ID)
 	case KindObjective:
 		delete(s.Objectives, c.ID)
+	case KindControlHost:
+		delete(s.ControlHosts, c.ID)
 	default:
 		return fmt.Errorf("configurer: unknown kind %q", c.Kind)
 	}
@@ -221,6 +235,9 @@
 	for id, e := range s.Objectives {
 		add(KindObjective, id, e)
 	}
+	for id, e := range s.ControlHosts {
+		add(KindControlHost, id, e)
+	}
 	sort.Slice(changes, func(i, j int) bool {
 		if changes[i].Kind != changes[j].Kind {
 			return changes[i].Kind < changes[j].Kind
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -144,6 +144,24 @@
 // FirstIndex returns the index of the first entry behind the snapshot.
 func (e *Elector) FirstIndex() uint64 { return e.log.first() }
 
+// Contact returns when a message was sent that the member has answered. It is
+// known to the leader only.
+func (e *Elector) Contact(id string) time.Time {
+	if p := e.progress[id]; p != nil && e.role == RoleLeader {
+		return p.acked
+	}
+	return time.Time{}
+}
+
+// Match returns the last entry that the member is known to hold. It is known to
+// the leader only.
+func (e *Elector) Match(id string) uint64 {
+	if p := e.progress[id]; p != nil && e.role == RoleLeader {
+		return p.match
+	}
+	return 0
+}
+
 // HasLease reports whether no other host can lead at now, and this leader has
 // committed an entry of its own term.
 func (e *Elector) HasLease(now time.Time) bool {
--- a/pkg/planner/drafter.go
+++ b/pkg/planner/drafter.go
@@ -34,6 +34,8 @@
 		err = b.draftObjective(i, p)
 	case IntentRemoveObjective:
 		err = b.draftRemoveObjective(i, p)
+	case IntentReplaceControlHost, IntentReturnControlHost, IntentForgetControlHost:
+		err = b.draftControlHost(i, p)
 	default:
 		err = fmt.Errorf("planner: unknown kind of intent %q", i.Kind)
 	}
--- a/pkg/planner/intent.go
+++ b/pkg/planner/intent.go
@@ -21,6 +21,9 @@
 	IntentReturnUpstream       IntentKind = "return_upstream"
 	IntentPutObjective         IntentKind = "put_objective"
 	IntentRemoveObjective      IntentKind = "remove_objective"
+	IntentReplaceControlHost   IntentKind = "replace_control_host"
+	IntentReturnControlHost    IntentKind = "return_control_host"
+	IntentForgetControlHost    IntentKind = "forget_control_host"
 )
 
 // Intent is what an operator asks for. Fields that a kind does not use stay
@@ -30,7 +33,8 @@
 	ID     string     `json:"id"`
 	Author string     `json:"author"`
 	Kind   IntentKind `json:"kind"`
-	// Target is the id of the organisation, key, route, upstream or objective.
+	// Target is the id of the organisation, key, route, upstream, objective or
+	// control host.
 	Target        string   `json:"target"`
 	Organisation  string   `json:"organisation,omitempty"`
 	Rate          float64  `json:"rate,omitempty"`
@@ -41,6 +45,7 @@
 	Organisations []string `json:"organisations,omitempty"`
 	Availability  float64  `json:"availability,omitempty"`
 	LatencyMS     uint32   `json:"latency_ms,omitempty"`
+	Successor     string   `json:"successor,omitempty"`
 	Reason        string   `json:"reason,omitempty"`
 }
 
--- /dev/null
+++ b/pkg/replacer/replacer_test.go
@@ -0,0 +1,185 @@
+package replacer
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/elector"
+)
+
+var now = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+// healthy returns a view in which everyone answers and is caught up.
+func healthy(voters, learners, spares []string) View {
+	v := View{
+		Now: now, Self: "c1", Membership: elector.Membership{Voters: voters, Learners: learners}, Committed: 1000,
+		Contact: map[string]time.Time{}, Match: map[string]uint64{}, Hosts: map[string]configurer.ControlHost{}, Heard: map[string]time.Time{},
+	}
+	for _, id := range slices.Concat(voters, learners, spares) {
+		v.Contact[id], v.Heard[id], v.Match[id] = now, now, 1000
+		v.Hosts[id] = configurer.ControlHost{ID: id, DataCentre: "dc-" + id, Region: "sask"}
+	}
+	return v
+}
+
+func TestDecide(t *testing.T) {
+	three := []string{"c1", "c2", "c3"}
+	silent := func(id string, d time.Duration) func(*View) {
+		return func(v *View) { v.Contact[id], v.Heard[id] = now.Add(-d), now.Add(-d) }
+	}
+	leaving := func(id string) func(*View) {
+		return func(v *View) { h := v.Hosts[id]; h.Leaving = true; v.Hosts[id] = h }
+	}
+	place := func(id, dc, region string) func(*View) {
+		return func(v *View) { h := v.Hosts[id]; h.DataCentre, h.Region = dc, region; v.Hosts[id] = h }
+	}
+	for _, tc := range []struct {
+		name             string
+		voters, learners []string
+		spares           []string
+		changes          []func(*View)
+		want             ActionKind
+		host             string
+	}{
+		{"all answer", three, nil, []string{"c4"}, nil, ActionNone, ""},
+		{"a restart is no loss", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Minute)}, ActionNone, ""},
+		{"a lost voter", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour)}, ActionAddLearner, "c4"},
+		{"no spare", three, nil, nil, []func(*View){silent("c2", time.Hour)}, ActionNone, ""},
+		{"the spare is dead", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour), silent("c4", time.Minute)}, ActionNone, ""},
+		{"the spare leaves", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour), leaving("c4")}, ActionNone, ""},
+		{"the learner lacks entries", three, []string{"c4"}, nil, []func(*View){silent("c2", time.Hour), func(v *View) { v.Match["c4"] = 10 }}, ActionNone, ""},
+		{"the learner has caught up", three, []string{"c4"}, nil, []func(*View){silent("c2", time.Hour)}, ActionRemoveVoter, "c2"},
+		{"the learner died", three, []string{"c4"}, []string{"c5"}, []func(*View){silent("c2", time.Hour), silent("c4", time.Minute)}, ActionDropLearner, "c4"},
+		{"the voter came back", three, []string{"c4"}, nil, nil, ActionDropLearner, "c4"},
+		{"half done", []string{"c1", "c3"}, []string{"c4"}, nil, nil, ActionAddVoter, "c4"},
+		{"half done and the learner died", []string{"c1", "c3"}, []string{"c4"}, nil, []func(*View){silent("c4", time.Minute)}, ActionDropLearner, "c4"},
+		{"half done without a learner", []string{"c1", "c3"}, nil, []string{"c5"}, nil, ActionAddLearner, "c5"},
+		{"the removed voter may return as a spare", []string{"c1", "c3"}, nil, []string{"c2"}, nil, ActionAddLearner, "c2"},
+		{"two of three are lost", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour), silent("c3", time.Hour)}, ActionNone, ""},
+		{"another voter is silent just now", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour), silent("c3", 10*time.Second)}, ActionNone, ""},
+		{"operators replace a live voter", three, nil, []string{"c4"}, []func(*View){leaving("c2")}, ActionAddLearner, "c4"},
+		{"operators replace the leader", three, []string{"c4"}, nil, []func(*View){leaving("c1")}, ActionRemoveVoter, "c1"},
+		{"the same data centre goes first", three, nil, []string{"c4", "c5"}, []func(*View){silent("c2", time.Hour), place("c5", "dc-c2", "sask")}, ActionAddLearner, "c5"},
+		{"then the same region", three, nil, []string{"c4", "c5"}, []func(*View){silent("c2", time.Hour), place("c4", "far", "manitoba")}, ActionAddLearner, "c5"},
+		{"one of five", []string{"c1", "c2", "c3", "c4", "c5"}, nil, []string{"c6"}, []func(*View){silent("c2", time.Hour), silent("c3", time.Minute)}, ActionAddLearner, "c6"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			v := healthy(tc.voters, tc.learners, tc.spares)
+			for _, change := range tc.changes {
+				change(&v)
+			}
+			a := Replacer{}.Decide(v)
+			qt.Assert(t, a.Kind, qt.Equals, tc.want, qt.Commentf("%+v", a))
+			qt.Assert(t, a.Host, qt.Equals, tc.host)
+			if a.Kind != ActionNone {
+				qt.Assert(t, a.Why, qt.Not(qt.Equals), "")
+			}
+		})
+	}
+}
+
+// TestReplacementsEnd lets hosts fail and come back at random and checks each
+// step: the membership changes by one voter at most, the leader's side keeps a
+// quorum of live voters, and in the end the voters are live and odd in number.
+func TestReplacementsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
+		var voters, spares []string
+		for i := range n {
+			voters = append(voters, fmt.Sprintf("c%d", i+1))
+		}
+		for i := range 3 {
+			spares = append(spares, fmt.Sprintf("s%d", i+1))
+		}
+		v := healthy(voters, nil, spares)
+		down := map[string]bool{}
+		r := Replacer{}
+		step := func() {
+			for id := range v.Hosts {
+				if !down[id] {
+					v.Contact[id], v.Heard[id], v.Match[id] = v.Now, v.Now, v.Committed
+				}
+			}
+			a := r.Decide(v)
+			if a.Kind != ActionNone {
+				checkStep(t, v, a, down)
+				v.Membership = a.Next
+			}
+			v.Now = v.Now.Add(time.Second)
+		}
+		for range 200 {
+			if rapid.IntRange(0, 20).Draw(t, "fault") == 0 {
+				flip(t, v, down)
+			}
+			step()
+		}
+		for range 300 {
+			step()
+		}
+		if live(v.Membership.Voters, down) < v.Membership.Quorum() {
+			t.Fatalf("voters %v without a quorum, down %v", v.Membership, down)
+		}
+		if len(v.Membership.Voters)%2 == 0 || live(v.Membership.Voters, down) != len(v.Membership.Voters) {
+			t.Fatalf("voters %v, down %v, while spares were live", v.Membership, down)
+		}
+	})
+}
+
+// flip ends or restores one host, never so that a quorum is lost or that no
+// spare is left.
+func flip(t *rapid.T, v View, down map[string]bool) {
+	ids := make([]string, 0, len(v.Hosts))
+	for id := range v.Hosts {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	id := rapid.SampledFrom(ids).Draw(t, "host")
+	if down[id] {
+		delete(down, id)
+		return
+	}
+	if id == v.Self || len(down) >= 2 {
+		return
+	}
+	down[id] = true
+	if live(v.Membership.Voters, down) < v.Membership.Quorum() {
+		delete(down, id)
+	}
+}
+
+func live(ids []string, down map[string]bool) int {
+	n := 0
+	for _, id := range ids {
+		if !down[id] {
+			n++
+		}
+	}
+	return n
+}
+
+func checkStep(t *rapid.T, v View, a Action, down map[string]bool) {
+	changed := 0
+	for _, id := range a.Next.Voters {
+		if !v.Membership.IsVoter(id) {
+			changed++
+		}
+	}
+	for _, id := range v.Membership.Voters {
+		if !a.Next.IsVoter(id) {
+			changed++
+		}
+	}
+	if changed > 1 {
+		t.Fatalf("%v to %v changes %d voters", v.Membership, a.Next, changed)
+	}
+	before := live(v.Membership.Voters, down) >= v.Membership.Quorum()
+	if before && changed == 1 && live(a.Next.Voters, down) < a.Next.Quorum() {
+		t.Fatalf("%v to %v leaves no quorum, down %v", v.Membership, a.Next, down)
+	}
+}
