--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -171,5 +171,8 @@
 		Controller: ctl, Peers: peers, IsSpare: c.Spare, DataCentre: c.DataCentre, Region: c.Region, Linker: link, Log: log,
 		Pages: operator.Handler{Controller: ctl, Credentials: credentials}.Routes(),
 	}
+	if err := h.Prepare(); err != nil {
+		return err
+	}
 	return h.Run(ctx, links, pages)
 }
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -104,15 +104,32 @@
 type recordCommand struct {
 	operatorSettings
 	Explain string `arg:"--explain" placeholder:"ID" help:"tell the story of one plan, group, upstream or host"`
+	All     bool   `arg:"--all" help:"begin with the oldest record instead of the newest few thousand"`
 }
 
 func (c *recordCommand) check() error { return c.operatorSettings.check() }
 
 func (c *recordCommand) run(ctx context.Context, stdout, _ io.Writer) error {
+	for number := 0; c.All && c.Explain == ""; number++ {
+		records, err := c.client().RecordPage(ctx, number)
+		if err != nil {
+			return err
+		}
+		if len(records) == 0 {
+			break
+		}
+		if err := printRecords(stdout, records); err != nil {
+			return err
+		}
+	}
 	records, err := c.client().Record(ctx, c.Explain)
 	if err != nil {
 		return err
 	}
+	return printRecords(stdout, records)
+}
+
+func printRecords(stdout io.Writer, records []planner.Record) error {
 	for _, r := range records {
 		if _, err := fmt.Fprintf(stdout, "%6d  %s  %-10s  %-24s  %-12s  %s\n", r.Index, r.At, r.Kind, r.Subject, r.Actor, r.Text); err != nil {
 			return fmt.Errorf("cli: write record: %w", err)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -112,6 +112,8 @@
 	book    *planner.Book
 	// controlHosts are the agreed control hosts, for other goroutines.
 	controlHosts atomic.Pointer[map[string]configurer.ControlHost]
+	// pages is the number of pages that the book has sealed.
+	pages atomic.Uint64
 	// waiting are proposals of this host by log index.
 	waiting map[uint64]proposal
 
@@ -195,6 +197,7 @@
 	c.store, c.book, c.elector = store, book, e
 	c.waiting = map[uint64]proposal{}
 	c.publishMembers()
+	c.pages.Store(book.Pages())
 	return nil
 }
 
@@ -237,6 +240,7 @@
 			}
 			c.book = book
 			c.publishMembers()
+			c.pages.Store(book.Pages())
 		}
 		for _, m := range out.Messages {
 			c.SendPeer(m)
@@ -244,11 +248,15 @@
 		for _, e := range out.Committed {
 			c.apply(e)
 		}
+		if err := c.savePages(); err != nil {
+			return err
+		}
 		if len(out.Committed) > 0 {
 			if err := c.compact(out.Committed[len(out.Committed)-1].Index); err != nil {
 				return err
 			}
 			c.pushChanges()
+			c.pages.Store(c.book.Pages())
 		}
 	}
 }
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -37,6 +37,8 @@
 	held     map[string]heldPromotion
 	// heard is when each control host last announced itself.
 	heard map[string]time.Time
+	// heldPages are the pages of the old record that each control host holds.
+	heldPages map[string]uint64
 	// membersLooked is when the members were last looked at.
 	membersLooked time.Time
 	inForce       uint64
@@ -94,6 +96,7 @@
 		fencedAt:  map[string]uint64{},
 		held:      map[string]heldPromotion{},
 		heard:     map[string]time.Time{},
+		heldPages: map[string]uint64{},
 		inForce:   0,
 	}
 	if len(c.book.State.Hosts) > 0 {
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -59,15 +59,16 @@
 	}
 }
 
-// AnnounceControlHost takes the announcement of a control host.
-func (c *Controller) AnnounceControlHost(h configurer.ControlHost) {
-	c.do(func() { c.takeControlHost(h, time.Now()) })
+// AnnounceControlHost takes the announcement of a control host that holds the
+// given number of pages of the old record.
+func (c *Controller) AnnounceControlHost(h configurer.ControlHost, pages uint64) {
+	c.do(func() { c.takeControlHost(h, pages, time.Now()) })
 }
 
 // takeControlHost notes that a control host is live and proposes what is new
 // about it. A voter with another data folder is not taken over: it has
 // forgotten its vote.
-func (c *Controller) takeControlHost(h configurer.ControlHost, now time.Time) {
+func (c *Controller) takeControlHost(h configurer.ControlHost, pages uint64, now time.Time) {
 	if !c.lead.active || !c.elector.HasLease(now) {
 		return
 	}
@@ -78,6 +79,7 @@
 		return
 	}
 	c.lead.heard[h.ID] = now
+	c.lead.heldPages[h.ID] = pages
 	if known && h == old {
 		return
 	}
@@ -113,6 +115,7 @@
 		Now: now, Self: c.ID, Membership: c.elector.Membership(), Committed: c.elector.Committed(),
 		Contact: map[string]time.Time{}, Match: map[string]uint64{},
 		Hosts: c.book.State.ControlHosts, Heard: c.lead.heard,
+		Pages: c.book.Pages(), HeldPages: c.lead.heldPages,
 	}
 	for _, id := range v.Membership.All() {
 		v.Contact[id], v.Match[id] = c.elector.Contact(id), c.elector.Match(id)
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -18,6 +18,10 @@
 	Hosts     int                `json:"hosts"`
 	Version   uint64             `json:"version"`
 	InForce   uint64             `json:"in_force"`
+	// Pages is the number of pages of the old record, and HeldPages how many
+	// of them this host holds.
+	Pages     uint64 `json:"pages"`
+	HeldPages uint64 `json:"held_pages"`
 }
 
 // Status returns the present status.
@@ -28,6 +32,7 @@
 			ID: c.ID, Role: c.elector.Role(), Leader: c.elector.Leader(), Term: c.elector.Term(),
 			Committed: c.elector.Committed(), Members: c.elector.Membership(),
 			Hosts: c.lead.granter.Count(time.Now()), Version: c.book.State.Version, InForce: c.lead.inForce,
+			Pages: c.book.Pages(), HeldPages: c.ArchivedPages(),
 		}
 	})
 	if !ok {
--- a/internal/demonstrator/starter.go
+++ b/internal/demonstrator/starter.go
@@ -48,6 +48,9 @@
 			Control:    &runner.Control{Controller: ctl, Peers: peers, Linker: linker.Linker{DialNet: dial}, Log: f.Log, Pages: operator.Handler{Controller: ctl, Credentials: operatorCredentials()}.Routes()},
 			DataCentre: dc.Name, Address: links[i].Addr().String(), Pages: pages.Addr().String(), done: make(chan struct{}),
 		}
+		if err := h.Prepare(); err != nil {
+			return err
+		}
 		f.Controls = append(f.Controls, h)
 		f.run(ctx, func(ctx context.Context) { _ = h.Run(ctx, links[i], pages) }, &h.stop, h.done)
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -58,7 +58,7 @@
 	return a, c.call(ctx, http.MethodPost, "/v1/plans/"+url.PathEscape(id)+"/"+verb, Remark{Text: text}, &a)
 }
 
-// Record returns the record, or the story of one subject.
+// Record returns the newest records, or the whole story of one subject.
 func (c *Client) Record(ctx context.Context, subject string) ([]planner.Record, error) {
 	var records []planner.Record
 	path := "/v1/record"
@@ -68,6 +68,18 @@
 	return records, c.call(ctx, http.MethodGet, path, nil, &records)
 }
 
+// RecordPage returns the records of an old page, and none when there is no such
+// page.
+func (c *Client) RecordPage(ctx context.Context, number int) ([]planner.Record, error) {
+	var records []planner.Record
+	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/v1/record?page=%d", number), nil, &records)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return nil, nil
+	}
+	return records, err
+}
+
 // Levels returns the agreed service levels.
 func (c *Client) Levels(ctx context.Context) (Levels, error) {
 	var l Levels
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -166,6 +166,11 @@
 		}
 	}
 	p, err := h.propose(r.Context(), planner.Operation{Kind: planner.OperationIntent, Intent: &i})
+	var closed *planner.ClosedError
+	if errors.As(err, &closed) {
+		h.answerOldPlan(w, r, i.ID)
+		return
+	}
 	if err != nil {
 		h.fail(w, r, err)
 		return
@@ -185,7 +190,28 @@
 			}
 		}
 	})
-	return plan, found
+	if found || i.Verifier != "" {
+		return plan, found
+	}
+	old, err := h.Controller.OldPlan(i.ID)
+	if err != nil || old == nil {
+		return plan, false
+	}
+	i.Verifier = old.Intent.Verifier
+	return *old, i.Equal(old.Intent)
+}
+
+// answerOldPlan answers a plan that is closed and in a page.
+func (h Handler) answerOldPlan(w http.ResponseWriter, r *http.Request, id string) {
+	p, err := h.Controller.OldPlan(id)
+	switch {
+	case err != nil:
+		h.fail(w, r, err)
+	case p == nil:
+		answer(w, http.StatusNotFound, ErrorAnswer{Error: "no such plan", Verdict: "not_run"})
+	default:
+		answer(w, http.StatusOK, PlanAnswer{Plan: *p})
+	}
 }
 
 func newKey() (key, verifier string, err error) {
@@ -231,7 +257,7 @@
 	case err != nil:
 		h.fail(w, r, err)
 	case plan == nil:
-		answer(w, http.StatusNotFound, ErrorAnswer{Error: "no such plan", Verdict: "not_run"})
+		h.answerOldPlan(w, r, r.PathValue("id"))
 	default:
 		answer(w, http.StatusOK, PlanAnswer{Plan: *plan})
 	}
@@ -253,20 +279,3 @@
 		answer(w, http.StatusOK, PlanAnswer{Plan: p})
 	}
 }
-
-// record answers the record, or with explain the story of one subject.
-func (h Handler) record(w http.ResponseWriter, r *http.Request, _ string) {
-	records := []planner.Record{}
-	err := h.Controller.Read(r.Context(), func(b *planner.Book) {
-		if subject := r.URL.Query().Get("explain"); subject != "" {
-			records = append(records, b.Explain(subject)...)
-			return
-		}
-		records = append(records, b.Records...)
-	})
-	if err != nil {
-		h.fail(w, r, err)
-		return
-	}
-	answer(w, http.StatusOK, records)
-}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -39,22 +39,27 @@
 	wg    sync.WaitGroup
 }
 
+// Prepare opens the data folder. It is called before Run, which closes it, and
+// before the controller is asked anything.
+func (h *Control) Prepare() error {
+	h.peers = map[string]*peer{}
+	h.Controller.SendPeer = h.enqueue
+	h.Controller.Prepare()
+	return h.Controller.Open()
+}
+
 // Run serves until ctx ends. It closes the listeners.
 func (h *Control) Run(ctx context.Context, links, pages net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = links.Close() }()
-	h.ctx, h.peers = ctx, map[string]*peer{}
-	h.Controller.SendPeer = h.enqueue
-	h.Controller.MembersChanged = func(hosts map[string]configurer.ControlHost) { h.reach(ctx, addressesOf(hosts)) }
-	h.Controller.Prepare()
-	if err := h.Controller.Open(); err != nil {
-		return err
-	}
+	h.ctx = ctx
 	h.self = configurer.ControlHost{
 		ID: h.Controller.ID, Instance: h.Controller.Instance(), Address: links.Addr().String(),
 		DataCentre: h.DataCentre, Region: h.Region,
 	}
+	h.Controller.MembersChanged = func(hosts map[string]configurer.ControlHost) { h.reach(ctx, addressesOf(hosts)) }
+	h.reach(ctx, addressesOf(h.Controller.ControlHosts()))
 	h.start(func() { h.serveLinks(ctx, links) })
 	server := &http.Server{Handler: h.Pages, ReadHeaderTimeout: time.Second}
 	if pages != nil {
--- a/internal/runner/peers.go
+++ b/internal/runner/peers.go
@@ -144,6 +144,9 @@
 		if h.IsSpare {
 			h.learn(answer)
 		}
+		if err := h.fetchPages(ctx, client); err != nil {
+			return err
+		}
 		if err := pauser.Pause(ctx, announceInterval); err != nil {
 			return err
 		}
@@ -157,13 +160,33 @@
 	if err != nil {
 		return nil, fmt.Errorf("runner: encode announcement: %w", err)
 	}
-	answer, err := client.Announce(ctx, &messenger.ControlHostNotice{Host: body})
+	answer, err := client.Announce(ctx, &messenger.ControlHostNotice{Host: body, Pages: h.Controller.ArchivedPages()})
 	if err != nil {
 		return nil, fmt.Errorf("runner: announce: %w", err)
 	}
 	return answer, nil
 }
 
+// fetchPages asks a peer for the pages of the old record that this host lacks.
+func (h *Control) fetchPages(ctx context.Context, client messenger.DRPCPeersClient) error {
+	for {
+		number, missing := h.Controller.MissingPage()
+		if !missing {
+			return nil
+		}
+		answer, err := client.FetchPage(ctx, &messenger.PageRequest{Number: number})
+		if err != nil {
+			return fmt.Errorf("runner: fetch page %d: %w", number, err)
+		}
+		if len(answer.GetPage()) == 0 {
+			return nil
+		}
+		if err := h.Controller.TakePage(answer.GetPage()); err != nil {
+			return err
+		}
+	}
+}
+
 // learn takes the control hosts that a peer knows, so that a spare announces
 // itself to those that joined after its start.
 func (h *Control) learn(answer *messenger.ControlHostsAnswer) {
--- a/internal/runner/peers_service.go
+++ b/internal/runner/peers_service.go
@@ -61,6 +61,15 @@
 		}
 		answer.Hosts = append(answer.Hosts, body)
 	}
-	s.controller.AnnounceControlHost(h)
+	s.controller.AnnounceControlHost(h, notice.GetPages())
 	return answer, nil
 }
+
+// FetchPage answers an old page of the record.
+func (s peersService) FetchPage(_ context.Context, r *messenger.PageRequest) (*messenger.PageAnswer, error) {
+	page, err := s.controller.Page(r.GetNumber())
+	if err != nil {
+		return nil, err
+	}
+	return &messenger.PageAnswer{Page: page}, nil
+}
--- /dev/null
+++ b/internal/storer/archive.go
@@ -0,0 +1,81 @@
+package storer
+
+import (
+	"encoding/binary"
+	"fmt"
+
+	"go.etcd.io/bbolt"
+)
+
+var (
+	// bucketPages holds pages of the record by number.
+	bucketPages = []byte("pages")
+	// bucketSubjects holds a key of subject, zero byte and page number for each
+	// subject of each page.
+	bucketSubjects = []byte("subjects")
+)
+
+// SavePage stores a page of the record with its subjects and syncs it. Storing
+// the same page again changes nothing.
+func (s *Storer) SavePage(number uint64, subjects []string, body []byte) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		if err := put(tx.Bucket(bucketPages), indexKey(number), body); err != nil {
+			return err
+		}
+		index := tx.Bucket(bucketSubjects)
+		for _, subject := range subjects {
+			if err := index.Put(subjectKey(subject, number), nil); err != nil {
+				return fmt.Errorf("storer: index page: %w", err)
+			}
+		}
+		return nil
+	})
+}
+
+// Page returns a page, or nil when it is not stored.
+func (s *Storer) Page(number uint64) ([]byte, error) {
+	var body []byte
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		key := indexKey(number)
+		sealed := tx.Bucket(bucketPages).Get(key)
+		if sealed == nil {
+			return nil
+		}
+		found, err := unseal(key, sealed)
+		body = append(body, found...)
+		return err
+	})
+	return body, err
+}
+
+// Pages returns the number of pages stored without a gap from the first.
+func (s *Storer) Pages() (uint64, error) {
+	n := uint64(0)
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		c := tx.Bucket(bucketPages).Cursor()
+		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) == n; k, _ = c.Next() {
+			n++
+		}
+		return nil
+	})
+	return n, err
+}
+
+// PagesOf returns the numbers of the pages with records of a subject, in order.
+func (s *Storer) PagesOf(subject string) ([]uint64, error) {
+	var numbers []uint64
+	prefix := subjectKey(subject, 0)
+	prefix = prefix[:len(prefix)-8]
+	err := s.db.View(func(tx *bbolt.Tx) error {
+		c := tx.Bucket(bucketSubjects).Cursor()
+		for k, _ := c.Seek(prefix); k != nil && len(k) == len(prefix)+8 && string(k[:len(prefix)]) == string(prefix); k, _ = c.Next() {
+			numbers = append(numbers, binary.BigEndian.Uint64(k[len(prefix):]))
+		}
+		return nil
+	})
+	return numbers, err
+}
+
+func subjectKey(subject string, number uint64) []byte {
+	return binary.BigEndian.AppendUint64(append([]byte(subject), 0), number)
+}
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -112,8 +112,10 @@
 		if err != nil {
 			return fmt.Errorf("storer: create bucket: %w", err)
 		}
-		if _, err := tx.CreateBucketIfNotExists(bucketLog); err != nil {
-			return fmt.Errorf("storer: create bucket: %w", err)
+		for _, name := range [][]byte{bucketLog, bucketPages, bucketSubjects} {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return fmt.Errorf("storer: create bucket: %w", err)
+			}
 		}
 		owner := meta.Get(keyOwner)
 		if owner == nil {
--- a/internal/storer/storer_test.go
+++ b/internal/storer/storer_test.go
@@ -95,3 +95,35 @@
 		})
 	}
 }
+
+func TestPagesAreFoundBySubject(t *testing.T) {
+	c := qt.New(t)
+	dir := c.TempDir()
+	s, err := Open(dir, "control-1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.IsNew(), qt.IsTrue)
+	c.Assert(s.SavePage(0, []string{"ledger", "ledger-1"}, []byte("first")), qt.IsNil)
+	c.Assert(s.SavePage(2, []string{"ledger"}, []byte("third")), qt.IsNil)
+	c.Assert(s.SavePage(2, []string{"ledger"}, []byte("third")), qt.IsNil)
+	instance := s.Instance()
+	c.Assert(s.Close(), qt.IsNil)
+	s, err = Open(dir, "control-1")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = s.Close() }()
+	c.Assert(s.IsNew(), qt.IsFalse)
+	c.Assert(s.Instance(), qt.Equals, instance)
+	for subject, want := range map[string][]uint64{"ledger": {0, 2}, "ledger-1": {0}, "ledge": nil, "": nil} {
+		numbers, err := s.PagesOf(subject)
+		c.Assert(err, qt.IsNil)
+		c.Assert(numbers, qt.DeepEquals, want, qt.Commentf("%q", subject))
+	}
+	n, err := s.Pages()
+	c.Assert(err, qt.IsNil)
+	c.Assert(n, qt.Equals, uint64(1), qt.Commentf("page 1 is missing"))
+	body, err := s.Page(2)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(body), qt.Equals, "third")
+	body, err = s.Page(1)
+	c.Assert(err, qt.IsNil)
+	c.Assert(body, qt.IsNil)
+}
--- a/internal/surveyor/surveyor.go
+++ b/internal/surveyor/surveyor.go
@@ -357,14 +357,19 @@
 		for i := range n {
 			id := fmt.Sprint(i)
 			_, err := b.Apply(planner.Operation{Kind: planner.OperationIntent, At: "2026-01-01T00:00:00.000000000Z", Intent: &planner.Intent{
-				ID: "intent-" + id, Author: "vesna", Kind: planner.IntentAdmitOrganisation, Target: "organisation_" + id, Rate: 10, Burst: 10, Reason: "a new shop was admitted",
-			}}, uint64(2*i+1))
+				ID: "intent-" + id, Author: "vesna", Kind: planner.IntentAdmitOrganisation, Target: fmt.Sprintf("organisation_%d", i%1000), Rate: 10, Burst: 10, Reason: "a new shop was admitted",
+			}}, uint64(3*i+1))
 			if err != nil {
 				panic(err)
 			}
-			if _, err := b.Apply(planner.Operation{Kind: planner.OperationConfirm, At: "2026-01-01T00:00:00.000000000Z", Plan: "intent-" + id, Actor: "marko"}, uint64(2*i+2)); err != nil {
+			if _, err := b.Apply(planner.Operation{Kind: planner.OperationConfirm, At: "2026-01-01T00:00:00.000000000Z", Plan: "intent-" + id, Actor: "marko"}, uint64(3*i+2)); err != nil {
 				panic(err)
 			}
+			if _, err := b.Apply(planner.Operation{Kind: planner.OperationInForce, At: "2026-01-01T00:00:00.000000000Z", Version: uint64(3*i + 2)}, uint64(3*i+3)); err != nil {
+				panic(err)
+			}
+			// A control host stores the pages on disk.
+			b.TakePages()
 			if i%1000 == 999 {
 				// The organisations are not what is measured here.
 				b.State = configurer.State{Version: b.State.Version}
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -34,8 +34,12 @@
 	RoleLeader       Role = "leader"
 )
 
-// maxAppendEntries bounds the entries of one message.
-const maxAppendEntries = 256
+const (
+	// maxAppendEntries bounds the entries of one message.
+	maxAppendEntries = 256
+	// maxInFlight bounds the entries sent to a host and not answered.
+	maxInFlight = 4 * maxAppendEntries
+)
 
 // ErrNotLeader means that another control host must be asked.
 var ErrNotLeader = errors.New("elector: not the leader")
@@ -85,6 +89,8 @@
 
 	out       Output
 	hardDirty bool
+	// unsent is true while there may be entries that were not sent to all.
+	unsent bool
 }
 
 // progress is what a leader knows of another host.
@@ -174,6 +180,11 @@
 
 // Output returns and clears what must be done.
 func (e *Elector) Output() Output {
+	if e.unsent && e.role == RoleLeader {
+		// One message carries all entries since the last Output.
+		e.sendAppends(false)
+	}
+	e.unsent = false
 	out := e.out
 	e.out = Output{}
 	if e.hardDirty {
@@ -204,7 +215,7 @@
 		return 0, 0, ErrNotLeader
 	}
 	e.appendOwn(Entry{Kind: EntryCommand, Data: data})
-	e.sendAppends(false)
+	e.unsent = true
 	return e.log.last(), e.hard.Term, nil
 }
 
@@ -225,7 +236,7 @@
 	}
 	m := next.clone()
 	e.appendOwn(Entry{Kind: EntryMembership, Membership: &m})
-	e.sendAppends(false)
+	e.unsent = true
 	return nil
 }
 
--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -142,14 +142,9 @@
 	if m.Index > p.match {
 		p.match = m.Index
 		p.next = max(p.next, m.Index+1)
-		if e.maybeCommit() {
-			e.sendAppends(false)
-			return
-		}
-	}
-	if p.next <= e.log.last() {
-		e.sendAppend(m.From, p)
+		e.maybeCommit()
 	}
+	e.unsent = true
 }
 
 // refreshProgress fits the leader's knowledge to the membership.
@@ -173,9 +168,9 @@
 
 // maybeCommit commits what a quorum of the voters has stored. The leader's own
 // entries count, since it stores them before it sends them.
-func (e *Elector) maybeCommit() bool {
+func (e *Elector) maybeCommit() {
 	if e.role != RoleLeader {
-		return false
+		return
 	}
 	matches := make([]uint64, 0, len(e.membership.Voters))
 	for _, id := range e.membership.Voters {
@@ -186,15 +181,14 @@
 		}
 	}
 	if len(matches) < e.membership.Quorum() {
-		return false
+		return
 	}
 	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
 	index := matches[e.membership.Quorum()-1]
 	if t, ok := e.log.term(index); !ok || t != e.hard.Term || index <= e.log.commit {
-		return false
+		return
 	}
 	e.log.commit = index
-	return true
 }
 
 func (e *Elector) tickLeader(now time.Time) {
@@ -274,7 +268,7 @@
 		if id == e.cfg.ID || p == nil {
 			continue
 		}
-		if beat || p.next <= e.log.last() || p.match < e.log.commit {
+		if beat || p.next <= e.log.last() && p.next <= p.match+maxInFlight {
 			e.sendAppend(id, p)
 		}
 	}
@@ -287,14 +281,20 @@
 		e.sendSnapshot(id, p)
 		return
 	}
-	entries := e.log.between(p.next, min(e.log.last(), before+maxAppendEntries))
+	last := min(e.log.last(), before+maxAppendEntries)
+	if before >= p.match+maxInFlight {
+		// The host answers too slowly: send no more entries, just the beat.
+		last = before
+	}
+	entries := e.log.between(p.next, last)
 	e.send(Message{
 		Kind: MessageAppend, To: id, Index: before, LogTerm: t, Round: e.round,
 		Entries: append([]Entry(nil), entries...), Commit: e.log.commit,
 	})
-	if len(entries) > 0 && p.match+1 == p.next {
-		// Go on without waiting for the answer.
-		p.next = entries[len(entries)-1].Index + 1
+	if len(entries) > 0 {
+		// Go on without waiting for the answer. When a message is lost, the
+		// next one does not match and the answer tells where to go on.
+		p.next = last + 1
 	}
 }
 
--- a/pkg/planner/book.go
+++ b/pkg/planner/book.go
@@ -30,6 +30,11 @@
 	State   configurer.State
 	Plans   map[string]*Plan
 	Records []Record
+	// pages is the number of pages sealed, and sealed those not taken yet.
+	pages  uint64
+	sealed []Page
+	// closed are the plans that pages hold.
+	closed closedSet
 	// touched is the version at which each entry last changed.
 	touched map[string]uint64
 	recent  []configurer.Change
@@ -45,6 +50,12 @@
 // Apply carries out an agreed operation. It returns the plan concerned, if
 // any. An error means that the operation changed nothing but the record.
 func (b *Book) Apply(o Operation, index uint64) (*Plan, error) {
+	p, err := b.apply(o, index)
+	b.seal()
+	return p, err
+}
+
+func (b *Book) apply(o Operation, index uint64) (*Plan, error) {
 	switch o.Kind {
 	case OperationIntent:
 		return b.intend(o, index)
@@ -77,6 +88,12 @@
 		}
 		return old, nil
 	}
+	if taken, same := b.closed.find(i); taken {
+		if !same {
+			return nil, conflict(i.ID, "an intent with this id and other content exists")
+		}
+		return nil, &ClosedError{ID: i.ID}
+	}
 	p, err := b.draft(i)
 	if err != nil {
 		return nil, err
@@ -129,6 +146,7 @@
 	fresh, err := b.draft(p.Intent)
 	if err != nil {
 		p.Status = StatusSuperseded
+		p.Closed = index
 		b.record(o, index, RecordSuperseded, o.Plan, o.Actor, "configuration changed: "+err.Error(), 0)
 		return nil, conflict(o.Plan, "configuration changed since the plan was made: %v", err)
 	}
@@ -150,6 +168,7 @@
 		return nil, conflict(o.Plan, "plan is %s", p.Status)
 	}
 	p.Status = StatusRejected
+	p.Closed = index
 	p.Reviewer = o.Actor
 	b.record(o, index, RecordRejected, o.Plan, o.Actor, o.Text, 0)
 	return p, nil
@@ -198,14 +217,23 @@
 	return nil
 }
 
+// noteInForce closes the plans that are in force everywhere, in the order of
+// their ids, so that every control host writes the same record.
 func (b *Book) noteInForce(o Operation, index uint64) {
-	for _, p := range b.Plans {
+	var ids []string
+	for id, p := range b.Plans {
 		if p.Status == StatusConfirmed && p.Version <= o.Version {
-			p.Status = StatusInForce
-			p.InForce = o.At
-			b.record(o, index, RecordInForce, p.Intent.ID, o.Actor, fmt.Sprintf("version %d is in force on every host", p.Version), p.Version)
+			ids = append(ids, id)
 		}
 	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		p := b.Plans[id]
+		p.Status = StatusInForce
+		p.Closed = index
+		p.InForce = o.At
+		b.record(o, index, RecordInForce, id, o.Actor, fmt.Sprintf("version %d is in force on every host", p.Version), p.Version)
+	}
 }
 
 // put applies changes under the version index.
@@ -259,16 +287,9 @@
 	return b.recent[i:], true
 }
 
-// Explain returns the record of one subject in order.
-func (b *Book) Explain(subject string) []Record {
-	var story []Record
-	for _, r := range b.Records {
-		if r.Subject == subject {
-			story = append(story, r)
-		}
-	}
-	return story
-}
+// Explain returns the records of one subject in order, of those that are in no
+// page.
+func (b *Book) Explain(subject string) []Record { return RecordsOf(b.Records, subject) }
 
 // image is the stored form of a Book.
 type image struct {
@@ -277,6 +298,8 @@
 	Plans   map[string]*Plan    `json:"plans"`
 	Records []Record            `json:"records"`
 	Touched map[string]uint64   `json:"touched"`
+	Pages   uint64              `json:"pages,omitempty"`
+	Closed  []byte              `json:"closed,omitempty"`
 }
 
 // Marshal returns the stored form.
@@ -285,7 +308,10 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := json.Marshal(image{Version: b.State.Version, Changes: changes, Plans: b.Plans, Records: b.Records, Touched: b.touched})
+	body, err := json.Marshal(image{
+		Version: b.State.Version, Changes: changes, Plans: b.Plans, Records: b.Records, Touched: b.touched,
+		Pages: b.pages, Closed: b.closed.marshal(),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("planner: encode book: %w", err)
 	}
@@ -310,6 +336,10 @@
 	b.State = state
 	b.horizon = i.Version
 	b.Records = i.Records
+	b.pages = i.Pages
+	if err := b.closed.unmarshal(i.Closed); err != nil {
+		return nil, err
+	}
 	if i.Plans != nil {
 		b.Plans = i.Plans
 	}
--- a/pkg/planner/conflict.go
+++ b/pkg/planner/conflict.go
@@ -12,6 +12,13 @@
 // Error implements error.
 func (e *ConflictError) Error() string { return fmt.Sprintf("planner: %s: %s", e.Subject, e.Text) }
 
+// ClosedError means that an intent was sent again whose plan is closed and in a
+// page. The operation changed nothing.
+type ClosedError struct{ ID string }
+
+// Error implements error.
+func (e *ClosedError) Error() string { return fmt.Sprintf("planner: plan %s is closed", e.ID) }
+
 func conflict(subject, format string, args ...any) error {
 	return &ConflictError{Subject: subject, Text: fmt.Sprintf(format, args...)}
 }
--- a/pkg/planner/plan.go
+++ b/pkg/planner/plan.go
@@ -39,4 +39,7 @@
 	Version uint64 `json:"version,omitempty"`
 	At      string `json:"at"`
 	InForce string `json:"in_force,omitempty"`
+	// Closed is the index of the record at which the plan was rejected,
+	// superseded or in force, or zero.
+	Closed uint64 `json:"closed,omitempty"`
 }
--- a/pkg/planner/record.go
+++ b/pkg/planner/record.go
@@ -15,6 +15,17 @@
 	RecordFleet RecordKind = "fleet"
 )
 
+// RecordsOf returns the records of one subject in order.
+func RecordsOf(records []Record, subject string) []Record {
+	var story []Record
+	for _, r := range records {
+		if r.Subject == subject {
+			story = append(story, r)
+		}
+	}
+	return story
+}
+
 // Record is one entry of the append-only record.
 type Record struct {
 	Index uint64     `json:"index"`
--- a/pkg/replacer/replacer.go
+++ b/pkg/replacer/replacer.go
@@ -163,10 +163,11 @@
 	return ""
 }
 
-// readyLearner returns a learner that holds nearly everything agreed on.
+// readyLearner returns a learner that holds nearly everything agreed on and the
+// whole old record.
 func (r Replacer) readyLearner(v View) string {
 	for _, id := range v.Membership.Learners {
-		if v.answers(id, liveWithin) && v.Match[id]+caughtUpWithin >= v.Committed && v.Match[id] > 0 {
+		if v.answers(id, liveWithin) && v.Match[id]+caughtUpWithin >= v.Committed && v.Match[id] > 0 && v.HeldPages[id] >= v.Pages {
 			return id
 		}
 	}
--- a/pkg/replacer/replacer_test.go
+++ b/pkg/replacer/replacer_test.go
@@ -54,6 +54,7 @@
 		{"the spare is dead", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour), silent("c4", time.Minute)}, ActionNone, ""},
 		{"the spare leaves", three, nil, []string{"c4"}, []func(*View){silent("c2", time.Hour), leaving("c4")}, ActionNone, ""},
 		{"the learner lacks entries", three, []string{"c4"}, nil, []func(*View){silent("c2", time.Hour), func(v *View) { v.Match["c4"] = 10 }}, ActionNone, ""},
+		{"the learner lacks old pages", three, []string{"c4"}, nil, []func(*View){silent("c2", time.Hour), func(v *View) { v.Pages = 1 }}, ActionNone, ""},
 		{"the learner has caught up", three, []string{"c4"}, nil, []func(*View){silent("c2", time.Hour)}, ActionRemoveVoter, "c2"},
 		{"the learner died", three, []string{"c4"}, []string{"c5"}, []func(*View){silent("c2", time.Hour), silent("c4", time.Minute)}, ActionDropLearner, "c4"},
 		{"the voter came back", three, []string{"c4"}, nil, nil, ActionDropLearner, "c4"},
--- a/pkg/replacer/view.go
+++ b/pkg/replacer/view.go
@@ -22,6 +22,10 @@
 	Hosts map[string]configurer.ControlHost
 	// Heard is when each control host last announced itself to the leader.
 	Heard map[string]time.Time
+	// Pages is the number of pages of the old record, and HeldPages how many
+	// of them each control host holds.
+	Pages     uint64
+	HeldPages map[string]uint64
 }
 
 // answers reports whether a member has answered the leader of late.
