Hand sessions to the owners of their group

Cause: every entry host connected to every upstream, which ends at about 15 hosts for an upstream of 30 connections; the size to design for has 930. Ruled out: sending callers elsewhere (drivers know no redirect) and forwarding single statements (the owner would need the session's state); see docs/design/0008-owners.md. Change: hosts chosen by rendezvous hashing in each data centre own a group; a session that logs in elsewhere is handed to the nearest owner over one multiplexed connection a pair of hosts, and the caller's host carries bytes. Drains of either host end sessions after their work; an owner that drains or is silent is passed over; a group that gets other owners is released. Grants find their host without a look at every other one. Conclusion: connections no longer bound the number of entry hosts; today's fleets keep every host an owner by the default of 2.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -18,6 +18,7 @@
 	Duration  time.Duration `arg:"--duration,env:SHALLOTSTAGE_DEMO_DURATION" default:"30s" help:"time under load"`
 	Seed      uint64        `arg:"--seed,env:SHALLOTSTAGE_DEMO_SEED" default:"1" help:"seed of the load and the faults"`
 	Failovers int           `arg:"--failovers,env:SHALLOTSTAGE_DEMO_FAILOVERS" default:"2" help:"number of primaries that are cut off"`
+	Owners    int           `arg:"--owners-per-data-centre,env:SHALLOTSTAGE_OWNERS_PER_DATA_CENTRE" help:"entry hosts of each data centre that connect to a group's upstreams; 0 means all"`
 	Partition bool          `arg:"--partition,env:SHALLOTSTAGE_DEMO_PARTITION" help:"cut the last data centre off for a while"`
 	Report    string        `arg:"--report,env:SHALLOTSTAGE_DEMO_REPORT" placeholder:"FILE" help:"write the report as JSON"`
 	Serve     bool          `arg:"--serve,env:SHALLOTSTAGE_DEMO_SERVE" help:"keep the fleet up until a signal and print how to connect"`
@@ -34,14 +35,19 @@
 	if c.Failovers < 0 {
 		return &SettingError{Setting: "--failovers", Value: fmt.Sprint(c.Failovers), Allowed: "0 or more"}
 	}
+	if c.Owners < 0 {
+		return &SettingError{Setting: "--owners-per-data-centre", Value: fmt.Sprint(c.Owners), Allowed: "0 or more"}
+	}
 	return checkLogLevel(c.LogLevel)
 }
 
 func (c *demoCommand) layout() demonstrator.Layout {
+	layout := demonstrator.Association()
 	if c.Zupcanik {
-		return demonstrator.Zupcanik()
+		layout = demonstrator.Zupcanik()
 	}
-	return demonstrator.Association()
+	layout.Owners = c.Owners
+	return layout
 }
 
 func (c *demoCommand) run(ctx context.Context, stdout, _ io.Writer) error {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"time"
 
@@ -26,6 +27,7 @@
 	TLSCert          string        `arg:"--tls-cert,env:SHALLOTSTAGE_TLS_CERT" placeholder:"FILE" help:"certificate towards callers; read again when it changes"`
 	TLSKey           string        `arg:"--tls-key,env:SHALLOTSTAGE_TLS_KEY" placeholder:"FILE" help:"its key"`
 	HostsPerUpstream int           `arg:"--hosts-per-upstream,env:SHALLOTSTAGE_HOSTS_PER_UPSTREAM" default:"6" help:"number of entry hosts that share an upstream's connections"`
+	Owners           int           `arg:"--owners-per-data-centre,env:SHALLOTSTAGE_OWNERS_PER_DATA_CENTRE" default:"2" help:"entry hosts of each data centre that connect to a group's upstreams; the others hand sessions to them; 0 means all"`
 	DrainTimeout     time.Duration `arg:"--drain-timeout,env:SHALLOTSTAGE_DRAIN_TIMEOUT" default:"30s" help:"bound of a graceful shutdown"`
 	ProbeInterval    time.Duration `arg:"--probe-interval,env:SHALLOTSTAGE_PROBE_INTERVAL" default:"200ms" help:"time between probes of an upstream"`
 	ProbeTimeout     time.Duration `arg:"--probe-timeout,env:SHALLOTSTAGE_PROBE_TIMEOUT" default:"500ms" help:"bound of a probe"`
@@ -46,6 +48,9 @@
 	if c.HostsPerUpstream < 1 {
 		hosts = &SettingError{Setting: "--hosts-per-upstream", Value: "below 1", Allowed: "1 or more"}
 	}
+	if c.Owners < 0 {
+		hosts = &SettingError{Setting: "--owners-per-data-centre", Value: fmt.Sprint(c.Owners), Allowed: "0 or more"}
+	}
 	return firstError(
 		checkNotEmpty("--host", c.Host), checkNotEmpty("--data-centre", c.DataCentre), checkNotEmpty("--region", c.Region),
 		checkAddress("--callers", c.Callers), checkAddress("--pages", c.Pages), checkAddress("--peers", c.Peers),
@@ -83,7 +88,7 @@
 		Controls: c.Controls, Connector: pooler.Connector{User: c.UpstreamUser, Password: c.UpstreamPassword},
 		Linker: link, AnnounceToken: c.AnnounceToken, DrainTimeout: c.DrainTimeout,
 		ProbeInterval: c.ProbeInterval, ProbeTimeout: c.ProbeTimeout, CatchUpWait: c.CatchUpWait, PrimaryWait: c.PrimaryWait,
-		HostsPerUpstream: c.HostsPerUpstream, TLS: callersTLS, Log: log,
+		HostsPerUpstream: c.HostsPerUpstream, OwnersPerDataCentre: c.Owners, TLS: callersTLS, Log: log,
 	}
 	if err := h.Prepare(); err != nil {
 		return err
--- a/internal/controller/attendance.go
+++ b/internal/controller/attendance.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -237,12 +238,13 @@
 	return &messenger.TokenGrant{Organisation: g.Organisation, GrantedTotal: g.GrantedTotal}
 }
 
-func (c *Controller) sendGrants(host string, grants []*messenger.TokenGrant) {
-	for _, a := range c.lead.attendees {
-		if holderName(a.host, a.incarnation) == host {
-			a.send(&messenger.ControlOrder{Grants: grants})
-			return
-		}
+// sendGrants sends grants to a holder, if that incarnation of the host still
+// attends.
+func (c *Controller) sendGrants(holder string, grants []*messenger.TokenGrant) {
+	host := holder[:strings.LastIndexByte(holder, '/')]
+	a := c.lead.attendees[host]
+	if a != nil && holderName(a.host, a.incarnation) == holder {
+		a.send(&messenger.ControlOrder{Grants: grants})
 	}
 }
 
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -228,7 +228,7 @@
 const readyTimeout = 30 * time.Second
 
 // waitReady waits until every entry host has its lease, every group serves and
-// every upstream was seen by every host.
+// every upstream was seen by the owners of its group.
 func (f *Fleet) waitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
@@ -246,7 +246,7 @@
 
 func (f *Fleet) isReady() bool {
 	for _, e := range f.Entries {
-		if !e.Ready(f.Layout.Groups, len(f.Upstreams)) {
+		if !e.Ready(f.Layout.Groups, len(f.Layout.DataCentres)) {
 			return false
 		}
 	}
--- a/internal/demonstrator/layout.go
+++ b/internal/demonstrator/layout.go
@@ -34,6 +34,9 @@
 	Organisations []OrganisationSize
 	// GroupName and Route are name prefixes.
 	GroupName string
+	// Owners is the number of entry hosts of each data centre that connect to
+	// a group's upstreams; zero means all.
+	Owners int
 }
 
 // OrganisationSize is one organisation's share and its demand.
--- /dev/null
+++ b/internal/demonstrator/owners_test.go
@@ -0,0 +1,125 @@
+package demonstrator
+
+import (
+	"context"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/shallotstage/shallotstage/pkg/placer"
+)
+
+// ownedFleet is a fleet in which one host of each data centre owns the group.
+type ownedFleet struct {
+	*Fleet
+	c     *qt.C
+	group string
+	// owner and other are the hosts of the first data centre.
+	owner, other *EntryHost
+}
+
+func newOwnedFleet(c *qt.C) *ownedFleet {
+	layout := Association()
+	layout.Owners = 1
+	f, group := startSmallFleet(c, layout)
+	o := &ownedFleet{Fleet: f, c: c, group: group}
+	owners := placer.Placer{PerDataCentre: 1}.Owners(group, f.Entries[0].State().Hosts)
+	for _, e := range f.Entries {
+		if e.DataCentre != layout.DataCentres[0].Name {
+			continue
+		}
+		o.other = e
+		for _, id := range owners {
+			if e.Host.ID == id {
+				o.owner = e
+			}
+		}
+	}
+	for _, e := range f.Entries {
+		if e.DataCentre == o.owner.DataCentre && e != o.owner {
+			o.other = e
+		}
+	}
+	c.Assert(o.owner != nil && o.other != o.owner, qt.IsTrue)
+	return o
+}
+
+// connect opens a caller's connection to a host.
+func (o *ownedFleet) connect(h *EntryHost) *pgx.Conn {
+	conn, err := o.Connect(context.Background(), h, h.DataCentre, o.Layout.Organisations[0].ID, o.group, "")
+	o.c.Assert(err, qt.IsNil)
+	o.c.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+func (o *ownedFleet) exec(conn *pgx.Conn, sql string) {
+	_, err := conn.Exec(context.Background(), sql)
+	o.c.Assert(err, qt.IsNil, qt.Commentf("%s", sql))
+}
+
+// TestSessionsAreServedByOwners connects through a host that owns nothing of the
+// group: sessions read their writes, a cancel reaches the owner, and the host
+// opens no connection to the upstreams.
+func TestSessionsAreServedByOwners(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	o := newOwnedFleet(c)
+	conn := o.connect(o.other)
+	o.exec(conn, "CREATE TABLE t (id text)")
+	for range 20 {
+		o.exec(conn, "INSERT INTO t (id) VALUES ('a')")
+		var n, want int
+		c.Assert(conn.QueryRow(t.Context(), "SELECT count(*) FROM t").Scan(&n), qt.IsNil)
+		roamed := o.connect(o.owner)
+		c.Assert(roamed.QueryRow(t.Context(), "SELECT count(*) FROM t").Scan(&want), qt.IsNil)
+		c.Assert(n <= want && n > 0, qt.IsTrue)
+	}
+	c.Assert(o.other.Relays(), qt.Equals, 1)
+	c.Assert(o.owner.Sessions() > 0, qt.IsTrue)
+	c.Assert(o.other.Sessions(), qt.Equals, 0)
+	large := ""
+	c.Assert(conn.QueryRow(t.Context(), "SELECT hex(zeroblob(300000))").Scan(&large), qt.IsNil)
+	c.Assert(large, qt.HasLen, 600000)
+	c.Assert(conn.PgConn().CancelRequest(t.Context()), qt.IsNil)
+}
+
+// TestDrainOfTheCallersHostCutsNoRequest stops the host that a caller with an
+// open transaction is connected to.
+func TestDrainOfTheCallersHostCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	o := newOwnedFleet(c)
+	idle, busy := o.connect(o.other), o.connect(o.other)
+	o.exec(idle, "CREATE TABLE t (id text)")
+	o.exec(busy, "BEGIN")
+	o.exec(busy, "INSERT INTO t (id) VALUES ('a')")
+	stopped := make(chan struct{})
+	go func() { defer close(stopped); o.StopEntry(o.other) }()
+	o.await(c, func() bool {
+		_, err := idle.Exec(t.Context(), "SELECT 1")
+		return err != nil
+	})
+	o.exec(busy, "INSERT INTO t (id) VALUES ('b')")
+	o.exec(busy, "COMMIT")
+	<-stopped
+	n := 0
+	c.Assert(o.connect(o.owner).QueryRow(t.Context(), "SELECT count(*) FROM t").Scan(&n), qt.IsNil)
+	c.Assert(n, qt.Equals, 2)
+}
+
+// TestOwnerStops stops the owner in the caller's data centre; another owner
+// takes new sessions.
+func TestOwnerStops(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	o := newOwnedFleet(c)
+	conn := o.connect(o.other)
+	o.exec(conn, "CREATE TABLE t (id text)")
+	o.StopEntry(o.owner)
+	o.await(c, func() bool {
+		_, err := conn.Exec(t.Context(), "SELECT 1")
+		return err != nil
+	})
+	o.exec(o.connect(o.other), "INSERT INTO t (id) VALUES ('a')")
+}
--- a/internal/demonstrator/starter.go
+++ b/internal/demonstrator/starter.go
@@ -105,7 +105,7 @@
 			Linker: linker.Linker{DialNet: dial}, AnnounceToken: announceToken, DrainTimeout: 5 * time.Second,
 			ProbeInterval: 100 * time.Millisecond, ProbeTimeout: 400 * time.Millisecond,
 			CatchUpWait: 150 * time.Millisecond, PrimaryWait: 8 * time.Second,
-			HostsPerUpstream: f.entryCount(), Log: f.Log,
+			HostsPerUpstream: f.ownerCount(), OwnersPerDataCentre: f.Layout.Owners, Log: f.Log,
 		},
 		DataCentre: dc.Name, Address: listeners[0].Addr().String(), Pages: listeners[1].Addr().String(), done: make(chan struct{}),
 	}
@@ -125,6 +125,18 @@
 	return n
 }
 
+// ownerCount returns the number of entry hosts that connect to one upstream.
+func (f *Fleet) ownerCount() int {
+	if f.Layout.Owners == 0 {
+		return f.entryCount()
+	}
+	n := 0
+	for _, dc := range f.Layout.DataCentres {
+		n += min(f.Layout.Owners, dc.Entries)
+	}
+	return n
+}
+
 // StopEntry drains an entry host and waits for its end.
 func (f *Fleet) StopEntry(h *EntryHost) {
 	h.stop()
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,238 @@
+// Package forwarder carries callers' sessions from one entry host to another
+// over one connection for each pair of hosts.
+//
+// # Usage
+//
+//	f := &forwarder.Forwarder{Dial: dial}
+//	conn, err := f.Open(ctx, "127.0.0.1:7001", header)
+//	err = f.Serve(ctx, listener, accept)
+//
+// The streams share a connection through a multiplexer with a window for each
+// stream, so a slow caller holds up nobody else. Its keep-alive finds a
+// connection that has gone silent; the next Open then makes a new one.
+package forwarder
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+const (
+	// maxHeaderBytes bounds the header of a stream.
+	maxHeaderBytes = 64 << 10
+	// openTimeout bounds the opening of a stream, its answer included.
+	openTimeout = 2 * time.Second
+	// keepAlive is the time between two questions whether the other end lives.
+	keepAlive = 5 * time.Second
+)
+
+// The answers to a header.
+const (
+	answerTaken   = 'T'
+	answerRefused = 'R'
+)
+
+// ErrRefused means that the other host did not take the session.
+var ErrRefused = errors.New("forwarder: the other host does not take sessions")
+
+// Forwarder holds the connections to other hosts. Exported fields are set
+// before the first call.
+type Forwarder struct {
+	// Dial opens a connection to another host.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	mu    sync.Mutex
+	links map[string]*yamux.Session
+}
+
+func config() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = openTimeout
+	c.StreamOpenTimeout = openTimeout
+	c.LogOutput = io.Discard
+	return c
+}
+
+// Open opens a stream to the host at an address and hands it the header. It
+// returns ErrRefused when that host does not take the session.
+func (f *Forwarder) Open(ctx context.Context, address string, header []byte) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	link, err := f.link(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := link.OpenStream()
+	if err != nil {
+		return nil, fmt.Errorf("forwarder: open stream to %s: %w", address, err)
+	}
+	if err := offer(stream, header); err != nil {
+		_ = stream.Close()
+		return nil, err
+	}
+	return stream, nil
+}
+
+// offer sends the header and awaits the answer.
+func offer(stream net.Conn, header []byte) error {
+	_ = stream.SetDeadline(time.Now().Add(openTimeout))
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(header)))
+	if _, err := stream.Write(append(b, header...)); err != nil {
+		return fmt.Errorf("forwarder: send header: %w", err)
+	}
+	var answer [1]byte
+	if _, err := io.ReadFull(stream, answer[:]); err != nil {
+		return fmt.Errorf("forwarder: read answer: %w", err)
+	}
+	if answer[0] != answerTaken {
+		return ErrRefused
+	}
+	return stream.SetDeadline(time.Time{})
+}
+
+// link returns the connection to an address, a new one when there is none.
+func (f *Forwarder) link(ctx context.Context, address string) (*yamux.Session, error) {
+	f.mu.Lock()
+	old := f.links[address]
+	f.mu.Unlock()
+	if old != nil && !old.IsClosed() {
+		return old, nil
+	}
+	conn, err := f.Dial(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("forwarder: connect to %s: %w", address, err)
+	}
+	fresh, err := yamux.Client(conn, config())
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("forwarder: start multiplexer: %w", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if other := f.links[address]; other != nil && !other.IsClosed() {
+		// Another session opened a connection meanwhile.
+		_ = fresh.Close()
+		return other, nil
+	}
+	if f.links == nil {
+		f.links = map[string]*yamux.Session{}
+	}
+	f.links[address] = fresh
+	return fresh, nil
+}
+
+// Addresses returns the hosts to which a connection stands.
+func (f *Forwarder) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var addresses []string
+	for address, link := range f.links {
+		if !link.IsClosed() {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// Close closes all connections to other hosts.
+func (f *Forwarder) Close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, link := range f.links {
+		_ = link.Close()
+	}
+}
+
+// Accept takes a stream with its header. It returns nil to refuse it, or the
+// function that serves it and closes it.
+type Accept func(header []byte) func(ctx context.Context, conn net.Conn)
+
+// Serve takes streams from other hosts until ctx ends. It closes the listener
+// and waits for the sessions to end.
+func (f *Forwarder) Serve(ctx context.Context, l net.Listener, accept Accept) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.serveLink(ctx, conn, accept)
+		}()
+	}
+}
+
+// serveLink serves the streams of one connection.
+func (f *Forwarder) serveLink(ctx context.Context, conn net.Conn, accept Accept) {
+	defer func() { _ = conn.Close() }()
+	link, err := yamux.Server(conn, config())
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(ctx, func() { _ = link.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for {
+		stream, err := link.AcceptStream()
+		if err != nil {
+			return
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			serveStream(ctx, stream, accept)
+		}()
+	}
+}
+
+func serveStream(ctx context.Context, stream net.Conn, accept Accept) {
+	header, err := readHeader(stream)
+	if err != nil {
+		_ = stream.Close()
+		return
+	}
+	serve := accept(header)
+	if serve == nil {
+		_, _ = stream.Write([]byte{answerRefused})
+		_ = stream.Close()
+		return
+	}
+	if _, err := stream.Write([]byte{answerTaken}); err != nil {
+		_ = stream.Close()
+		return
+	}
+	serve(ctx, stream)
+}
+
+func readHeader(stream net.Conn) ([]byte, error) {
+	_ = stream.SetReadDeadline(time.Now().Add(openTimeout))
+	defer func() { _ = stream.SetReadDeadline(time.Time{}) }()
+	var size [4]byte
+	if _, err := io.ReadFull(stream, size[:]); err != nil {
+		return nil, fmt.Errorf("forwarder: read header: %w", err)
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxHeaderBytes {
+		return nil, fmt.Errorf("forwarder: header of %d bytes is above %d", n, maxHeaderBytes)
+	}
+	header := make([]byte, n)
+	if _, err := io.ReadFull(stream, header); err != nil {
+		return nil, fmt.Errorf("forwarder: read header: %w", err)
+	}
+	return header, nil
+}
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,157 @@
+package forwarder
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// echo serves streams that answer with what they get, but refuses the header
+// "no".
+func echo(t testing.TB) (address string, stop func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	f := &Forwarder{}
+	go func() {
+		defer close(done)
+		f.Serve(ctx, l, func(header []byte) func(context.Context, net.Conn) {
+			if string(header) == "no" {
+				return nil
+			}
+			return func(_ context.Context, conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.CopyBuffer(conn, conn, make([]byte, smallBytes))
+			}
+		})
+	}()
+	stop = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(stop)
+	return l.Addr().String(), stop
+}
+
+func newForwarder(t testing.TB) *Forwarder {
+	f := &Forwarder{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// relayed returns a caller's connection that is relayed over a stream.
+func relayed(t testing.TB, f *Forwarder, address string) net.Conn {
+	stream, err := f.Open(context.Background(), address, []byte("header"))
+	qt.Assert(t, err, qt.IsNil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	accepted, err := l.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	done := make(chan struct{})
+	go func() { defer close(done); Relay(accepted, stream) }()
+	t.Cleanup(func() { _ = caller.Close(); <-done })
+	return caller
+}
+
+func TestRelayCarriesEveryLength(t *testing.T) {
+	c := qt.New(t)
+	address, _ := echo(t)
+	caller := relayed(t, newForwarder(t), address)
+	for _, n := range []int{1, 5, smallBytes - 1, smallBytes, smallBytes + 1, smallBytes + bulkBytes, bulkBytes, 3 << 20} {
+		sent := bytes.Repeat([]byte{byte(n)}, n)
+		go func() { _, _ = caller.Write(sent) }()
+		got := make([]byte, n)
+		_, err := io.ReadFull(caller, got)
+		c.Assert(err, qt.IsNil)
+		c.Assert(bytes.Equal(got, sent), qt.IsTrue, qt.Commentf("%d bytes", n))
+	}
+}
+
+func TestOneConnectionForManySessions(t *testing.T) {
+	c := qt.New(t)
+	address, _ := echo(t)
+	f := newForwarder(t)
+	dials := 0
+	dial := f.Dial
+	f.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		dials++
+		return dial(ctx, address)
+	}
+	// A caller that does not read fills its window and holds up nobody else.
+	stuck, err := f.Open(t.Context(), address, nil)
+	c.Assert(err, qt.IsNil)
+	go func() { _, _ = stuck.Write(make([]byte, 8<<20)) }()
+	for range 20 {
+		caller := relayed(t, f, address)
+		_, err := caller.Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadFull(caller, make([]byte, 1))
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(dials, qt.Equals, 1)
+	_ = stuck.Close()
+}
+
+func TestOpenFails(t *testing.T) {
+	c := qt.New(t)
+	address, stop := echo(t)
+	f := newForwarder(t)
+	_, err := f.Open(t.Context(), address, []byte("no"))
+	c.Assert(errors.Is(err, ErrRefused), qt.IsTrue)
+	_, err = f.Open(t.Context(), address, make([]byte, maxHeaderBytes+1))
+	c.Assert(err, qt.Not(qt.IsNil))
+	c.Assert(f.Addresses(), qt.DeepEquals, []string{address})
+	caller := relayed(t, f, address)
+	stop()
+	_, err = io.ReadFull(caller, make([]byte, 1))
+	c.Assert(err, qt.Not(qt.IsNil), qt.Commentf("the owner has gone"))
+	_, err = f.Open(t.Context(), address, nil)
+	c.Assert(err, qt.ErrorMatches, "forwarder: .*")
+}
+
+// BenchmarkRelay sends 64 bytes and awaits them, straight and over a relay.
+func BenchmarkRelay(b *testing.B) {
+	address, _ := echo(b)
+	f := newForwarder(b)
+	straight, err := f.Open(context.Background(), address, nil)
+	qt.Assert(b, err, qt.IsNil)
+	for name, conn := range map[string]net.Conn{"stream": straight, "relay": relayed(b, f, address)} {
+		b.Run(name, func(b *testing.B) {
+			message := make([]byte, 64)
+			for range b.N {
+				_, _ = conn.Write(message)
+				_, _ = io.ReadFull(conn, message)
+			}
+		})
+	}
+}
+
+// BenchmarkIdleRelays gives the memory of an idle relayed session: the relay,
+// both ends of its stream, and a socket pair.
+func BenchmarkIdleRelays(b *testing.B) {
+	const sessions = 4000
+	for range b.N {
+		address, _ := echo(b)
+		f := newForwarder(b)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for range sessions {
+			relayed(b, f, address)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		held := after.HeapInuse + after.StackInuse - before.HeapInuse - before.StackInuse
+		b.ReportMetric(float64(held)/sessions, "B/session")
+	}
+}
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -36,8 +36,25 @@
 	DialNet func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Dial opens a connection to another process.
+// Dial opens a connection for calls to another process.
 func (l Linker) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	conn, err := l.DialStream(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(conn), nil
+}
+
+// Listen returns the listener with the fleet's TLS.
+func (l Linker) Listen(listener net.Listener) net.Listener {
+	if l.TLS == nil {
+		return listener
+	}
+	return tls.NewListener(listener, l.TLS)
+}
+
+// DialStream opens a connection for bytes to another process.
+func (l Linker) DialStream(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	dial := l.DialNet
@@ -49,14 +66,14 @@
 		return nil, fmt.Errorf("linker: connect to %s: %w", address, err)
 	}
 	if l.TLS == nil {
-		return drpcconn.New(conn), nil
+		return conn, nil
 	}
 	t := tls.Client(conn, l.TLS)
 	if err := t.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("linker: handshake with %s: %w", address, err)
 	}
-	return drpcconn.New(t), nil
+	return t, nil
 }
 
 // Serve serves what register adds until ctx ends.
@@ -65,10 +82,7 @@
 	if err := register(mux); err != nil {
 		return fmt.Errorf("linker: register services: %w", err)
 	}
-	if l.TLS != nil {
-		listener = tls.NewListener(listener, l.TLS)
-	}
-	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	if err := drpcserver.New(mux).Serve(ctx, l.Listen(listener)); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("linker: serve: %w", err)
 	}
 	return nil
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -13,6 +13,7 @@
 	EventDraining           = Event{1003, "process_draining"}
 	EventAcceptFailed       = Event{1101, "accept_failed"}
 	EventSessionEnded       = Event{1102, "session_ended_by_proxy"}
+	EventHandoffFailed      = Event{1103, "handoff_failed"}
 	EventUpstreamAnnounced  = Event{1201, "upstream_announced"}
 	EventAnnouncementBad    = Event{1202, "announcement_refused"}
 	EventLifecycleChanged   = Event{1203, "upstream_lifecycle_changed"}
@@ -37,7 +38,7 @@
 // Events returns the whole catalogue.
 func Events() []Event {
 	return []Event{
-		EventStarted, EventStopped, EventDraining, EventAcceptFailed, EventSessionEnded,
+		EventStarted, EventStopped, EventDraining, EventAcceptFailed, EventSessionEnded, EventHandoffFailed,
 		EventUpstreamAnnounced, EventAnnouncementBad, EventLifecycleChanged,
 		EventControlConnected, EventControlLost, EventAuthorityLost, EventAuthorityGained,
 		EventConfigurationTaken, EventConfigurationBad,
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -23,8 +23,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"storj.io/drpc/drpcmigrate"
 	"storj.io/drpc/drpcmux"
 
+	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/messenger"
@@ -77,6 +79,10 @@
 	// HostsPerUpstream, when set, is the number of hosts that share an
 	// upstream; otherwise all hosts of the fleet do.
 	HostsPerUpstream int
+	// OwnersPerDataCentre is the number of hosts in each data centre that hold
+	// connections to a group's upstreams; the others hand sessions to them.
+	// Zero lets every host do so.
+	OwnersPerDataCentre int
 	// TLS is set when callers connect by TLS.
 	TLS    *tls.Config
 	Bounds server.Bounds
@@ -89,6 +95,9 @@
 	pools   *pooler.Set
 	server  *server.Server
 	limiter *limiter.Limiter
+
+	forwarder forwarder.Forwarder
+	ownership ownership
 }
 
 // Prepare connects the parts. It is called before Run and before any other
@@ -124,9 +133,10 @@
 		Opened: func(u configurer.Upstream, p tracker.Position) { h.watch.Board(u.Group).Report(u.ID, p) },
 	}
 	h.sub.Sights = h.sights
+	h.forwarder.Dial = h.dialOwner
 	h.server = &server.Server{
 		State: h.sub.State, Authority: h.sub.Authority, Fence: h.sub.Fence, Limit: h.limit,
-		ForwardCancel: h.forwardCancel, Watcher: h.watch, Pools: h.pools,
+		ForwardCancel: h.forwardCancel, HandOff: h.handOff, Leave: h.leave, Watcher: h.watch, Pools: h.pools,
 		Router: router.Router{
 			Region: h.Host.Region, DataCentre: h.Host.DataCentre, CatchUpWait: h.CatchUpWait, PrimaryWait: h.PrimaryWait,
 		},
@@ -185,11 +195,11 @@
 	defer stopWork()
 	h.sub.Changed = func(state *configurer.State) {
 		h.server.HostNumber.Store(state.Hosts[h.Host.ID].Number)
-		h.pools.Update(workCtx, state)
-		h.watch.Update(workCtx, state)
+		h.hold(workCtx, state)
 		h.server.Reconsider()
 	}
 	h.Meter.Gauge("shallotstage_sessions", "Callers connected.", func() float64 { return float64(h.server.Sessions()) })
+	h.Meter.Gauge("shallotstage_relays", "Callers whose sessions other hosts serve.", func() float64 { return float64(h.server.Relays()) })
 	h.Meter.Gauge("shallotstage_config_version", "Configuration version in force.", func() float64 { return float64(h.sub.State().Version) })
 	pageServer := &http.Server{Handler: h.pages(), ReadHeaderTimeout: time.Second}
 	var wg sync.WaitGroup
@@ -199,11 +209,7 @@
 	}
 	start(func() { h.sub.Run(workCtx) })
 	start(func() { _ = pageServer.Serve(pages) })
-	start(func() {
-		_ = h.Linker.Serve(workCtx, peers, func(mux *drpcmux.Mux) error {
-			return messenger.DRPCRegisterHosts(mux, hostsService{server: h.server})
-		})
-	})
+	start(func() { h.servePeers(workCtx, peers) })
 	h.Log.Info(logger.EventStarted, zap.String("host", h.Host.ID), zap.String("callers", callers.Addr().String()))
 	drainCtx, stopDrain := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopDrain()
@@ -213,12 +219,37 @@
 	})
 	err := h.server.Serve(ctx, drainCtx, callers)
 	stopWork()
+	h.forwarder.Close()
 	_ = pageServer.Close()
 	wg.Wait()
 	h.Log.Info(logger.EventStopped, zap.String("host", h.Host.ID))
 	return err
 }
 
+// servePeers serves calls and handed-off sessions of other entry hosts.
+func (h *Entry) servePeers(ctx context.Context, peers net.Listener) {
+	mux := drpcmigrate.NewListenMux(h.Linker.Listen(peers), len(forwardHeader))
+	forwards := mux.Route(forwardHeader)
+	calls := mux.Default()
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() { defer wg.Done(); _ = mux.Run(ctx) }()
+	go func() { defer wg.Done(); h.forwarder.Serve(ctx, forwards, h.takeHandoff) }()
+	_ = linker.Linker{}.Serve(ctx, calls, func(mux *drpcmux.Mux) error {
+		return messenger.DRPCRegisterHosts(mux, hostsService{server: h.server})
+	})
+	wg.Wait()
+}
+
+// dialOwner opens a connection for sessions to another host.
+func (h *Entry) dialOwner(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := h.Linker.DialStream(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcmigrate.NewHeaderConn(conn, forwardHeader), nil
+}
+
 // pages serves announcements, metrics and health.
 func (h *Entry) pages() http.Handler {
 	mux := http.NewServeMux()
@@ -296,37 +327,39 @@
 	}
 }
 
-// hostsService serves other entry hosts.
-type hostsService struct {
-	server *server.Server
-}
-
-// Cancel carries out a cancel request that reached another host.
-func (s hostsService) Cancel(ctx context.Context, r *messenger.CancelRequest) (*messenger.CancelAnswer, error) {
-	return &messenger.CancelAnswer{Found: s.server.Cancel(ctx, r.GetPid(), r.GetSecret())}, nil
-}
-
-// Ready reports whether the host has authority and sees the given number of
-// serving groups and reachable upstreams.
-func (h *Entry) Ready(groups, upstreams int) bool {
+// Ready reports whether the host has authority, sees the given number of serving
+// groups, and reaches perGroup upstreams of each group that it owns.
+func (h *Entry) Ready(groups, perGroup int) bool {
 	if !h.sub.Authority() {
 		return false
 	}
 	state := h.sub.State()
-	serving, reachable := 0, 0
+	serving := 0
 	for _, g := range state.Groups {
-		if g.Phase != configurer.PhaseServing {
+		if g.Phase != configurer.PhaseServing || h.owns(state, g.ID) && h.reached(state, g.ID) < perGroup {
 			continue
 		}
 		serving++
-		for id, s := range h.watch.Board(g.ID).Sights() {
-			if s.Reachable && state.Upstreams[id].TakesWork() {
-				reachable++
-			}
+	}
+	return serving >= groups
+}
+
+// reached returns how many upstreams of a group answer and take work.
+func (h *Entry) reached(state *configurer.State, group string) int {
+	n := 0
+	for id, s := range h.watch.Board(group).Sights() {
+		if s.Reachable && state.Upstreams[id].TakesWork() {
+			n++
 		}
 	}
-	return serving >= groups && reachable >= upstreams
+	return n
 }
 
+// Sessions returns the number of sessions that the host serves.
+func (h *Entry) Sessions() int { return h.server.Sessions() }
+
+// Relays returns the number of callers whose sessions other hosts serve.
+func (h *Entry) Relays() int { return h.server.Relays() }
+
 // State returns the configuration that the host has in force.
 func (h *Entry) State() *configurer.State { return h.sub.State() }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -94,11 +94,16 @@
 	// ForwardCancel passes on a cancel request that belongs to another host;
 	// nil drops it.
 	ForwardCancel func(ctx context.Context, pid uint32, secret []byte)
-	Watcher       *watcher.Watcher
-	Pools         *pooler.Set
-	Router        router.Router
-	Retries       *retrier.Budget
-	Dial          pgconn.DialFunc
+	// HandOff gives sessions to the owners of their groups; nil serves all.
+	HandOff HandOff
+	// Leave is called when a drain begins and tells the owners to end the
+	// sessions that this host handed off.
+	Leave   func()
+	Watcher *watcher.Watcher
+	Pools   *pooler.Set
+	Router  router.Router
+	Retries *retrier.Budget
+	Dial    pgconn.DialFunc
 	// TLS is nil when callers connect in clear.
 	TLS    *tls.Config
 	Bounds Bounds
@@ -108,6 +113,12 @@
 
 	sessions sessionSet
 	draining atomic.Bool
+	// drainMu orders the taking of handed-off sessions before the drain.
+	drainMu sync.Mutex
+	// relays is the number of sessions that other hosts serve, and handed
+	// waits for those that other hosts handed to this one.
+	relays atomic.Int64
+	handed sync.WaitGroup
 }
 
 // Serve accepts callers until ctx ends, then drains: idle callers are told to
@@ -116,7 +127,9 @@
 func (s *Server) Serve(ctx, drainCtx context.Context, l net.Listener) error {
 	s.Bounds = s.Bounds.withDefaults()
 	stop := context.AfterFunc(ctx, func() {
+		s.drainMu.Lock()
 		s.draining.Store(true)
+		s.drainMu.Unlock()
 		_ = l.Close()
 	})
 	defer stop()
@@ -143,8 +156,11 @@
 		}()
 	}
 	s.sessions.each(func(c *session) { c.revoke(refuser.New(refuser.ReasonShuttingDown, ""), revokeAfterWork) })
+	if s.Leave != nil {
+		s.Leave()
+	}
 	done := make(chan struct{})
-	go func() { wg.Wait(); close(done) }()
+	go func() { wg.Wait(); s.handed.Wait(); close(done) }()
 	select {
 	case <-done:
 	case <-drainCtx.Done():
@@ -157,9 +173,12 @@
 // acceptRetry is the pause after a failed accept.
 const acceptRetry = 10 * time.Millisecond
 
-// Sessions returns the number of callers.
+// Sessions returns the number of sessions that this host serves.
 func (s *Server) Sessions() int { return s.sessions.count() }
 
+// Relays returns the number of callers whose sessions other hosts serve.
+func (s *Server) Relays() int { return int(s.relays.Load()) }
+
 // Reconsider ends the sessions whose key or route the state no longer admits.
 // It is called after every change of the state.
 func (s *Server) Reconsider() {
--- a/internal/server/session.go
+++ b/internal/server/session.go
@@ -61,6 +61,11 @@
 	pid          uint32
 	secret       []byte
 
+	// from is the host that handed the session off, or empty.
+	from string
+	// owner is the connection to the host that serves the session, or nil.
+	owner net.Conn
+
 	settings   map[string]string
 	statements map[string]*statement
 	portals    map[string]classifier.Statement
--- a/internal/server/startup.go
+++ b/internal/server/startup.go
@@ -23,14 +23,24 @@
 
 // serveConn runs one caller's connection from startup to its end.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	c := &session{server: s, conn: conn, settings: map[string]string{}}
+	c := s.newSession(conn)
+	s.serveSession(ctx, c, c.startup)
+}
+
+func (s *Server) newSession(conn net.Conn) *session {
+	return &session{server: s, conn: conn, settings: map[string]string{}}
+}
+
+// serveSession runs a session from its startup to its end.
+func (s *Server) serveSession(ctx context.Context, c *session, startup func(ctx context.Context) error) {
 	defer func() {
 		_ = c.conn.Close()
 		c.detachWorkspace()
 	}()
+	conn := c.conn
 	_ = conn.SetDeadline(time.Now().Add(s.Bounds.StartupTimeout))
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	err := c.startup(ctx)
+	err := startup(ctx)
 	stop()
 	if err != nil {
 		if r := refuser.From(err); r != nil {
@@ -42,6 +52,10 @@
 	}
 	_ = conn.SetDeadline(time.Time{})
 	c.detachWorkspace()
+	if c.owner != nil {
+		c.relay(ctx)
+		return
+	}
 	defer s.sessions.remove(c)
 	c.run(ctx)
 }
@@ -102,21 +116,35 @@
 		return refuser.New(refuser.ReasonShuttingDown, "")
 	}
 	state := c.server.State()
+	if !state.Routes[parameters["database"]].Open {
+		if err := c.authenticate(state, parameters["user"]); err != nil {
+			return err
+		}
+	}
+	return c.enter(ctx, state, parameters)
+}
+
+// enter checks that the route admits the caller, and greets it or hands it to
+// another host.
+func (c *session) enter(ctx context.Context, state *configurer.State, parameters map[string]string) error {
 	c.routeID = parameters["database"]
 	route, ok := state.Routes[c.routeID]
-	if ok && route.Open {
-		c.organisation = openOrganisation
-	} else if err := c.authenticate(state, parameters["user"]); err != nil {
-		return err
-	}
 	if !ok {
 		return refuser.New(refuser.ReasonRouteUnknown, "route "+c.routeID)
 	}
+	if route.Open {
+		c.organisation = openOrganisation
+	}
 	c.open = route.Open
 	c.group = route.Group
 	if r := c.standing(state); r != nil {
 		return r
 	}
+	if c.from == "" {
+		if handed, err := c.handOff(ctx, parameters); handed || err != nil {
+			return err
+		}
+	}
 	if err := c.takeStartupSettings(parameters); err != nil {
 		return err
 	}
