--- /dev/null
+++ b/internal/demonstrator/bench_test.go
@@ -0,0 +1,143 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/jackc/pgx/v5"
+
+	"github.com/shallotstage/shallotstage/internal/authenticator"
+	"github.com/shallotstage/shallotstage/internal/pauser"
+	"github.com/shallotstage/shallotstage/pkg/planner"
+)
+
+// operateTimeout bounds one try of an operation.
+const operateTimeout = 2 * time.Second
+
+// BenchmarkWithdrawnKey withdraws one key a round while it is used on open
+// connections to a host of the first and one of the last data centre, without a
+// fault and with the last data centre cut off at that moment. It gives the time
+// from the confirmation to the record's "in force", and to the last statement
+// accepted on either connection.
+func BenchmarkWithdrawnKey(b *testing.B) {
+	for _, cut := range []bool{false, true} {
+		b.Run(fmt.Sprintf("cut=%t", cut), func(b *testing.B) {
+			c := qt.New(b)
+			f, group := startSmallFleet(c, Association())
+			verifier, err := authenticator.NewVerifier("secret")
+			c.Assert(err, qt.IsNil)
+			var inForce, stopped []float64
+			for round := range b.N {
+				r := &withdrawal{Fleet: f, c: c, group: group, key: fmt.Sprintf("key_%d", round)}
+				r.grant(verifier)
+				if cut {
+					f.cutLast()
+				}
+				r.withdraw()
+				f.await(c, f.isReady)
+				inForce, stopped = append(inForce, r.inForce), append(stopped, r.stopped)
+			}
+			for name, all := range map[string][]float64{"in_force": inForce, "stopped": stopped} {
+				slices.Sort(all)
+				b.ReportMetric(all[len(all)/2], name+"_median_ms")
+				b.ReportMetric(all[len(all)-1], name+"_max_ms")
+			}
+		})
+	}
+}
+
+// cutLast cuts the last data centre off from the others.
+func (f *Fleet) cutLast() {
+	dcs := f.Layout.DataCentres
+	for _, dc := range dcs[:len(dcs)-1] {
+		f.Network.Cut(dc.Name, dcs[len(dcs)-1].Name)
+	}
+}
+
+// withdrawal is one round of BenchmarkWithdrawnKey.
+type withdrawal struct {
+	*Fleet
+	c     *qt.C
+	group string
+	key   string
+	conns []*pgx.Conn
+
+	inForce, stopped float64
+}
+
+// decide has an intent confirmed by another operator.
+func (w *withdrawal) decide(i planner.Intent) {
+	for _, o := range []planner.Operation{
+		{Kind: planner.OperationIntent, Intent: &i},
+		{Kind: planner.OperationConfirm, Plan: i.ID, Actor: "marko"},
+	} {
+		// A leader that is cut off does not answer; a resent operation is safe.
+		w.await(w.c, func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), operateTimeout)
+			defer cancel()
+			_, err := w.Operate(ctx, o)
+			return err == nil
+		})
+	}
+}
+
+// awaitInForce waits until the record says that a plan is in force.
+func (w *withdrawal) awaitInForce(id string) {
+	w.await(w.c, func() bool {
+		is := false
+		if leader := w.Leader(context.Background()); leader != nil {
+			_ = leader.Controller.Read(context.Background(), func(b *planner.Book) {
+				is = b.Plans[id] != nil && b.Plans[id].Status == planner.StatusInForce
+			})
+		}
+		return is
+	})
+}
+
+// grant grants the key and opens the connections.
+func (w *withdrawal) grant(verifier string) {
+	id := "grant_" + w.key
+	w.decide(planner.Intent{ID: id, Author: "vesna", Kind: planner.IntentGrantKey, Target: w.key, Organisation: w.Layout.Organisations[0].ID, Verifier: verifier})
+	w.awaitInForce(id)
+	w.Keys[w.key] = "secret"
+	for _, e := range []*EntryHost{w.Entries[0], w.Entries[len(w.Entries)-1]} {
+		conn, err := w.Connect(context.Background(), e, e.DataCentre, w.key, w.group, "")
+		w.c.Assert(err, qt.IsNil)
+		_, err = conn.Exec(context.Background(), "SELECT 1")
+		w.c.Assert(err, qt.IsNil)
+		w.conns = append(w.conns, conn)
+	}
+}
+
+// withdraw withdraws the key while the connections use it.
+func (w *withdrawal) withdraw() {
+	id := "withdraw_" + w.key
+	w.decide(planner.Intent{ID: id, Author: "vesna", Kind: planner.IntentWithdrawKey, Target: w.key})
+	confirmed := time.Now()
+	var wg sync.WaitGroup
+	last := make([]time.Duration, len(w.conns))
+	for i, conn := range w.conns {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			defer func() { _ = conn.Close(context.Background()) }()
+			for !conn.IsClosed() {
+				if _, err := conn.Exec(context.Background(), "SELECT 1"); err == nil {
+					last[i] = time.Since(confirmed)
+				}
+				_ = pauser.Pause(context.Background(), time.Millisecond)
+			}
+		}()
+	}
+	w.awaitInForce(id)
+	w.inForce = milliseconds(time.Since(confirmed))
+	// A host that was cut off hears of the withdrawal once it is back.
+	w.Network.Heal()
+	wg.Wait()
+	w.stopped = milliseconds(slices.Max(last))
+}
