--- a/internal/demonstrator/linearizable_test.go
+++ b/internal/demonstrator/linearizable_test.go
@@ -81,7 +81,9 @@
 	first := f.Upstream(f.Group(group).Primary)
 	f.await(c, func() bool { return h.count() >= historyWorkers*historyRequests/4 })
 	first.SetCutOff(true)
-	f.await(c, func() bool { return f.Group(group).Primary != first.ID && h.count() >= historyWorkers*historyRequests/2 })
+	f.await(c, func() bool {
+		return f.Group(group).Primary != first.ID && h.count() >= historyWorkers*historyRequests/2
+	})
 	first.SetCutOff(false)
 	wg.Wait()
 	c.Assert(h.count() >= historyWorkers*historyRequests/2, qt.IsTrue)
