Tell a session that logs in while a drain begins

Cause: a session that passed the first check of its login before a drain began and was registered after the drain had looked for sessions was never told; the shutdown waited for it up to its bound. Handed-off sessions made the window longer, since their login spans two hosts. Change: the drain is checked again after the session is registered. Measured: TestLoginDuringDrain goes on to the greeting without the change and is refused as shutting down, with no session left, with it. Conclusion: either the drain finds the session or the session sees the drain.

--- a/internal/server/startup.go
+++ b/internal/server/startup.go
@@ -151,6 +151,11 @@
 	if err := c.server.sessions.add(c, c.server.HostNumber.Load()); err != nil {
 		return errStartupEnded
 	}
+	if c.server.draining.Load() {
+		// The drain may have begun before the session could be told of it.
+		c.server.sessions.remove(c)
+		return refuser.New(refuser.ReasonShuttingDown, "")
+	}
 	return c.greet(ctx)
 }
 
--- /dev/null
+++ b/internal/server/startup_test.go
@@ -0,0 +1,26 @@
+package server
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/refuser"
+)
+
+// TestLoginDuringDrain has the drain begin after a session has passed the first
+// check of its login, when it is too late for the drain to find the session.
+func TestLoginDuringDrain(t *testing.T) {
+	c := qt.New(t)
+	state := &configurer.State{Routes: map[string]configurer.Route{"status": {ID: "status", Group: "g", Open: true}}}
+	s := &Server{State: func() *configurer.State { return state }}
+	s.draining.Store(true)
+	session := s.newSession(nil)
+	err := session.enter(t.Context(), state, map[string]string{"database": "status"})
+	r := refuser.From(err)
+	c.Assert(r, qt.Not(qt.IsNil), qt.Commentf("%v", err))
+	c.Assert(r.Reason, qt.Equals, refuser.ReasonShuttingDown)
+	c.Assert(s.Sessions(), qt.Equals, 0)
+	c.Assert(s.AcceptHandoff(), qt.IsFalse)
+}
