Remove doubled checks, layouts and wrappers

Cause: three orders of the stand-in repeated one check of their term, two layouts repeated what they share, a comparison of texts stood beside the library's, and a public method only called a private one; closed plans were ordered by a difference of unsigned numbers. Change: checkTerm, a common layout, the library's comparisons, one Do.

--- a/internal/controller/attendance.go
+++ b/internal/controller/attendance.go
@@ -48,13 +48,13 @@
 		}
 	}()
 	a := &attendee{out: out, stop: func() { _ = stream.Close() }}
-	defer c.do(func() { c.dropAttendee(a) })
+	defer c.Do(func() { c.dropAttendee(a) })
 	for {
 		r, err := stream.Recv()
 		if err != nil {
 			return nil
 		}
-		if !c.do(func() { c.takeReport(a, r, time.Now()) }) {
+		if !c.Do(func() { c.takeReport(a, r, time.Now()) }) {
 			return ErrStopped
 		}
 		select {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -205,10 +205,7 @@
 }
 
 // Do runs f in the control goroutine. It returns false when the host stops.
-func (c *Controller) Do(f func()) bool { return c.do(f) }
-
-// do runs f in the control goroutine. It returns false when the host stops.
-func (c *Controller) do(f func()) bool {
+func (c *Controller) Do(f func()) bool {
 	select {
 	case c.inbox <- f:
 		return true
@@ -302,7 +299,7 @@
 // It returns ErrNotLeading unless this host certainly leads.
 func (c *Controller) Read(ctx context.Context, f func(*planner.Book)) error {
 	done := make(chan error, 1)
-	ok := c.do(func() {
+	ok := c.Do(func() {
 		if !c.elector.HasLease(time.Now()) {
 			done <- ErrNotLeading
 			return
--- a/internal/controller/members.go
+++ b/internal/controller/members.go
@@ -64,7 +64,7 @@
 // AnnounceControlHost takes the announcement of a control host that holds the
 // given number of pages of the old record.
 func (c *Controller) AnnounceControlHost(h configurer.ControlHost, pages uint64) {
-	c.do(func() { c.takeControlHost(h, pages, time.Now()) })
+	c.Do(func() { c.takeControlHost(h, pages, time.Now()) })
 }
 
 // takeControlHost notes that a control host is live and proposes what is new
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -71,7 +71,7 @@
 		c.Log.Warn(logger.EventOrderFailed, zap.String("upstream", u.ID), zap.String("order", string(a.Kind)), zap.Error(err))
 		return
 	}
-	c.do(func() {
+	c.Do(func() {
 		if !c.lead.active || c.lead.since != since || c.book.State.Groups[group].Term != a.Term {
 			return
 		}
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -40,7 +40,7 @@
 		err  error
 	}
 	answers := make(chan answer, 1)
-	ok := c.do(func() {
+	ok := c.Do(func() {
 		c.propose(o, func(p *planner.Plan, err error) {
 			a := answer{err: err}
 			if p != nil {
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -27,7 +27,7 @@
 // Status returns the present status.
 func (c *Controller) Status(ctx context.Context) (Status, error) {
 	done := make(chan Status, 1)
-	ok := c.do(func() {
+	ok := c.Do(func() {
 		done <- Status{
 			ID: c.ID, Role: c.elector.Role(), Leader: c.elector.Leader(), Term: c.elector.Term(),
 			Committed: c.elector.Committed(), Members: c.elector.Membership(),
--- a/internal/demonstrator/layout.go
+++ b/internal/demonstrator/layout.go
@@ -65,30 +65,30 @@
 	return out
 }
 
-// Association is the layout of the Prairie Merchants Search Audit Association.
-func Association() Layout {
+// common returns what both layouts share.
+func common(prefix string) Layout {
 	return Layout{
-		Name: "association",
-		DataCentres: []DataCentre{
-			{"regina-a", "sask", 2}, {"saskatoon-a", "sask", 2}, {"winnipeg-a", "manitoba", 2},
-		},
-		Groups: 3, GroupName: "audit-ledger", Slots: 5, Connections: 30,
-		ConnectDelay: 10 * time.Millisecond, Lag: 20 * time.Millisecond,
-		LocalLatency: 1500 * time.Microsecond, RegionLatency: 30 * time.Millisecond, ClientLatency: time.Millisecond,
-		LinkBits: 30e6, Organisations: organisations("prairie"),
+		Groups: 3, ConnectDelay: 10 * time.Millisecond, Lag: 20 * time.Millisecond,
+		RegionLatency: 30 * time.Millisecond, LinkBits: 30e6, Organisations: organisations(prefix),
 	}
 }
 
+// Association is the layout of the Prairie Merchants Search Audit Association.
+func Association() Layout {
+	l := common("prairie")
+	l.Name, l.GroupName = "association", "audit-ledger"
+	l.DataCentres = []DataCentre{{"regina-a", "sask", 2}, {"saskatoon-a", "sask", 2}, {"winnipeg-a", "manitoba", 2}}
+	l.Slots, l.Connections = 5, 30
+	l.LocalLatency, l.ClientLatency = 1500*time.Microsecond, time.Millisecond
+	return l
+}
+
 // Zupcanik is the layout of Zupčanik Grupa.
 func Zupcanik() Layout {
-	return Layout{
-		Name: "zupcanik",
-		DataCentres: []DataCentre{
-			{"split-hala", "dalmacija", 2}, {"zadar-hala", "dalmacija", 2}, {"osijek-hala", "slavonija", 2},
-		},
-		Groups: 3, GroupName: "radionica-db", Slots: 3, Connections: 40,
-		ConnectDelay: 10 * time.Millisecond, Lag: 20 * time.Millisecond,
-		LocalLatency: 500 * time.Microsecond, RegionLatency: 30 * time.Millisecond, ClientLatency: 3 * time.Millisecond,
-		LinkBits: 30e6, Organisations: organisations("radionica"),
-	}
+	l := common("radionica")
+	l.Name, l.GroupName = "zupcanik", "radionica-db"
+	l.DataCentres = []DataCentre{{"split-hala", "dalmacija", 2}, {"zadar-hala", "dalmacija", 2}, {"osijek-hala", "slavonija", 2}}
+	l.Slots, l.Connections = 3, 40
+	l.LocalLatency, l.ClientLatency = 500*time.Microsecond, 3*time.Millisecond
+	return l
 }
--- a/internal/emulator/platform.go
+++ b/internal/emulator/platform.go
@@ -81,8 +81,8 @@
 func (u *Upstream) Fence(o Order) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if o.Term < u.fencedTerm {
-		return errTermPassed{o.Term, u.fencedTerm}
+	if err := u.checkTerm(o); err != nil {
+		return err
 	}
 	if o.Term == u.fencedTerm {
 		return nil
@@ -93,12 +93,21 @@
 	return nil
 }
 
+// checkTerm refuses an order of an earlier term than one already taken. The lock
+// is held.
+func (u *Upstream) checkTerm(o Order) error {
+	if o.Term < u.fencedTerm {
+		return errTermPassed{o.Term, u.fencedTerm}
+	}
+	return nil
+}
+
 // Promote makes the upstream the primary of the order's term.
 func (u *Upstream) Promote(o Order) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if o.Term < u.fencedTerm {
-		return errTermPassed{o.Term, u.fencedTerm}
+	if err := u.checkTerm(o); err != nil {
+		return err
 	}
 	if u.role == RolePrimary && u.position.Term == o.Term {
 		return nil
@@ -115,8 +124,8 @@
 func (u *Upstream) Follow(o Order) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if o.Term < u.fencedTerm {
-		return errTermPassed{o.Term, u.fencedTerm}
+	if err := u.checkTerm(o); err != nil {
+		return err
 	}
 	u.fencedTerm = o.Term
 	u.role = RoleReplica
--- a/pkg/planner/page.go
+++ b/pkg/planner/page.go
@@ -1,6 +1,10 @@
 package planner
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
 
 // PageRecords is the number of records of one page. A Book holds up to twice as
 // many; the older half then becomes a page.
@@ -56,9 +60,9 @@
 	}
 	slices.SortFunc(p.Plans, func(x, y *Plan) int {
 		if x.Closed != y.Closed {
-			return int(x.Closed) - int(y.Closed)
+			return cmp.Compare(x.Closed, y.Closed)
 		}
-		return compareText(x.Intent.ID, y.Intent.ID)
+		return strings.Compare(x.Intent.ID, y.Intent.ID)
 	})
 	for _, plan := range p.Plans {
 		b.closed.add(plan.Intent)
@@ -67,13 +71,3 @@
 	b.pages++
 	b.sealed = append(b.sealed, p)
 }
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
