--- /dev/null
+++ b/cmd/shallotstage-host/roles.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"github.com/shallotstage/shallotstage/internal/coordinator"
+	"github.com/shallotstage/shallotstage/internal/hoster"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/transactor"
+	"github.com/shallotstage/shallotstage/platform"
+)
+
+// entry returns the entry host of the settings.
+func entry(live *liveSettings, log *logger.Logger) *hoster.Entry {
+	s := live.current.Load()
+	return &hoster.Entry{
+		Settings: hoster.EntrySettings{
+			Host: s.Node, Place: transactor.Place{DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions},
+			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress(),
+			Grace: s.Grace, Descriptors: s.Descriptors,
+		},
+		Seeds: live.seedPeers, CallerCodec: platform.CallerCodec(), UpstreamCodec: platform.UpstreamCodec(),
+		ReadyHandler: platform.ReadyHandler, Log: log,
+	}
+}
+
+// control returns the control host of the settings.
+func control(live *liveSettings, log *logger.Logger) *hoster.Control {
+	s := live.current.Load()
+	return &hoster.Control{
+		Settings: coordinator.Settings{
+			Node: s.Node, DataDir: s.DataDir, PeerAddress: s.PeerAddress(), OperatorAddress: s.OperatorAddress,
+			DataCentre: s.DataCentre, Region: s.Region, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
+			Voters: 2*s.Tolerance + 1,
+		},
+		Seeds: live.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
+		Promote: platform.Promoter(live.platformAddress, promotionClient), Handler: platform.ControlHandler, Log: log,
+	}
+}
--- /dev/null
+++ b/internal/attender/attender.go
@@ -0,0 +1,305 @@
+// Package attender is an entry host's side of control: it attends the leading
+// control host, takes configuration, upstreams and shares from it and reports
+// demand and what the host sees of upstreams.
+//
+// Without control hosts the entry host goes on with what it knows.
+//
+// # Usage
+//
+//	a := &attender.Attender{Host: "entry-1", Seeds: seeds, Dial: dial, ...}
+//	go a.Run(ctx)
+//	view, changed := a.View()
+//
+// The goroutine of Run owns the state. Others read an immutable view.
+package attender
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/spender"
+)
+
+const (
+	// ReportInterval is the time between reports, and so between updates.
+	ReportInterval = time.Second
+	// silenceLimit is how long a control host may stay silent before another
+	// one is tried: two reports without an answer.
+	silenceLimit = 1800 * time.Millisecond
+	// searchPause is the wait after a round of control hosts without a leader.
+	searchPause = 100 * time.Millisecond
+	// dialLimit bounds the attempt to reach one control host.
+	dialLimit = 700 * time.Millisecond
+)
+
+// Attender attends the leading control host. Exported fields are set before
+// Run.
+type Attender struct {
+	Host        string
+	Incarnation uint64
+	DataCentre  string
+	// Seeds returns addresses of control hosts to begin with.
+	Seeds func() []string
+	Dial  func(ctx context.Context, address string) (*drpcconn.Conn, error)
+	// Now is a clock that counts suspensions.
+	Now func() time.Time
+	// Shares is the host's spender.
+	Shares *spender.Spender
+	// Sights returns what the host sees of upstreams.
+	Sights func() []Sight
+	// Taken is called in Run's goroutine with each new view.
+	Taken func(*keeper.View)
+	Log   *logger.Logger
+
+	state    atomic.Pointer[state]
+	poke     chan struct{}
+	pokeOnce sync.Once
+	leaving  atomic.Bool
+	// leader is the control host that was last named as leading.
+	leader string
+	// told holds the last report's sights.
+	told map[string]Sight
+	// sequence is the last report's, sent when the unanswered reports were
+	// sent.
+	sequence uint64
+	sent     map[uint64]time.Time
+}
+
+type state struct {
+	view    *keeper.View
+	changed chan struct{}
+}
+
+// View returns what is agreed on as far as the host knows, and a channel that
+// is closed when there is something newer.
+func (a *Attender) View() (*keeper.View, <-chan struct{}) {
+	s := a.current()
+	return s.view, s.changed
+}
+
+func (a *Attender) current() *state {
+	if s := a.state.Load(); s != nil {
+		return s
+	}
+	empty := &state{view: &keeper.View{}, changed: make(chan struct{})}
+	if a.state.CompareAndSwap(nil, empty) {
+		return empty
+	}
+	return a.state.Load()
+}
+
+// Poke sends a report at once.
+func (a *Attender) Poke() {
+	select {
+	case a.pokes() <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Attender) pokes() chan struct{} {
+	a.pokeOnce.Do(func() { a.poke = make(chan struct{}, 1) })
+	return a.poke
+}
+
+// Leave tells the control host that the process is about to end.
+func (a *Attender) Leave() {
+	a.leaving.Store(true)
+	a.Poke()
+}
+
+// Run attends until ctx ends.
+func (a *Attender) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, address := range a.addresses() {
+			if ctx.Err() != nil {
+				return
+			}
+			err := a.attend(ctx, address)
+			if err != nil && ctx.Err() == nil {
+				a.Log.Info(logger.EventControlLost, zap.String("control_host", address), zap.Error(err))
+			}
+			if a.leader != "" && a.leader != address {
+				break
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(searchPause):
+		}
+	}
+}
+
+// addresses returns the control hosts to try, the one that was named as leader
+// first.
+func (a *Attender) addresses() []string {
+	var others []string
+	for _, m := range a.current().view.Members {
+		others = append(others, m.PeerAddress)
+	}
+	others = append(others, a.Seeds()...)
+	slices.Sort(others)
+	others = slices.Compact(others)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if a.leader == "" {
+		return others
+	}
+	first := a.leader
+	a.leader = ""
+	return append([]string{first}, slices.DeleteFunc(others, func(o string) bool { return o == first })...)
+}
+
+// errNotLeading ends the attendance of a control host that does not lead.
+var errNotLeading = errors.New("attender: control host does not lead")
+
+// attend attends one control host until it fails.
+func (a *Attender) attend(ctx context.Context, address string) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	dialCtx, stop := context.WithTimeout(ctx, dialLimit)
+	conn, err := a.Dial(dialCtx, address)
+	stop()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := conn.NewStream(ctx, RPC, linker.JSON{})
+	if err != nil {
+		return fmt.Errorf("attender: open stream: %w", err)
+	}
+	updates := make(chan Update)
+	go receive(ctx, cancel, stream, updates)
+	a.told, a.sent = nil, map[uint64]time.Time{}
+	if err := a.report(stream); err != nil {
+		return err
+	}
+	timer := time.NewTimer(ReportInterval)
+	silence := time.NewTimer(silenceLimit)
+	defer timer.Stop()
+	defer silence.Stop()
+	connected := false
+	for {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case u := <-updates:
+			silence.Reset(silenceLimit)
+			if u.NotLeading {
+				a.leader = u.Leader
+				return errNotLeading
+			}
+			if !connected {
+				connected = true
+				a.Log.Info(logger.EventControlConnected, zap.String("control_host", address))
+			}
+			a.take(u)
+		case <-silence.C:
+			return fmt.Errorf("attender: control host %s is silent", address)
+		case <-timer.C:
+			if err := a.report(stream); err != nil {
+				return err
+			}
+			timer.Reset(ReportInterval)
+		case <-a.pokes():
+			if err := a.report(stream); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func receive(ctx context.Context, cancel context.CancelCauseFunc, stream drpc.Stream, updates chan<- Update) {
+	for {
+		var u Update
+		if err := stream.MsgRecv(&u, linker.JSON{}); err != nil {
+			cancel(fmt.Errorf("attender: receive: %w", err))
+			return
+		}
+		select {
+		case updates <- u:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// report sends a report.
+func (a *Attender) report(stream drpc.Stream) error {
+	a.sequence++
+	a.sent[a.sequence] = a.Now()
+	view := a.current().view
+	r := Report{
+		Sequence: a.sequence, Host: a.Host, Incarnation: a.Incarnation, DataCentre: a.DataCentre, Version: view.Configuration.Version,
+		Leaving: a.leaving.Load(), Shares: a.Shares.Report(), Sights: a.news(),
+	}
+	if err := stream.MsgSend(&r, linker.JSON{}); err != nil {
+		return fmt.Errorf("attender: report: %w", err)
+	}
+	return nil
+}
+
+// news returns the sights that the control host does not know yet.
+func (a *Attender) news() []Sight {
+	if a.Sights == nil {
+		return nil
+	}
+	told := a.told
+	a.told = map[string]Sight{}
+	var news []Sight
+	for _, s := range a.Sights() {
+		a.told[s.Upstream] = s
+		if old, ok := told[s.Upstream]; !ok || old != s {
+			news = append(news, s)
+		}
+	}
+	return news
+}
+
+// take takes an update. A host never goes back to an older configuration.
+func (a *Attender) take(u Update) {
+	old := a.current()
+	next := *old.view
+	changed := false
+	if u.Configuration != nil && u.Configuration.Version > next.Configuration.Version {
+		next.Configuration = *u.Configuration
+		changed = true
+		a.Log.Info(logger.EventConfigurationTaken, zap.Uint64("version", next.Configuration.Version), zap.Int("routes", len(next.Configuration.Routes)))
+	}
+	if t := u.Topology; t != nil {
+		next.Upstreams, next.Primaries, next.Promotions, next.Members = t.Upstreams, t.Primaries, t.Promotions, t.Members
+		next.Revision = t.Revision
+		changed = true
+		a.Log.Info(logger.EventTopologyTaken, zap.Uint64("revision", t.Revision), zap.Int("upstreams", len(t.Upstreams)), zap.Any("primaries", t.Primaries))
+	}
+	if u.Hosts > 0 && u.Hosts != next.Hosts {
+		next.Hosts = u.Hosts
+		changed = true
+	}
+	if sent, ok := a.sent[u.Answers]; ok && u.Grant > 0 {
+		a.Shares.Grant(u.Grant, maps.Clone(u.Extras), sent.Add(u.Lease))
+	}
+	maps.DeleteFunc(a.sent, func(n uint64, _ time.Time) bool { return n <= u.Answers })
+	if !changed {
+		return
+	}
+	a.Shares.SetHosts(next.Hosts)
+	next.Index()
+	if a.Taken != nil {
+		a.Taken(&next)
+	}
+	a.state.Store(&state{view: &next, changed: make(chan struct{})})
+	close(old.changed)
+}
--- /dev/null
+++ b/internal/coordinator/attendance.go
@@ -0,0 +1,167 @@
+package coordinator
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+	"storj.io/drpc"
+
+	"github.com/shallotstage/shallotstage/internal/attender"
+	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/internal/logger"
+)
+
+// attendance is one entry host's stream to this host while it leads. Its
+// fields belong to the control goroutine.
+type attendance struct {
+	name        string
+	incarnation uint64
+	cancel      context.CancelFunc
+	// news has one element when there is something to tell.
+	news chan struct{}
+	// version and revision are what the host was last told.
+	version  uint64
+	revision uint64
+	// answers is the report to answer, and due is true until it is answered.
+	answers uint64
+	due     bool
+	// sights are the newest by upstream, and seen when they were told.
+	sights map[string]attender.Sight
+	seen   time.Time
+}
+
+func (a *attendance) wake() {
+	select {
+	case a.news <- struct{}{}:
+	default:
+	}
+}
+
+func (a *attendance) close() { a.cancel() }
+
+// attend serves the stream of one entry host.
+func (c *Coordinator) attend(stream drpc.Stream) error {
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	a := &attendance{cancel: cancel, news: make(chan struct{}, 1), sights: map[string]attender.Sight{}}
+	go func() {
+		defer cancel()
+		for ctx.Err() == nil {
+			var r attender.Report
+			if err := stream.MsgRecv(&r, linker.JSON{}); err != nil {
+				return
+			}
+			if !c.do(func() { c.takeReport(a, r) }) {
+				return
+			}
+		}
+	}()
+	defer c.do(func() { c.drop(a) })
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.news:
+		}
+		made := make(chan attender.Update, 1)
+		if !c.do(func() { made <- c.update(a) }) {
+			return nil
+		}
+		select {
+		case u := <-made:
+			if err := stream.MsgSend(&u, linker.JSON{}); err != nil {
+				return err
+			}
+			if u.NotLeading {
+				return nil
+			}
+		case <-ctx.Done():
+			return nil
+		case <-c.stopped:
+			return nil
+		}
+	}
+}
+
+// takeReport takes a host's report.
+func (c *Coordinator) takeReport(a *attendance, r attender.Report) {
+	defer a.wake()
+	if !c.lead.leading {
+		return
+	}
+	now := c.Now()
+	if a.name == "" {
+		a.name, a.incarnation, a.version = r.Host, r.Incarnation, r.Version
+		if old := c.lead.hosts[a.name]; old != nil {
+			old.close()
+			if old.incarnation != a.incarnation {
+				// One process after the other runs on a host.
+				c.lead.shares.Forget(a.name)
+			}
+		}
+		c.lead.hosts[a.name] = a
+		c.Log.Info(logger.EventHostJoined, zap.String("host", a.name), zap.Uint64("incarnation", a.incarnation), zap.Uint64("version", r.Version))
+	}
+	a.seen, a.due, a.answers = now, true, r.Sequence
+	for _, s := range r.Sights {
+		a.sights[s.Upstream] = s
+	}
+	c.lead.known[a.name] = now
+	c.lead.shares.Take(a.name, r.Shares, now)
+	if r.Leaving {
+		delete(c.lead.known, a.name)
+	}
+}
+
+// drop forgets a stream that has ended.
+func (c *Coordinator) drop(a *attendance) {
+	if c.lead.hosts[a.name] == a {
+		delete(c.lead.hosts, a.name)
+		c.Log.Info(logger.EventHostLeft, zap.String("host", a.name), zap.Uint64("incarnation", a.incarnation))
+	}
+}
+
+// update makes the next update of a host.
+func (c *Coordinator) update(a *attendance) attender.Update {
+	now := c.Now()
+	if !c.lead.leading || c.lead.hosts[a.name] != a {
+		return attender.Update{NotLeading: true, Leader: c.leaderAddress()}
+	}
+	u := attender.Update{Hosts: c.lead.countHosts(now)}
+	if a.due {
+		a.due = false
+		u.Answers = a.answers
+		if c.elector.HasLease(now) {
+			u.Grant, u.Extras = c.lead.shares.Grant(a.name, now)
+			u.Lease = shareLease
+		}
+	}
+	if !c.elector.HasLease(now) {
+		// What this host holds may not be the newest.
+		return u
+	}
+	configuration := c.state.Configuration()
+	if configuration.Version > a.version {
+		u.Configuration = &configuration
+		a.version = configuration.Version
+	}
+	if a.revision != c.revision() {
+		a.revision = c.revision()
+		u.Topology = c.topology()
+	}
+	return u
+}
+
+// revision is never zero, so that zero means that a host knows nothing.
+func (c *Coordinator) revision() uint64 { return c.state.Revision() + 1 }
+
+// topology copies what hosts must know. It is read by another goroutine.
+func (c *Coordinator) topology() *attender.Topology {
+	return &attender.Topology{
+		Revision:  c.revision(),
+		Upstreams: maps.Clone(c.state.Upstreams), Primaries: maps.Clone(c.state.Primaries),
+		Promotions: maps.Clone(c.state.Promotions), Members: maps.Clone(c.state.Members),
+	}
+}
--- /dev/null
+++ b/internal/hoster/control.go
@@ -0,0 +1,67 @@
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/coordinator"
+	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/timer"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+)
+
+// Control is a control host. All exported fields are set before Run.
+type Control struct {
+	Settings coordinator.Settings
+	// Seeds returns peer addresses of control hosts.
+	Seeds         func() []string
+	Decode        keeper.DecodeFunc
+	UpstreamCodec *connector.Codec
+	Promote       func(ctx context.Context, o coordinator.Order) (coordinator.OrderResult, error)
+	// Handler makes the handler of operators' and upstreams' calls.
+	Handler func(c *coordinator.Coordinator, log *logger.Logger) http.Handler
+	Log     *logger.Logger
+}
+
+// Run serves until ctx ends.
+func (c *Control) Run(ctx context.Context) error {
+	dialer := &connector.Dialer{Codec: c.UpstreamCodec}
+	co := &coordinator.Coordinator{
+		Settings: c.Settings, Seeds: c.Seeds, Decode: c.Decode, Now: timer.Now, Dial: linker.Linker{}.Dial, Promote: c.Promote,
+		Ask: func(ctx context.Context, u keeper.Upstream) (connector.Standing, error) {
+			return dialer.Ask(ctx, u, c.Settings.Node)
+		},
+		Log: c.Log,
+	}
+	if err := co.Open(); err != nil {
+		return fmt.Errorf("hoster: open data folder: %w", err)
+	}
+	peers, err := net.Listen("tcp", c.Settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for hosts: %w", err)
+	}
+	operators, err := net.Listen("tcp", c.Settings.OperatorAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for operators: %w", err)
+	}
+	go func() {
+		if err := co.ServePeers(ctx, peers); err != nil {
+			c.Log.Error(logger.EventPartFailed, zap.String("part", "peers"), zap.Error(err))
+		}
+	}()
+	go func() {
+		if err := serveHTTP(ctx, operators, c.Handler(co, c.Log)); err != nil {
+			c.Log.Error(logger.EventPartFailed, zap.String("part", "operators"), zap.Error(err))
+		}
+	}()
+	c.Log.Info(logger.EventStarted, zap.String("host", c.Settings.Node), zap.String("member", co.ID()))
+	err = co.Run(ctx)
+	c.Log.Info(logger.EventStopped, zap.String("host", c.Settings.Node), zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/internal/hoster/entry.go
@@ -0,0 +1,177 @@
+// Package hoster puts the parts of a process together: an entry host that
+// serves callers, or a control host.
+//
+// # Usage
+//
+//	e := &hoster.Entry{Settings: settings, CallerCodec: c, UpstreamCodec: u, Log: log}
+//	err := e.Run(ctx)   // until ctx ends, then a graceful shutdown
+package hoster
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/attender"
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/timer"
+	"github.com/shallotstage/shallotstage/internal/transactor"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/spender"
+)
+
+const (
+	// rotationTime is how long balancers may take to send no more callers to a
+	// host that is not ready: two probes, one a second.
+	rotationTime = 2200 * time.Millisecond
+	// endReserve is kept of the grace for the end of the process.
+	endReserve = 400 * time.Millisecond
+	// reservedConnections are left of an upstream's connections for control
+	// hosts' questions.
+	reservedConnections = 2
+	// reservedDescriptors are left for files and the process's own
+	// connections.
+	reservedDescriptors = 400
+	// heardWithin is how recent an answer makes an upstream count as heard.
+	heardWithin = 1500 * time.Millisecond
+)
+
+// EntrySettings are an entry host's settings.
+type EntrySettings struct {
+	Host           string
+	Place          transactor.Place
+	CallerAddress  string
+	ReadyAddress   string
+	MetricsAddress string
+	// Grace is the time for a graceful shutdown.
+	Grace time.Duration
+	// Descriptors bounds files and connections; zero means no bound.
+	Descriptors int64
+}
+
+// Entry is an entry host. All exported fields are set before Run.
+type Entry struct {
+	Settings EntrySettings
+	// Seeds returns addresses of control hosts, as the settings of now name
+	// them.
+	Seeds         func() []string
+	CallerCodec   *transactor.Codec
+	UpstreamCodec *connector.Codec
+	// ReadyHandler makes the handler of the ready probe.
+	ReadyHandler func(ready func() bool) http.Handler
+	Log          *logger.Logger
+
+	ready    atomic.Bool
+	attender *attender.Attender
+	board    *transactor.Board
+	set      *connector.Set
+	server   *transactor.Server
+	meter    *meter
+}
+
+// Run serves until ctx ends and then shuts down within the grace.
+func (e *Entry) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", e.Settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for callers: %w", err)
+	}
+	probes, err := net.Listen("tcp", e.Settings.ReadyAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for probes: %w", err)
+	}
+	metrics, err := net.Listen("tcp", e.Settings.MetricsAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for metrics: %w", err)
+	}
+	e.build()
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go e.attender.Run(work)
+	go e.board.Watch(work)
+	go e.note("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
+	go e.note("metrics", func() error { return serveHTTP(work, metrics, e.meter.handler()) })
+	go e.note("callers", func() error { return e.server.Serve(work, callers) })
+	e.Log.Info(logger.EventStarted, zap.String("host", e.Settings.Host), zap.Uint64("incarnation", e.attender.Incarnation))
+	<-ctx.Done()
+	e.shutDown()
+	return nil
+}
+
+// note logs the end of a part that should not end.
+func (e *Entry) note(part string, serve func() error) {
+	if err := serve(); err != nil {
+		e.Log.Error(logger.EventPartFailed, zap.String("part", part), zap.Error(err))
+	}
+}
+
+// build makes the parts of the host.
+func (e *Entry) build() {
+	e.meter = newMeter()
+	shares := &spender.Spender{Now: timer.Now}
+	e.board = &transactor.Board{Now: timer.Now, Log: e.Log}
+	e.set = &connector.Set{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
+	e.attender = &attender.Attender{
+		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre,
+		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Sights: e.sights, Taken: e.take, Log: e.Log,
+	}
+	e.board.SightsChanged = e.attender.Poke
+	e.server = &transactor.Server{
+		Codec: e.CallerCodec, Upstreams: e.set, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
+		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
+	}
+	if e.Settings.Descriptors > 0 {
+		e.server.MaxSessions = max(1, e.Settings.Descriptors-reservedDescriptors)
+	}
+	e.meter.watch(e.server, e.set)
+}
+
+// take makes the parts follow a new view.
+func (e *Entry) take(view *keeper.View) {
+	e.board.Update(view.Upstreams)
+	e.set.Update(view.Upstreams, func(service string) int {
+		most := view.Configuration.Services[service].MaxConnections
+		return max(1, (most-reservedConnections)/max(1, view.Hosts))
+	})
+	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
+}
+
+func (e *Entry) setReady(ready bool, reason string) {
+	if e.server.IsDraining() {
+		ready = false
+	}
+	if e.ready.Swap(ready) != ready {
+		e.Log.Info(logger.EventReadinessChanged, zap.Bool("ready", ready), zap.String("reason", reason))
+	}
+}
+
+// sights tells control hosts what the board saw.
+func (e *Entry) sights() []attender.Sight {
+	var sights []attender.Sight
+	for _, s := range e.board.Sights() {
+		sights = append(sights, attender.Sight{Upstream: s.Upstream, Reachable: s.Reachable, Heard: s.Heard < heardWithin, Position: s.Position})
+	}
+	return sights
+}
+
+// shutDown ends the host within its grace: no new callers, silent sessions
+// closed, transactions ended.
+func (e *Entry) shutDown() {
+	begin := time.Now()
+	grace := e.Settings.Grace
+	e.Log.Info(logger.EventDraining, zap.String("host", e.Settings.Host), zap.Duration("grace", grace), zap.Int64("sessions", e.server.Sessions()))
+	e.server.BeginDrain()
+	e.setReady(false, "shutdown")
+	time.Sleep(min(rotationTime, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-endReserve))
+	defer cancel()
+	e.server.Drain(ctx, max(0, grace*3/4-time.Since(begin)))
+	e.attender.Leave()
+	e.Log.Info(logger.EventStopped, zap.Int64("sessions", e.server.Sessions()), zap.Duration("took", time.Since(begin)))
+}
--- /dev/null
+++ b/internal/hoster/listener.go
@@ -0,0 +1,27 @@
+package hoster
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// headerTimeout bounds the head of an HTTP request.
+	headerTimeout = 5 * time.Second
+	// idleTimeout bounds a silent HTTP connection.
+	idleTimeout = 60 * time.Second
+)
+
+// serveHTTP serves a handler until ctx ends.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/hoster/meter.go
@@ -0,0 +1,62 @@
+package hoster
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/transactor"
+)
+
+// meter holds an entry host's metrics. Its series do not grow with
+// organisations, upstreams or hosts.
+type meter struct {
+	registry   *prometheus.Registry
+	statements *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+}
+
+func newMeter() *meter {
+	m := &meter{
+		registry: prometheus.NewRegistry(),
+		statements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstage_entry_statements_total", Help: "Statements answered, by verb.",
+		}, []string{"verb"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstage_entry_refusals_total", Help: "Statements refused, by reason.",
+		}, []string{"reason"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "shallotstage_entry_statement_seconds", Help: "Time from a statement's arrival to its answer, in seconds.",
+			Buckets: []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5},
+		}, []string{"verb"}),
+	}
+	m.registry.MustRegister(m.statements, m.refusals, m.latency)
+	return m
+}
+
+// watch adds what is read when metrics are asked for.
+func (m *meter) watch(server *transactor.Server, set *connector.Set) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_sessions", Help: "Open sessions of callers."},
+			func() float64 { return float64(server.Sessions()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_upstream_connections_opened", Help: "Connections opened to the upstreams of now."},
+			func() float64 { return float64(set.Opened()) }),
+	)
+}
+
+func (m *meter) observe(o transactor.Observation) {
+	m.statements.WithLabelValues(string(o.Verb)).Inc()
+	m.latency.WithLabelValues(string(o.Verb)).Observe(o.Latency.Seconds())
+	if o.Refused != "" {
+		m.refusals.WithLabelValues(o.Refused).Inc()
+	}
+}
+
+func (m *meter) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/internal/linker/json.go
@@ -0,0 +1,17 @@
+package linker
+
+import (
+	"encoding/json"
+
+	"storj.io/drpc"
+)
+
+// JSON encodes messages of calls that have no generated code. Their fields are
+// the message's exported fields.
+type JSON struct{}
+
+// Marshal implements drpc.Encoding.
+func (JSON) Marshal(msg drpc.Message) ([]byte, error) { return json.Marshal(msg) }
+
+// Unmarshal implements drpc.Encoding.
+func (JSON) Unmarshal(buf []byte, msg drpc.Message) error { return json.Unmarshal(buf, msg) }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -15,14 +15,23 @@
 	"net"
 	"time"
 
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 )
 
 // dialTimeout bounds the opening of a connection.
 const dialTimeout = 2 * time.Second
 
+// maxMessageBytes bounds one message: a snapshot with a configuration of some
+// thousand routes.
+const maxMessageBytes = 32 << 20
+
+var managerOptions = drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+
 // keepAlive finds connections whose other end has gone silent.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
@@ -42,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(conn), nil
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions}), nil
 }
 
 // Listen returns the listener with the fleet's TLS.
@@ -82,7 +91,13 @@
 	if err := register(mux); err != nil {
 		return fmt.Errorf("linker: register services: %w", err)
 	}
-	if err := drpcserver.New(mux).Serve(ctx, l.Listen(listener)); err != nil && ctx.Err() == nil {
+	return l.ServeHandler(ctx, listener, mux)
+}
+
+// ServeHandler serves the handler's calls until ctx ends.
+func (l Linker) ServeHandler(ctx context.Context, listener net.Listener, handler drpc.Handler) error {
+	server := drpcserver.NewWithOptions(handler, drpcserver.Options{Manager: managerOptions})
+	if err := server.Serve(ctx, l.Listen(listener)); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("linker: serve: %w", err)
 	}
 	return nil
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -19,6 +20,8 @@
 // Logger writes events.
 type Logger struct {
 	zap *zap.Logger
+	// bound limits the lines of each event; nil means no limit.
+	bound *Bounded
 }
 
 // New returns a Logger over z.
@@ -48,9 +51,12 @@
 	if l == nil {
 		return nil
 	}
-	return &Logger{zap: l.zap.With(fields...)}
+	return &Logger{zap: l.zap.With(fields...), bound: l.bound}
 }
 
+// Debug writes an event that is of use only in numbers.
+func (l *Logger) Debug(e Event, fields ...zap.Field) { l.write(zapcore.DebugLevel, e, fields) }
+
 // Info writes an event of normal operation.
 func (l *Logger) Info(e Event, fields ...zap.Field) { l.write(zapcore.InfoLevel, e, fields) }
 
@@ -64,7 +70,8 @@
 	if l == nil {
 		return
 	}
-	if ce := l.zap.Check(level, e.Name); ce != nil {
+	ce := l.zap.Check(level, e.Name)
+	if ce != nil && (l.bound == nil || l.bound.allow(level, e, time.Now())) {
 		ce.Write(append([]zap.Field{zap.Int("event", e.Number)}, fields...)...)
 	}
 }
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -46,6 +46,9 @@
 	keySnap    = []byte("snapshot")
 	// keyInstance holds the identity of the folder.
 	keyInstance = []byte("instance")
+	// keyMember holds the name under which the host takes part in the
+	// agreement.
+	keyMember = []byte("member")
 )
 
 // Storer is an open data folder.
@@ -158,6 +161,19 @@
 	return put(meta, keyInstance, []byte(s.instance))
 }
 
+// Member returns the name under which the host takes part in the agreement, or
+// an empty one before SetMember.
+func (s *Storer) Member() (string, error) {
+	var member string
+	err := s.db.View(func(tx *bbolt.Tx) error { return get(tx.Bucket(bucketMeta), keyMember, &member) })
+	return member, err
+}
+
+// SetMember stores the name and syncs it.
+func (s *Storer) SetMember(member string) error {
+	return s.db.Update(func(tx *bbolt.Tx) error { return putJSON(tx.Bucket(bucketMeta), keyMember, member) })
+}
+
 // Close closes the file.
 func (s *Storer) Close() error { return s.db.Close() }
 
--- /dev/null
+++ b/internal/transactor/handle.go
@@ -0,0 +1,204 @@
+package transactor
+
+import (
+	"context"
+	"encoding/hex"
+	"hash/fnv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/refuser"
+)
+
+// handle carries one statement out.
+func (s *session) handle(ctx context.Context, st Statement) Reply {
+	if s.tx != nil && s.tx.failed != nil {
+		return s.handleFailed(st)
+	}
+	switch st.Verb {
+	case VerbSet, VerbPrepare, VerbClose:
+		return s.handleLocal(st)
+	}
+	arrived := s.server.Now()
+	view, _ := s.server.View()
+	route, organisation, refusal := s.authorise(view)
+	if refusal != nil {
+		return s.refuse(st, view, refusal)
+	}
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	r := &request{
+		session: s, statement: st, route: route, organisation: organisation.Name, arrived: arrived,
+		deadline: time.Now().Add(timeout), version: view.Configuration.Version,
+	}
+	if refusal := r.resolve(); refusal != nil {
+		return s.refuse(st, view, refusal)
+	}
+	if s.tx == nil {
+		return s.handleOutside(ctx, view, r, organisation)
+	}
+	return s.handleInside(ctx, r)
+}
+
+// handleOutside carries a statement out that begins an operation.
+func (s *session) handleOutside(ctx context.Context, view *keeper.View, r *request, o keeper.Organisation) Reply {
+	st := r.statement
+	if st.Verb != VerbBegin && !r.reads && !r.writes {
+		return s.refuse(st, view, refuser.New(refuser.ReasonProtocolViolation, string(st.Verb)+" outside a transaction"))
+	}
+	if refusal := s.admit(ctx, r, o); refusal != nil {
+		return s.refuse(st, view, refusal)
+	}
+	if st.Verb == VerbBegin {
+		s.tx = newTransaction(r)
+		return Reply{State: connector.StateTransaction}
+	}
+	if r.writes {
+		return s.finish(r, r.write(ctx))
+	}
+	if r.route.Kind == keeper.RoutePrimary {
+		return s.finish(r, r.readPrimary(ctx))
+	}
+	return s.finish(r, r.readReplica(ctx))
+}
+
+// admit spends a token of the organisation's rate. Routes open to all have no
+// organisation.
+func (s *session) admit(ctx context.Context, r *request, o keeper.Organisation) *refuser.Refusal {
+	if o.Name == "" || s.server.Admit == nil {
+		return nil
+	}
+	wait, retryAfter, ok := s.server.Admit(o)
+	if !ok {
+		refusal := refuser.New(refuser.ReasonRateExceeded, "organisation "+o.Name)
+		refusal.RetryAfter = retryAfter
+		return refusal
+	}
+	if wait <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(wait):
+		r.arrivedLate = wait
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// handleInside carries a statement of an open transaction out.
+func (s *session) handleInside(ctx context.Context, r *request) Reply {
+	st := r.statement
+	switch {
+	case st.Verb == VerbRollback:
+		s.tx.abandon(s.server)
+		s.tx = nil
+		return Reply{State: connector.StateIdle}
+	case st.Verb == VerbCommit:
+		out := s.tx.commit(ctx, r)
+		s.tx = nil
+		return s.finish(r, out)
+	case r.reads || r.writes:
+		out := s.tx.run(ctx, r)
+		if out.refusal != nil {
+			s.tx.failed = out.refusal
+		}
+		return s.finish(r, out)
+	}
+	return Reply{Refusal: refuser.New(refuser.ReasonProtocolViolation, string(st.Verb)+" inside a transaction"), State: connector.StateTransaction}
+}
+
+// handleFailed answers a statement of a transaction that has failed: only its
+// end is taken.
+func (s *session) handleFailed(st Statement) Reply {
+	switch st.Verb {
+	case VerbRollback:
+		s.tx = nil
+		return Reply{State: connector.StateIdle}
+	case VerbCommit:
+		refusal := refuser.New(refuser.ReasonTransactionLost, s.tx.failed.Detail)
+		s.tx = nil
+		s.server.Log.Warn(logger.EventRequestRefused, zap.String("request", st.ID), zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail))
+		return Reply{Refusal: refusal, State: connector.StateIdle}
+	}
+	return Reply{Refusal: refuser.New(refuser.ReasonProtocolViolation, "transaction has failed"), State: connector.StateFailed}
+}
+
+// handleLocal keeps session values and prepared statements. Upstreams learn of
+// them when a statement needs them.
+func (s *session) handleLocal(st Statement) Reply {
+	state := connector.StateIdle
+	if s.tx != nil {
+		state = connector.StateTransaction
+	}
+	var refusal *refuser.Refusal
+	switch st.Verb {
+	case VerbSet:
+		if _, ok := s.values[st.Name]; !ok && len(s.values) >= maxValues {
+			refusal = refuser.New(refuser.ReasonBatchTooLarge, "session holds too many values")
+			break
+		}
+		s.values[st.Name] = st.Value
+		if s.tx != nil {
+			s.tx.stale = true
+		}
+	case VerbPrepare:
+		if _, ok := s.prepared[st.Name]; !ok && len(s.prepared) >= maxPrepared {
+			refusal = refuser.New(refuser.ReasonBatchTooLarge, "session holds too many prepared statements")
+			break
+		}
+		s.prepared[st.Name] = statementShape{value: st.Value, name: shapeName(st.Value), readOnly: st.ReadOnly}
+	case VerbClose:
+		delete(s.prepared, st.Name)
+	}
+	return Reply{Refusal: refusal, State: state}
+}
+
+// shapeName returns the name of a shape on upstreams, the same for all
+// sessions. It depends on the access and the shape only.
+func shapeName(value string) string {
+	h := fnv.New128a()
+	_, _ = h.Write([]byte(value))
+	return "p" + hex.EncodeToString(h.Sum(nil))
+}
+
+// refuse answers a statement that nothing was done for. A transaction is
+// rolled back, since its statement is missing.
+func (s *session) refuse(st Statement, view *keeper.View, refusal *refuser.Refusal) Reply {
+	s.server.Log.Warn(logger.EventRequestRefused,
+		zap.String("request", st.ID), zap.String("route", s.startup.Route), zap.String("verb", string(st.Verb)),
+		zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail),
+		zap.Uint64("version", view.Configuration.Version), zap.Duration("retry_after", refusal.RetryAfter))
+	if s.tx == nil {
+		return Reply{Refusal: refusal, State: connector.StateIdle}
+	}
+	s.tx.abandon(s.server)
+	if st.Verb == VerbCommit || st.Verb == VerbRollback {
+		s.tx = nil
+		return Reply{Refusal: refusal, State: connector.StateIdle}
+	}
+	s.tx.failed = refusal
+	return Reply{Refusal: refusal, State: connector.StateFailed}
+}
+
+// finish turns an outcome into the reply and logs the decision.
+func (s *session) finish(r *request, out outcome) Reply {
+	state := connector.StateIdle
+	if s.tx != nil {
+		state = connector.StateTransaction
+		if s.tx.failed != nil {
+			state = connector.StateFailed
+		}
+	}
+	if out.refusal != nil {
+		s.server.Log.Warn(logger.EventRequestRefused, r.fields(out)...)
+		return Reply{Refusal: out.refusal, State: state}
+	}
+	s.server.Log.Debug(logger.EventRequestServed, r.fields(out)...)
+	return Reply{Body: out.answer.Body, State: state, Position: out.answer.Position}
+}
--- /dev/null
+++ b/internal/transactor/server.go
@@ -0,0 +1,170 @@
+// Package transactor serves callers' sessions on an entry host, whatever
+// protocol they speak: a Codec says how their messages look.
+//
+// A session has values, prepared statements and at most one transaction. Each
+// statement or transaction borrows one upstream connection; the session's
+// values and prepared statements are replayed on it first. Reads go to the
+// upstream that holds the position they must see, writes to the primary, and
+// what certainly did not run is tried again within the statement's time.
+//
+// # Usage
+//
+//	s := &transactor.Server{Codec: codec, Upstreams: set, Board: board, View: view, ...}
+//	err := s.Serve(ctx, listener)
+//	s.Drain(ctx, 3*time.Second)
+package transactor
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+)
+
+const (
+	// readBuffer holds the statements of one caller that were not read yet.
+	readBuffer = 2 << 10
+	// startupTimeout bounds the wait for a session's opening.
+	startupTimeout = 10 * time.Second
+	// acceptPause follows a failed accept, for example for want of descriptors.
+	acceptPause = 20 * time.Millisecond
+	// quietBeforeClose is how long a session must have been silent before a
+	// drain closes it, so that a request under way is not cut.
+	quietBeforeClose = 300 * time.Millisecond
+	// closeInterval is how often a drain looks for silent sessions.
+	closeInterval = 50 * time.Millisecond
+)
+
+// Server serves callers' sessions. Exported fields are set before Serve.
+type Server struct {
+	Codec     *Codec
+	Upstreams *connector.Set
+	Board     *Board
+	// View returns what is agreed on, and a channel that is closed when there
+	// is something newer.
+	View func() (*keeper.View, <-chan struct{})
+	// Admit spends a token of an organisation's rate. It returns how long to
+	// wait for it, or the time to try again when there is none.
+	Admit func(o keeper.Organisation) (wait, retryAfter time.Duration, ok bool)
+	// Now is a clock that counts suspensions.
+	Now func() time.Time
+	// DistanceTo classes an upstream's data centre.
+	Place Place
+	// MaxSessions bounds the sessions; zero means no bound.
+	MaxSessions int64
+	Log         *logger.Logger
+	// Observe is told of each answered statement; nil means nobody.
+	Observe func(Observation)
+
+	sessions atomic.Int64
+	draining atomic.Bool
+
+	mu   sync.Mutex
+	open map[*session]bool
+	wait sync.WaitGroup
+}
+
+// Observation is one answered statement.
+type Observation struct {
+	Kind    keeper.RouteKind
+	Verb    Verb
+	Latency time.Duration
+	// Refused is the reason of a refusal, or empty.
+	Refused string
+	// Replica is true when a replica answered.
+	Replica bool
+}
+
+// Serve accepts sessions until ctx ends or the listener fails.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.Log.Warn(logger.EventAcceptFailed, zap.Error(err))
+			select {
+			case <-time.After(acceptPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		if s.MaxSessions > 0 && s.sessions.Load() >= s.MaxSessions {
+			s.Log.Warn(logger.EventAcceptFailed, zap.Error(fmt.Errorf("transactor: %d sessions are open", s.MaxSessions)))
+			_ = conn.Close()
+			continue
+		}
+		s.start(ctx, conn)
+	}
+}
+
+func (s *Server) start(ctx context.Context, conn net.Conn) {
+	ss := &session{server: s, conn: conn, r: bufio.NewReaderSize(conn, readBuffer), values: map[string]string{}, prepared: map[string]statementShape{}}
+	ss.touch()
+	s.mu.Lock()
+	if s.open == nil {
+		s.open = map[*session]bool{}
+	}
+	s.open[ss] = true
+	s.mu.Unlock()
+	s.sessions.Add(1)
+	s.wait.Go(func() {
+		ss.serve(ctx)
+		_ = conn.Close()
+		s.sessions.Add(-1)
+		s.mu.Lock()
+		delete(s.open, ss)
+		s.mu.Unlock()
+	})
+}
+
+// Sessions returns the number of open sessions.
+func (s *Server) Sessions() int64 { return s.sessions.Load() }
+
+// BeginDrain notes that the host is about to stop.
+func (s *Server) BeginDrain() { s.draining.Store(true) }
+
+// IsDraining reports whether the host is about to stop.
+func (s *Server) IsDraining() bool { return s.draining.Load() }
+
+// Drain closes sessions outside transactions once they are silent, and the
+// others when patience for transactions is over. It returns when none is left
+// or ctx ends.
+func (s *Server) Drain(ctx context.Context, patience time.Duration) {
+	s.BeginDrain()
+	begin := time.Now()
+	ticker := time.NewTicker(closeInterval)
+	defer ticker.Stop()
+	for s.sessions.Load() > 0 {
+		s.closeSilent(time.Since(begin) > patience)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Server) closeSilent(all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for ss := range s.open {
+		ss.closeIfSilent(all)
+	}
+}
+
+// Wait returns when all sessions have ended.
+func (s *Server) Wait() { s.wait.Wait() }
--- /dev/null
+++ b/pkg/appointer/appointer_test.go
@@ -0,0 +1,86 @@
+package appointer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+func seen(id string, offset uint64, role keeper.Role) Seen {
+	return Seen{
+		Upstream: keeper.Upstream{ID: id, Life: keeper.LifeReady, Role: role}, Reaching: 5,
+		Announced: time.Second, Position: tracker.Position{Term: 2, Offset: offset},
+	}
+}
+
+func group() Evidence {
+	return Evidence{
+		Service: "s", Primary: "p", Led: time.Minute,
+		Upstreams: map[string]Seen{
+			"p": seen("p", 100, keeper.RolePrimary), "a": seen("a", 90, keeper.RoleReplica), "b": seen("b", 95, keeper.RoleReplica),
+		},
+	}
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(e *Evidence, p, a, b *Seen)
+		want   string
+	}{
+		{"healthy", func(*Evidence, *Seen, *Seen, *Seen) {}, ""},
+		{"most hosts cannot connect", func(_ *Evidence, p, _, _ *Seen) { p.Missing, p.Reaching = 3, 2 }, "b"},
+		{"some hosts cannot connect", func(_ *Evidence, p, _, _ *Seen) { p.Missing, p.Reaching = 2, 3 }, ""},
+		{"one host's evidence alone", func(_ *Evidence, p, _, _ *Seen) { p.Missing, p.Reaching = 1, 0 }, ""},
+		{"one host's evidence and silence", func(_ *Evidence, p, _, _ *Seen) { p.Missing, p.Reaching, p.Announced = 1, 0, 4*time.Second }, "b"},
+		{"silence alone", func(_ *Evidence, p, _, _ *Seen) { p.Announced = time.Minute }, ""},
+		{"planned end", func(_ *Evidence, p, _, _ *Seen) { p.Upstream.Life = keeper.LifeDraining }, "b"},
+		{"planned end, best candidate lost", func(_ *Evidence, p, _, b *Seen) {
+			p.Upstream.Life = keeper.LifeDraining
+			b.Missing, b.Reaching = 4, 0
+		}, "a"},
+		{"best candidate ends too", func(_ *Evidence, p, _, b *Seen) {
+			p.Upstream.Life, b.Upstream.Life = keeper.LifeDraining, keeper.LifeDraining
+		}, "a"},
+		{"no primary, not for long", func(e *Evidence, _, _, _ *Seen) { e.Primary, e.Orphaned = "", time.Second }, ""},
+		{"no primary for long", func(e *Evidence, _, _, _ *Seen) {
+			e.Primary, e.Orphaned = "", 3*time.Second
+			delete(e.Upstreams, "p")
+		}, "b"},
+		{"no primary, new leader", func(e *Evidence, _, _, _ *Seen) { e.Primary, e.Orphaned, e.Led = "", 3*time.Second, time.Second }, ""},
+		{"order under way", func(e *Evidence, p, _, _ *Seen) {
+			p.Missing, p.Reaching = 5, 0
+			e.Order = &Order{Candidate: "b", Age: 5 * time.Second}
+		}, ""},
+		{"order answered without effect", func(e *Evidence, p, _, _ *Seen) {
+			p.Missing, p.Reaching = 5, 0
+			e.Order = &Order{Candidate: "b", Age: 6 * time.Second, Answered: 5 * time.Second}
+		}, "b"},
+		{"order refused", func(e *Evidence, p, _, _ *Seen) {
+			p.Missing, p.Reaching = 5, 0
+			e.Order = &Order{Candidate: "b", Age: time.Second, Refused: true}
+		}, "b"},
+		{"candidate of the order lost", func(e *Evidence, p, _, b *Seen) {
+			p.Missing, p.Reaching, b.Missing, b.Reaching = 5, 0, 5, 0
+			e.Order = &Order{Candidate: "b", Age: time.Second}
+		}, "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := group()
+			p, a, b := e.Upstreams["p"], e.Upstreams["a"], e.Upstreams["b"]
+			e.Upstreams["p"], e.Upstreams["a"], e.Upstreams["b"] = p, a, b
+			test.change(&e, &p, &a, &b)
+			for id, s := range map[string]Seen{"p": p, "a": a, "b": b} {
+				if _, ok := e.Upstreams[id]; ok {
+					e.Upstreams[id] = s
+				}
+			}
+			qt.Assert(t, Decide(e).Candidate, qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/balancer/balancer.go
@@ -0,0 +1,115 @@
+// Package balancer chooses the upstream that serves a read.
+//
+// Each candidate is given the time in which it would probably answer: the round
+// trip, the queue before its slots, and a penalty when it may not hold the
+// read's floor yet. The least time wins.
+//
+// # Usage
+//
+//	b := balancer.Balancer{RegionCost: 60 * time.Millisecond}
+//	i := b.Choose(floor, now, candidates)
+//
+// A Balancer is pure: the same arguments give the same choice.
+package balancer
+
+import (
+	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+// Distance is how far an upstream is from the host.
+type Distance string
+
+// The distances.
+const (
+	DistanceDataCentre Distance = "data_centre"
+	DistanceRegion     Distance = "region"
+	DistanceFar        Distance = "far"
+)
+
+const (
+	// regionCost and farCost are round trips of 3 and 60 ms, with the price of
+	// the bytes: the link between regions is narrow and paid by volume.
+	regionCost = 6 * time.Millisecond
+	farCost    = 150 * time.Millisecond
+	// primaryCost keeps slots of the primary free for what only it can serve.
+	primaryCost = 20 * time.Millisecond
+	// handshakeCost is the time of a new connection.
+	handshakeCost = 12 * time.Millisecond
+	// laggingCost is what a refusal as lagging costs: a round trip in vain.
+	laggingCost = 25 * time.Millisecond
+	// laggingMemory is how long such a refusal tells about the next read.
+	laggingMemory = 150 * time.Millisecond
+	// defaultService is a statement's time while none was measured.
+	defaultService = 20 * time.Millisecond
+)
+
+// Candidate is an upstream as the host knows it.
+type Candidate struct {
+	ID       string
+	Distance Distance
+	Primary  bool
+	// Position is the last known position of its log.
+	Position tracker.Position
+	// LaggedAt is when it last refused a read as lagging, at LaggedFloor.
+	LaggedAt    time.Time
+	LaggedFloor tracker.Position
+	// InUse and Waiting are the host's requests at it, Limit the connections
+	// that the host may have.
+	InUse, Waiting, Limit int
+	// Idle is true when a connection of the organisation stands idle.
+	Idle bool
+	// Service is the mean time of a statement; zero means not known.
+	Service time.Duration
+	// Suspect is true when it did not answer of late.
+	Suspect bool
+}
+
+// Choose returns the index of the best candidate, or -1 when all are suspect or
+// there is none.
+func Choose(floor tracker.Position, now time.Time, candidates []Candidate) int {
+	best, bestCost := -1, time.Duration(0)
+	for i, c := range candidates {
+		if c.Suspect || c.Limit <= 0 {
+			continue
+		}
+		cost := c.cost(floor, now)
+		if best < 0 || cost < bestCost || (cost == bestCost && c.ID < candidates[best].ID) {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// cost is the time in which the candidate would answer, with what its use
+// costs others.
+func (c Candidate) cost(floor tracker.Position, now time.Time) time.Duration {
+	cost := time.Duration(0)
+	switch c.Distance {
+	case DistanceRegion:
+		cost += regionCost
+	case DistanceFar:
+		cost += farCost
+	}
+	service := c.Service
+	if service == 0 {
+		service = defaultService
+	}
+	cost += service * time.Duration(c.InUse+c.Waiting) / time.Duration(c.Limit)
+	if c.Waiting > 0 {
+		cost += service
+	}
+	if c.Primary {
+		return cost + primaryCost
+	}
+	if !c.Idle {
+		cost += handshakeCost
+	}
+	if c.Position.Less(floor) && now.Sub(c.LaggedAt) < laggingMemory && !floor.Less(c.LaggedFloor) {
+		cost += laggingCost + laggingMemory
+	} else if c.Position.Less(floor) {
+		cost += laggingCost / 4
+	}
+	return cost
+}
--- /dev/null
+++ b/pkg/keeper/command.go
@@ -0,0 +1,56 @@
+package keeper
+
+// CommandKind names what a command changes.
+type CommandKind string
+
+// The kinds of commands.
+const (
+	CommandConfigure CommandKind = "configure"
+	CommandObserve   CommandKind = "observe"
+	CommandRemove    CommandKind = "remove"
+	CommandPromote   CommandKind = "promote"
+	CommandMember    CommandKind = "member"
+)
+
+// Command is one entry of the agreed log.
+type Command struct {
+	Kind CommandKind `json:"kind"`
+	// Version and Document are set for CommandConfigure.
+	Version  uint64 `json:"version,omitempty"`
+	Document []byte `json:"document,omitempty"`
+	// Upstream is set for CommandObserve; its ID, Born and Sequence for
+	// CommandRemove.
+	Upstream *Upstream `json:"upstream,omitempty"`
+	// Service, Candidate, Holder and Reason are set for CommandPromote.
+	Service   string `json:"service,omitempty"`
+	Candidate string `json:"candidate,omitempty"`
+	Holder    string `json:"holder,omitempty"`
+	Reason    string `json:"reason,omitempty"`
+	// Member is set for CommandMember.
+	Member *Member `json:"member,omitempty"`
+}
+
+// Member is a control host as the others reach it.
+type Member struct {
+	// ID names one data folder: a host that lost its folder has another ID.
+	ID string `json:"id"`
+	// Node is the name of the machine.
+	Node string `json:"node"`
+	// PeerAddress takes messages of the agreement and hosts' attendance.
+	PeerAddress string `json:"peer_address"`
+	// OperatorAddress takes operators' and upstreams' calls.
+	OperatorAddress string `json:"operator_address"`
+	DataCentre      string `json:"data_centre"`
+	Region          string `json:"region"`
+}
+
+// Promotion is the newest decision about a service's primary.
+type Promotion struct {
+	Service   string `json:"service"`
+	Candidate string `json:"candidate"`
+	// Holder is the control host that orders the promotion.
+	Holder string `json:"holder"`
+	// Token fences older orders off: the log index of the decision.
+	Token  uint64 `json:"token"`
+	Reason string `json:"reason"`
+}
--- a/pkg/refuser/reason.go
+++ b/pkg/refuser/reason.go
@@ -24,6 +24,9 @@
 	ReasonBatchTooLarge     Reason = "batch_too_large"
 	ReasonProtocolViolation Reason = "protocol_violation"
 	ReasonShuttingDown      Reason = "shutting_down"
+	ReasonStatementUnknown  Reason = "statement_unknown"
+	ReasonStatementTimeout  Reason = "statement_timeout"
+	ReasonUpstreamFailed    Reason = "upstream_failed"
 )
 
 type entry struct {
@@ -51,6 +54,9 @@
 	ReasonUnsupported:       {"0A000", NotRun, "statement is not supported through the proxy", "See docs/COMPATIBILITY.md.", false},
 	ReasonBatchTooLarge:     {"54000", NotRun, "batch exceeds the limit", "Send a Sync more often.", false},
 	ReasonProtocolViolation: {"08P01", NotRun, "message does not fit the protocol", "Check the client library.", true},
+	ReasonStatementUnknown:  {"26000", NotRun, "prepared statement does not exist", "Prepare it first.", false},
+	ReasonStatementTimeout:  {"57014", MayHaveRun, "upstream ended the statement at its time limit", "Check the outcome before repeating the request.", false},
+	ReasonUpstreamFailed:    {"08007", MayHaveRun, "upstream reports that the statement failed", "Check the outcome before repeating the request.", false},
 	ReasonShuttingDown:      {"57P01", NotRun, "host is shutting down", "Reconnect.", true},
 }
 
--- a/pkg/replacer/replacer.go
+++ b/pkg/replacer/replacer.go
@@ -28,8 +28,8 @@
 )
 
 const (
-	// liveWithin is the silence up to which a host counts as live.
-	liveWithin = 5 * time.Second
+	// defaultLiveWithin is the silence up to which a host counts as live.
+	defaultLiveWithin = 5 * time.Second
 	// caughtUpWithin is the number of entries that a learner may lack when it
 	// becomes a voter.
 	caughtUpWithin = 64
@@ -42,6 +42,12 @@
 	// After is the silence after which a voter is replaced. It is longer than
 	// a restart takes.
 	After time.Duration
+	// LiveWithin is the silence up to which a host counts as live; zero means
+	// five seconds.
+	LiveWithin time.Duration
+	// Voters is the number of voters that the fleet grows to when spares are
+	// there; zero means the number it began with.
+	Voters int
 }
 
 // Decide returns the next step.
@@ -50,12 +56,15 @@
 		return Action{Kind: ActionNone}
 	}
 	if id := r.deadLearner(v); id != "" {
-		return dropLearner(v, id, fmt.Sprintf("learner %s has not answered for %s", id, liveWithin))
+		return dropLearner(v, id, fmt.Sprintf("learner %s has not answered for %s", id, r.liveWithin()))
 	}
 	if len(v.Membership.Voters)%2 == 0 {
 		return r.fill(v)
 	}
 	lost := r.lostVoter(v)
+	if lost == "" && len(v.Membership.Voters) < r.Voters {
+		return r.fill(v)
+	}
 	if lost == "" {
 		return r.release(v)
 	}
@@ -111,6 +120,13 @@
 	return Action{Kind: ActionDropLearner, Host: id, Next: next, Why: why}
 }
 
+func (r Replacer) liveWithin() time.Duration {
+	if r.LiveWithin > 0 {
+		return r.LiveWithin
+	}
+	return defaultLiveWithin
+}
+
 func (r Replacer) after() time.Duration {
 	if r.After > 0 {
 		return r.After
@@ -147,7 +163,7 @@
 	rest := withoutVoter(v.Membership, lost)
 	live := 0
 	for _, id := range rest.Voters {
-		if v.answers(id, liveWithin) {
+		if v.answers(id, r.liveWithin()) {
 			live++
 		}
 	}
@@ -156,7 +172,7 @@
 
 func (r Replacer) deadLearner(v View) string {
 	for _, id := range v.Membership.Learners {
-		if !v.answers(id, liveWithin) && v.Now.Sub(v.Heard[id]) >= liveWithin {
+		if !v.answers(id, r.liveWithin()) && v.Now.Sub(v.Heard[id]) >= r.liveWithin() {
 			return id
 		}
 	}
@@ -167,7 +183,7 @@
 // whole old record.
 func (r Replacer) readyLearner(v View) string {
 	for _, id := range v.Membership.Learners {
-		if v.answers(id, liveWithin) && v.Match[id]+caughtUpWithin >= v.Committed && v.Match[id] > 0 && v.HeldPages[id] >= v.Pages {
+		if v.answers(id, r.liveWithin()) && v.Match[id]+caughtUpWithin >= v.Committed && v.Match[id] > 0 && v.HeldPages[id] >= v.Pages {
 			return id
 		}
 	}
@@ -179,7 +195,7 @@
 func (r Replacer) spareFor(v View, lost string) string {
 	var spares []string
 	for id, h := range v.Hosts {
-		if h.Leaving || slices.Contains(v.Membership.All(), id) || v.Now.Sub(v.Heard[id]) >= liveWithin {
+		if h.Leaving || slices.Contains(v.Membership.All(), id) || v.Now.Sub(v.Heard[id]) >= r.liveWithin() {
 			continue
 		}
 		spares = append(spares, id)
--- /dev/null
+++ b/pkg/sharer/sharer.go
@@ -0,0 +1,133 @@
+// Package sharer divides the lent part of organisations' rates between hosts,
+// on the leading control host. Package spender is its other end.
+//
+// What a host may spend is counted until the host has told that it took a
+// smaller grant, or until the grant's lease has certainly ended. A new leader
+// only renews what hosts tell that they hold, for the time of a lease: until
+// then a host that it has not heard may hold any part.
+//
+// # Usage
+//
+//	s := sharer.Sharer{Begun: now, Lease: 8 * time.Second}
+//	s.Take("entry-1", report, now)
+//	number, extras := s.Grant("entry-1", now)
+//
+// A Sharer is plain state: its user serialises the calls.
+package sharer
+
+import (
+	"math"
+	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/spender"
+)
+
+const (
+	// lentPart is what the bases of all hosts leave.
+	lentPart = 1 - spender.BasePart
+	// leaseReserve is added to a lease before what it lent is lent again: the
+	// time a grant may be under way, and the drift of two clocks.
+	leaseReserve = 2 * time.Second
+	// step is the smallest change of a part that is worth a grant.
+	step = 0.01
+)
+
+// Sharer divides rates. Begun and Lease must be set.
+type Sharer struct {
+	// Begun is when the leader began to lead.
+	Begun time.Time
+	// Lease is the time for which extras are lent.
+	Lease time.Duration
+
+	hosts  map[string]*host
+	number uint64
+}
+
+// host is what is known of one incarnation of an entry host.
+type host struct {
+	demands map[string]float64
+	// granted are the extras last granted, bound what the host may hold.
+	granted map[string]float64
+	bound   map[string]float64
+	number  uint64
+	// until is when the newest lease has certainly ended.
+	until time.Time
+}
+
+// Take takes a host's report.
+func (s *Sharer) Take(id string, r spender.Report, now time.Time) {
+	if s.hosts == nil {
+		s.hosts = map[string]*host{}
+	}
+	h := s.hosts[id]
+	if h == nil {
+		h = &host{granted: map[string]float64{}, bound: map[string]float64{}, until: now.Add(s.Lease + leaseReserve)}
+		for name, part := range r.Extras {
+			h.granted[name], h.bound[name] = part, part
+		}
+		s.hosts[id] = h
+	}
+	h.demands = r.Demands
+	if r.Grant == h.number {
+		h.bound = copyOf(h.granted)
+	}
+}
+
+// Forget drops a host that has certainly ended.
+func (s *Sharer) Forget(id string) { delete(s.hosts, id) }
+
+// Grant returns a host's new extras, to be told at once. They hold for Lease.
+func (s *Sharer) Grant(id string, now time.Time) (number uint64, extras map[string]float64) {
+	h := s.hosts[id]
+	if h == nil {
+		return 0, nil
+	}
+	s.expire(now)
+	next := map[string]float64{}
+	for name, demand := range h.demands {
+		if part := s.part(h, name, demand, now); part >= step {
+			next[name] = part
+		}
+	}
+	s.number++
+	h.granted, h.number, h.until = next, s.number, now.Add(s.Lease+leaseReserve)
+	for name, part := range next {
+		h.bound[name] = math.Max(h.bound[name], part)
+	}
+	return s.number, copyOf(next)
+}
+
+// part returns what a host gets of one organisation's lent part.
+func (s *Sharer) part(h *host, name string, demand float64, now time.Time) float64 {
+	total, others := 0.0, 0.0
+	for _, other := range s.hosts {
+		total += other.demands[name]
+		if other != h {
+			others += other.bound[name]
+		}
+	}
+	wanted := lentPart * demand / total
+	free := math.Max(0, lentPart-others-h.bound[name])
+	if now.Sub(s.Begun) < s.Lease+leaseReserve {
+		// Hosts that were not heard yet may hold what seems free.
+		free = 0
+	}
+	return math.Min(wanted, h.bound[name]+free)
+}
+
+// expire forgets what hosts held whose lease has ended.
+func (s *Sharer) expire(now time.Time) {
+	for id, h := range s.hosts {
+		if now.After(h.until) {
+			delete(s.hosts, id)
+		}
+	}
+}
+
+func copyOf(m map[string]float64) map[string]float64 {
+	c := make(map[string]float64, len(m))
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/spender/spender.go
@@ -0,0 +1,154 @@
+// Package spender admits an organisation's operations on one host, within the
+// host's share of the organisation's rate and burst.
+//
+// A share has two parts. The base is the host's equal part of half of the rate;
+// it needs nobody's leave, so that a host without control hosts serves on. The
+// extra follows demand, is lent by the leading control host and ends with its
+// lease. All bases and extras together never exceed the rate.
+//
+// # Usage
+//
+//	s := &spender.Spender{Now: timer.Now}
+//	s.SetHosts(6)
+//	s.Grant(3, map[string]float64{"prairie_1": 0.2}, until)
+//	wait, retryAfter, ok := s.Admit(organisation)
+//	report := s.Report()
+package spender
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+)
+
+const (
+	// BasePart is the part of a rate that hosts hold without a lease.
+	BasePart = 0.5
+	// maxWait is how long an operation waits for its token at most. It evens
+	// out arrivals; beyond it the caller is told when to come back.
+	maxWait = 250 * time.Millisecond
+	// demandWindow is the time constant of the demand's average.
+	demandWindow = 2 * time.Second
+	// startPart is the part of the burst that a new bucket holds: an earlier
+	// incarnation of the host may have spent the rest.
+	startPart = 0.25
+	// minBurst lets a host with a small share serve single operations.
+	minBurst = 1
+)
+
+// Spender holds a host's buckets. It is safe for concurrent use.
+type Spender struct {
+	// Now is a clock that counts suspensions.
+	Now func() time.Time
+
+	mu      sync.Mutex
+	hosts   int
+	grant   uint64
+	extras  map[string]float64
+	until   time.Time
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	level  float64
+	at     time.Time
+	demand float64
+}
+
+// Report is what the leading control host learns of a host's shares.
+type Report struct {
+	// Grant is the number of the newest grant taken.
+	Grant uint64 `json:"grant"`
+	// Demands are operations a second by organisation, refused ones included.
+	Demands map[string]float64 `json:"demands,omitempty"`
+	// Extras are the lent parts of the rates that the host may spend.
+	Extras map[string]float64 `json:"extras,omitempty"`
+}
+
+// SetHosts tells over how many hosts the bases are spread.
+func (s *Spender) SetHosts(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = n
+}
+
+// Grant replaces the extras. They end at until.
+func (s *Spender) Grant(number uint64, extras map[string]float64, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant, s.extras, s.until = number, extras, until
+}
+
+// share returns the part of an organisation's rate that the host may spend.
+func (s *Spender) share(organisation string, now time.Time) float64 {
+	share := BasePart / float64(max(1, s.hosts))
+	if now.Before(s.until) {
+		share += s.extras[organisation]
+	}
+	return share
+}
+
+// Admit spends one operation. The caller waits for the returned time before
+// it goes on. When ok is false, nothing was spent and the operation may come
+// back after retryAfter.
+func (s *Spender) Admit(o keeper.Organisation) (wait, retryAfter time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	share := s.share(o.Name, now)
+	rate, burst := o.Rate*share, math.Max(minBurst, o.Burst*share)
+	b := s.bucket(o.Name, burst, now)
+	elapsed := now.Sub(b.at).Seconds()
+	b.at = now
+	b.demand = b.demand*math.Exp(-elapsed/demandWindow.Seconds()) + 1/demandWindow.Seconds()
+	b.level = math.Min(burst, b.level+rate*elapsed)
+	if b.level >= 1 {
+		b.level--
+		return 0, 0, true
+	}
+	if rate <= 0 {
+		return 0, time.Second, false
+	}
+	lack := time.Duration((1 - b.level) / rate * float64(time.Second))
+	if lack > maxWait {
+		return 0, lack, false
+	}
+	b.level--
+	return lack, 0, true
+}
+
+func (s *Spender) bucket(name string, burst float64, now time.Time) *bucket {
+	if b := s.buckets[name]; b != nil {
+		return b
+	}
+	if s.buckets == nil {
+		s.buckets = map[string]*bucket{}
+	}
+	b := &bucket{level: burst * startPart, at: now}
+	s.buckets[name] = b
+	return b
+}
+
+// minReported is the demand below which an organisation is left out of
+// reports.
+const minReported = 0.05
+
+// Report returns what the leading control host must know.
+func (s *Spender) Report() Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	r := Report{Grant: s.grant, Demands: map[string]float64{}}
+	for name, b := range s.buckets {
+		d := b.demand * math.Exp(-now.Sub(b.at).Seconds()/demandWindow.Seconds())
+		if d >= minReported {
+			r.Demands[name] = math.Round(d*100) / 100
+		}
+	}
+	if now.Before(s.until) {
+		r.Extras = s.extras
+	}
+	return r
+}
