Lend shares from the first leader's start, and let starved hosts ask at once

Ruled out: the lowered rate of one organisation (its refusals are due). Change: the first leader of a fleet lends at once; a host without a token reports at once, at most every 150 ms; a refusal tells rate, share and tokens.

--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -73,7 +73,7 @@
 	c.lead.heard = map[string]time.Time{}
 	c.lead.members = map[string]keeper.Member{}
 	c.lead.groups = map[string]*group{}
-	c.lead.shares = sharer.Sharer{Begun: now, Lease: shareLease}
+	c.lead.shares = sharer.Sharer{Begun: now, Lease: shareLease, First: c.state.Configuration().Version == 0}
 }
 
 // tick takes the leader's decisions.
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -122,6 +122,7 @@
 		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Sights: e.sights, Taken: e.take, Log: e.Log,
 	}
 	e.board.SightsChanged = e.attender.Poke
+	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Upstreams: e.set, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"fmt"
 	"hash/fnv"
 	"time"
 
@@ -52,7 +53,7 @@
 	if st.Verb != VerbBegin && !r.reads && !r.writes {
 		return s.refuse(st, view, refuser.New(refuser.ReasonProtocolViolation, string(st.Verb)+" outside a transaction"))
 	}
-	if refusal := s.admit(ctx, r, o); refusal != nil {
+	if refusal := s.admit(ctx, o); refusal != nil {
 		return s.refuse(st, view, refusal)
 	}
 	if st.Verb == VerbBegin {
@@ -70,22 +71,22 @@
 
 // admit spends a token of the organisation's rate. Routes open to all have no
 // organisation.
-func (s *session) admit(ctx context.Context, r *request, o keeper.Organisation) *refuser.Refusal {
+func (s *session) admit(ctx context.Context, o keeper.Organisation) *refuser.Refusal {
 	if o.Name == "" || s.server.Admit == nil {
 		return nil
 	}
-	wait, retryAfter, ok := s.server.Admit(o)
-	if !ok {
-		refusal := refuser.New(refuser.ReasonRateExceeded, "organisation "+o.Name)
-		refusal.RetryAfter = retryAfter
+	a := s.server.Admit(o)
+	if !a.Admitted {
+		detail := fmt.Sprintf("organisation %s, rate %g, burst %g, share %.3f, tokens %.2f", o.Name, o.Rate, o.Burst, a.Share, a.Level)
+		refusal := refuser.New(refuser.ReasonRateExceeded, detail)
+		refusal.RetryAfter = a.RetryAfter
 		return refusal
 	}
-	if wait <= 0 {
+	if a.Wait <= 0 {
 		return nil
 	}
 	select {
-	case <-time.After(wait):
-		r.arrivedLate = wait
+	case <-time.After(a.Wait):
 	case <-ctx.Done():
 	}
 	return nil
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -36,12 +36,11 @@
 	organisation string
 	// arrived is when the statement was read, by the clock that counts
 	// suspensions.
-	arrived     time.Time
-	arrivedLate time.Duration
-	deadline    time.Time
-	version     uint64
-	reads       bool
-	writes      bool
+	arrived  time.Time
+	deadline time.Time
+	version  uint64
+	reads    bool
+	writes   bool
 	// shape is set for VerbExecute.
 	shape    statementShape
 	attempts int
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -29,6 +29,7 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/spender"
 )
 
 const (
@@ -53,9 +54,8 @@
 	// View returns what is agreed on, and a channel that is closed when there
 	// is something newer.
 	View func() (*keeper.View, <-chan struct{})
-	// Admit spends a token of an organisation's rate. It returns how long to
-	// wait for it, or the time to try again when there is none.
-	Admit func(o keeper.Organisation) (wait, retryAfter time.Duration, ok bool)
+	// Admit spends a token of an organisation's rate.
+	Admit func(o keeper.Organisation) spender.Admission
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// DistanceTo classes an upstream's data centre.
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -38,6 +38,9 @@
 	Begun time.Time
 	// Lease is the time for which extras are lent.
 	Lease time.Duration
+	// First is true for the first leader of a fleet: no other one lent
+	// anything.
+	First bool
 
 	hosts  map[string]*host
 	number uint64
@@ -108,7 +111,7 @@
 	}
 	wanted := lentPart * demand / total
 	free := math.Max(0, lentPart-others-h.bound[name])
-	if now.Sub(s.Begun) < s.Lease+leaseReserve {
+	if !s.First && now.Sub(s.Begun) < s.Lease+leaseReserve {
 		// Hosts that were not heard yet may hold what seems free.
 		free = 0
 	}
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -11,7 +11,7 @@
 //	s := &spender.Spender{Now: timer.Now}
 //	s.SetHosts(6)
 //	s.Grant(3, map[string]float64{"prairie_1": 0.2}, until)
-//	wait, retryAfter, ok := s.Admit(organisation)
+//	admission := s.Admit(organisation)
 //	report := s.Report()
 package spender
 
@@ -33,7 +33,9 @@
 	demandWindow = 2 * time.Second
 	// startPart is the part of the burst that a new bucket holds: an earlier
 	// incarnation of the host may have spent the rest.
-	startPart = 0.25
+	startPart = 0.5
+	// starvedInterval is the least time between two calls of Starved.
+	starvedInterval = 150 * time.Millisecond
 	// minBurst lets a host with a small share serve single operations.
 	minBurst = 1
 )
@@ -42,8 +44,12 @@
 type Spender struct {
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
+	// Starved is called, at most every 150 ms, when an operation finds no
+	// token; nil means nobody is told. It must not block.
+	Starved func()
 
 	mu      sync.Mutex
+	starved time.Time
 	hosts   int
 	grant   uint64
 	extras  map[string]float64
@@ -90,10 +96,22 @@
 	return share
 }
 
-// Admit spends one operation. The caller waits for the returned time before
-// it goes on. When ok is false, nothing was spent and the operation may come
-// back after retryAfter.
-func (s *Spender) Admit(o keeper.Organisation) (wait, retryAfter time.Duration, ok bool) {
+// Admission is the decision on one operation.
+type Admission struct {
+	// Admitted is false when nothing was spent. The operation may then come
+	// back after RetryAfter.
+	Admitted   bool
+	RetryAfter time.Duration
+	// Wait is the time before an admitted operation goes on.
+	Wait time.Duration
+	// Share is the host's part of the rate, and Level its tokens before the
+	// decision.
+	Share float64
+	Level float64
+}
+
+// Admit spends one operation of an organisation.
+func (s *Spender) Admit(o keeper.Organisation) Admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
@@ -104,19 +122,28 @@
 	b.at = now
 	b.demand = b.demand*math.Exp(-elapsed/demandWindow.Seconds()) + 1/demandWindow.Seconds()
 	b.level = math.Min(burst, b.level+rate*elapsed)
+	a := Admission{Share: share, Level: b.level}
 	if b.level >= 1 {
 		b.level--
-		return 0, 0, true
+		a.Admitted = true
+		return a
+	}
+	if s.Starved != nil && now.Sub(s.starved) >= starvedInterval {
+		s.starved = now
+		s.Starved()
 	}
 	if rate <= 0 {
-		return 0, time.Second, false
+		a.RetryAfter = time.Second
+		return a
 	}
 	lack := time.Duration((1 - b.level) / rate * float64(time.Second))
 	if lack > maxWait {
-		return 0, lack, false
+		a.RetryAfter = lack
+		return a
 	}
 	b.level--
-	return lack, 0, true
+	a.Admitted, a.Wait = true, lack
+	return a
 }
 
 func (s *Spender) bucket(name string, burst float64, now time.Time) *bucket {
