Leave lagging replicas out, keep time for the statement, recover faster

Cause: after replicas fell behind, one service stayed overloaded for 20 s: each read asked the lagging replica in vain, then queued at the primary until its time was nearly over and was sent to be worked on in vain. After a power loss upstreams counted the dark hosts' connections for 3 s and took no new ones. Ruled out: a fault of replication (positions went on rising). Change: a refusal as lagging is believed for 40 to 640 ms; a connection is only waited for while the statement's time allows; hosts open at most 0.6 of an upstream's connections; election timeout 0.6 s; a session's opening waits for the first configuration.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -37,10 +37,13 @@
 
 const (
 	tickInterval = 50 * time.Millisecond
-	// heartbeat and electionTimeout let a leader be replaced within two
-	// seconds, with round trips of 60 ms and syncs of some milliseconds.
-	heartbeat       = 200 * time.Millisecond
-	electionTimeout = 1000 * time.Millisecond
+	// heartbeat and electionTimeout let a leader be replaced within a second,
+	// with round trips of 60 ms and syncs of some milliseconds.
+	heartbeat       = 150 * time.Millisecond
+	electionTimeout = 600 * time.Millisecond
+	// jitterPart is the random part of the election timeout that keeps hosts
+	// from standing at once.
+	jitterPart = 2
 	// drift bounds how much faster one clock runs than another.
 	drift = 0.01
 	// inboxSize bounds the functions that wait for the control goroutine.
@@ -175,11 +178,14 @@
 	}
 	c.applied = loaded.Snapshot.Index
 	c.elector, err = elector.New(elector.Config{
-		ID: c.id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Drift: drift, Jitter: rand.N[time.Duration],
+		ID: c.id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Drift: drift, Jitter: jitter,
 	}, loaded.Hard, loaded.Snapshot, loaded.Entries, c.Now())
 	return err
 }
 
+// jitter returns a random part of an election timeout.
+func jitter(bound time.Duration) time.Duration { return rand.N(bound / jitterPart) }
+
 // found names a host with a new data folder. A founder goes by its address and
 // begins with the founders as voters; any other host goes by its folder and
 // waits to be admitted.
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -36,6 +36,10 @@
 	// reservedConnections are left of an upstream's connections for control
 	// hosts' questions.
 	reservedConnections = 2
+	// usedPart is the part of an upstream's connections that hosts open. The
+	// rest is free for hosts that start again while the upstream still counts
+	// the connections of before.
+	usedPart = 0.6
 	// reservedDescriptors are left for files and the process's own
 	// connections.
 	reservedDescriptors = 400
@@ -138,7 +142,7 @@
 	e.board.Update(view.Upstreams)
 	e.set.Update(view.Upstreams, func(service string) int {
 		most := view.Configuration.Services[service].MaxConnections
-		return max(1, (most-reservedConnections)/max(1, view.Hosts))
+		return max(1, int(usedPart*float64(most-reservedConnections))/max(1, view.Hosts))
 	})
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
--- a/internal/transactor/board.go
+++ b/internal/transactor/board.go
@@ -25,6 +25,10 @@
 	probeInterval = 150 * time.Millisecond
 	// watchInterval is how often outstanding requests are looked at.
 	watchInterval = 50 * time.Millisecond
+	// minLagging and maxLagging bound the time for which a refusal as lagging
+	// is believed.
+	minLagging = 40 * time.Millisecond
+	maxLagging = 640 * time.Millisecond
 	// serviceWeight is the weight of the newest statement in the mean time.
 	serviceWeight = 0.1
 )
@@ -46,11 +50,14 @@
 
 // sight is what was seen of one upstream.
 type sight struct {
-	upstream    keeper.Upstream
-	position    tracker.Position
-	heardAt     time.Time
-	laggedAt    time.Time
+	upstream keeper.Upstream
+	position tracker.Position
+	heardAt  time.Time
+	// laggedFloor and laggedUntil keep reads away from an upstream that refused
+	// one as lagging; the time doubles while it goes on.
 	laggedFloor tracker.Position
+	laggedUntil time.Time
+	laggedFor   time.Duration
 	service     time.Duration
 	// outstanding are the requests without an answer; silentSince is when the
 	// oldest silence among them began.
@@ -164,6 +171,9 @@
 	s.heardAt = s.silentSince
 	if !p.IsZero() {
 		s.position = p
+		if !p.Less(s.laggedFloor) {
+			s.laggedFor = 0
+		}
 	}
 	if took > 0 {
 		if s.service == 0 {
@@ -177,8 +187,16 @@
 func (b *Board) Lagged(id string, floor tracker.Position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s := b.upstreams[id]; s != nil {
-		s.laggedAt, s.laggedFloor = b.Now(), floor
+	s := b.upstreams[id]
+	if s == nil {
+		return
+	}
+	now := b.Now()
+	if now.Before(s.laggedUntil) && floor.Less(s.laggedFloor) {
+		s.laggedFloor = floor
+	} else if !now.Before(s.laggedUntil) {
+		s.laggedFor = min(max(2*s.laggedFor, minLagging), maxLagging)
+		s.laggedFloor, s.laggedUntil = floor, now.Add(s.laggedFor)
 	}
 }
 
@@ -190,10 +208,28 @@
 	if s == nil {
 		return
 	}
-	c.Position, c.LaggedAt, c.LaggedFloor = s.position, s.laggedAt, s.laggedFloor
+	c.Position, c.LaggedFloor, c.LaggedUntil = s.position, s.laggedFloor, s.laggedUntil
 	c.Service, c.Suspect = s.service, s.suspect
 }
 
+// minService is the time of a statement that is kept for an upstream of which
+// nothing was measured.
+const minService = 50 * time.Millisecond
+
+// maxService bounds it for a slow upstream.
+const maxService = 250 * time.Millisecond
+
+// Service returns the time that a statement must have left when it is sent to
+// an upstream: with less it would be worked on in vain.
+func (b *Board) Service(id string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.upstreams[id]; s != nil {
+		return max(minService, min(2*s.service, maxService))
+	}
+	return minService
+}
+
 // IsSuspect reports whether an upstream does not accept connections.
 func (b *Board) IsSuspect(id string) bool {
 	b.mu.Lock()
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -133,7 +133,7 @@
 	if pool == nil {
 		return nil, &connector.ConnectError{Upstream: id, Err: errors.New("upstream is unknown")}
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-r.session.server.Board.Service(id)))
 	defer cancel()
 	organisation := r.organisation
 	if organisation == "" {
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -23,6 +23,9 @@
 	// maxValues and maxPrepared bound what one session may hold.
 	maxValues   = 64
 	maxPrepared = 256
+	// firstViewWait is how long a session's opening waits for the first
+	// configuration. Callers wait for two seconds.
+	firstViewWait = 1500 * time.Millisecond
 	// defaultTimeout bounds a statement whose route names no time.
 	defaultTimeout = time.Second
 )
@@ -95,7 +98,7 @@
 		return false
 	}
 	s.startup = startup
-	view, _ := s.server.View()
+	view := s.server.firstView()
 	_, _, refusal := s.authorise(view)
 	if refusal != nil {
 		s.server.Log.Warn(logger.EventSessionRefused, zap.String("route", startup.Route), zap.Uint64("version", view.Configuration.Version), zap.String("reason", string(refusal.Reason)))
@@ -103,6 +106,24 @@
 	return s.answer(Reply{Opening: true, Refusal: refusal, State: connector.StateIdle}) && refusal == nil
 }
 
+// firstView returns the view. A host that has just started waits a moment for
+// its first configuration.
+func (s *Server) firstView() *keeper.View {
+	timer := time.NewTimer(firstViewWait)
+	defer timer.Stop()
+	for {
+		view, changed := s.View()
+		if view.Configuration.Version > 0 {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return view
+		}
+	}
+}
+
 // authorise returns the route and the organisation of the session under a
 // view.
 func (s *session) authorise(view *keeper.View) (keeper.Route, keeper.Organisation, *refuser.Refusal) {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -6,10 +6,9 @@
 //
 // # Usage
 //
-//	b := balancer.Balancer{RegionCost: 60 * time.Millisecond}
-//	i := b.Choose(floor, now, candidates)
+//	i := balancer.Choose(floor, now, candidates)
 //
-// A Balancer is pure: the same arguments give the same choice.
+// Choose is pure: the same arguments give the same choice.
 package balancer
 
 import (
@@ -37,10 +36,9 @@
 	primaryCost = 20 * time.Millisecond
 	// handshakeCost is the time of a new connection.
 	handshakeCost = 12 * time.Millisecond
-	// laggingCost is what a refusal as lagging costs: a round trip in vain.
-	laggingCost = 25 * time.Millisecond
-	// laggingMemory is how long such a refusal tells about the next read.
-	laggingMemory = 150 * time.Millisecond
+	// unknownCost is the risk that an upstream whose position is below the
+	// floor has not reached it since.
+	unknownCost = 6 * time.Millisecond
 	// defaultService is a statement's time while none was measured.
 	defaultService = 20 * time.Millisecond
 )
@@ -52,9 +50,10 @@
 	Primary  bool
 	// Position is the last known position of its log.
 	Position tracker.Position
-	// LaggedAt is when it last refused a read as lagging, at LaggedFloor.
-	LaggedAt    time.Time
+	// LaggedFloor is the floor at which it last refused a read as lagging, and
+	// LaggedUntil the time for which that is believed of higher floors.
 	LaggedFloor tracker.Position
+	LaggedUntil time.Time
 	// InUse and Waiting are the host's requests at it, Limit the connections
 	// that the host may have.
 	InUse, Waiting, Limit int
@@ -67,14 +66,14 @@
 }
 
 // Choose returns the index of the best candidate, or -1 when all are suspect or
-// there is none.
+// behind the floor, or there is none.
 func Choose(floor tracker.Position, now time.Time, candidates []Candidate) int {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
-		if c.Suspect || c.Limit <= 0 {
+		if c.Suspect || c.Limit <= 0 || c.isLagging(floor, now) {
 			continue
 		}
-		cost := c.cost(floor, now)
+		cost := c.cost(floor)
 		if best < 0 || cost < bestCost || (cost == bestCost && c.ID < candidates[best].ID) {
 			best, bestCost = i, cost
 		}
@@ -84,7 +83,7 @@
 
 // cost is the time in which the candidate would answer, with what its use
 // costs others.
-func (c Candidate) cost(floor tracker.Position, now time.Time) time.Duration {
+func (c Candidate) cost(floor tracker.Position) time.Duration {
 	cost := time.Duration(0)
 	switch c.Distance {
 	case DistanceRegion:
@@ -106,10 +105,13 @@
 	if !c.Idle {
 		cost += handshakeCost
 	}
-	if c.Position.Less(floor) && now.Sub(c.LaggedAt) < laggingMemory && !floor.Less(c.LaggedFloor) {
-		cost += laggingCost + laggingMemory
-	} else if c.Position.Less(floor) {
-		cost += laggingCost / 4
+	if c.Position.Less(floor) {
+		cost += unknownCost
 	}
 	return cost
 }
+
+// isLagging reports whether the candidate is known not to hold the floor.
+func (c Candidate) isLagging(floor tracker.Position, now time.Time) bool {
+	return !c.Primary && c.Position.Less(floor) && now.Before(c.LaggedUntil) && !floor.Less(c.LaggedFloor)
+}
