Do an attempt's requests as one batch on a lease

Cause: an attempt at a statement took up to four round trips by its own hand, so that a connection could not be another host's. Change: connector.Lease and Batch; a session that is ended looks once more for a statement; a drain stops accepting before its last look.

--- /dev/null
+++ b/internal/connector/batch.go
@@ -0,0 +1,149 @@
+package connector
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Preparation is a statement that must be prepared on a connection.
+type Preparation struct {
+	// Name is the name that the statement has on upstreams.
+	Name string
+	// Text names the statement, its access and its shape.
+	Text string
+}
+
+// Batch is work on one connection: requests in their order, up to the first
+// that fails.
+type Batch struct {
+	// Values are all session values that must hold on the connection.
+	Values map[string]string
+	// Prepare is prepared first; a zero one means nothing.
+	Prepare  Preparation
+	Requests []Request
+}
+
+// RunError means that a batch ended before its last request was answered.
+type RunError struct {
+	// Sent is true when a forwarded statement without an answer may have run.
+	Sent bool
+	Err  error
+}
+
+// Error implements error.
+func (e *RunError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *RunError) Unwrap() error { return e.Err }
+
+// Limits bound the time of a batch.
+type Limits struct {
+	// Deadline is when the last answer is of use.
+	Deadline time.Time
+	// Reserve is what must be left of the time when a connection is had: with
+	// less, the work would be done in vain.
+	Reserve time.Duration
+}
+
+// Lease is the right to one connection to an upstream, for one transaction. A
+// connection is taken with the first batch and given back by End.
+type Lease struct {
+	Upstream string
+	// Run does a batch and returns the answers that came.
+	Run func(ctx context.Context, limits Limits, b Batch) ([]Answer, error)
+	// End rolls back what is open and gives the connection back. It may be
+	// called again.
+	End func()
+}
+
+// rollbackTimeout bounds the wait for the answer to a rollback. Without it the
+// connection is closed, which rolls back too.
+const rollbackTimeout = 500 * time.Millisecond
+
+// Lease returns a lease of a connection of this host's own.
+func (s *Set) Lease(upstream, organisation string) *Lease {
+	var conn *Conn
+	var pool *Pool
+	run := func(ctx context.Context, limits Limits, b Batch) ([]Answer, error) {
+		if conn == nil {
+			pool = s.Pool(upstream)
+			if pool == nil {
+				return nil, &RunError{Err: &ConnectError{Upstream: upstream, Err: fmt.Errorf("upstream is unknown")}}
+			}
+			ctx, cancel := context.WithDeadline(ctx, limits.Deadline.Add(-limits.Reserve))
+			defer cancel()
+			c, err := pool.Acquire(ctx, organisation, b.Values)
+			if err != nil {
+				return nil, &RunError{Err: err}
+			}
+			conn = c
+		}
+		return conn.Run(limits.Deadline, b)
+	}
+	var once sync.Once
+	end := func() {
+		once.Do(func() {
+			if conn != nil {
+				conn.rollBack()
+				pool.Release(conn)
+			}
+		})
+	}
+	return &Lease{Upstream: upstream, Run: run, End: end}
+}
+
+// Run does a batch on the connection. A rollback that ends the batch is sent
+// together with the request before it.
+func (c *Conn) Run(deadline time.Time, b Batch) ([]Answer, error) {
+	if err := c.Adopt(deadline, b.Values); err != nil {
+		return nil, &RunError{Err: err}
+	}
+	if err := c.Prepare(deadline, b.Prepare); err != nil {
+		return nil, &RunError{Err: err}
+	}
+	answers := make([]Answer, 0, len(b.Requests))
+	for i := 0; i < len(b.Requests); i++ {
+		send := b.Requests[i : i+1]
+		if i+2 == len(b.Requests) && b.Requests[i+1].Verb == VerbRollback {
+			send = b.Requests[i:]
+		}
+		forwarded := send[0].Verb == VerbForward
+		if err := c.Send(deadline, send...); err != nil {
+			return answers, &RunError{Sent: forwarded, Err: err}
+		}
+		a, err := c.Receive()
+		if err != nil {
+			return answers, &RunError{Sent: forwarded, Err: err}
+		}
+		answers = append(answers, a)
+		if len(send) == 2 {
+			c.receiveRollback()
+			return answers, nil
+		}
+		if a.Failure != FailureNone {
+			return answers, nil
+		}
+	}
+	return answers, nil
+}
+
+// receiveRollback reads the answer to a rollback. Nothing depends on it but
+// whether the connection can be used again.
+func (c *Conn) receiveRollback() {
+	if a, err := c.Receive(); err != nil || a.State != StateIdle {
+		c.broken = true
+	}
+}
+
+// rollBack makes sure that no transaction is open.
+func (c *Conn) rollBack() {
+	if c.broken || c.state == StateIdle {
+		return
+	}
+	a, err := c.Do(time.Now().Add(rollbackTimeout), Request{Verb: VerbRollback})
+	if err != nil || a.State != StateIdle {
+		c.broken = true
+	}
+}
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -77,24 +77,17 @@
 	return c.Receive()
 }
 
-// Ended reports whether no transaction is open on the connection.
-func (c *Conn) Ended() bool { return c.broken || c.state == StateIdle }
-
-// MarkBroken makes the pool close the connection when it is released.
-func (c *Conn) MarkBroken() { c.broken = true }
-
 func (c *Conn) fail(what string, err error) error {
 	c.broken = true
 	return fmt.Errorf("connector: %s of upstream %s: %w", what, c.Upstream, err)
 }
 
-// Prepare makes the connection hold a prepared statement. The text names the
-// statement, its access and its shape.
-func (c *Conn) Prepare(deadline time.Time, name, text string) error {
-	if c.prepared[name] {
+// Prepare makes the connection hold a prepared statement.
+func (c *Conn) Prepare(deadline time.Time, p Preparation) error {
+	if p.Name == "" || c.prepared[p.Name] {
 		return nil
 	}
-	a, err := c.Do(deadline, Request{Verb: VerbPrepare, Text: text})
+	a, err := c.Do(deadline, Request{Verb: VerbPrepare, Text: p.Text})
 	if err != nil {
 		return err
 	}
@@ -102,13 +95,13 @@
 		c.broken = true
 		return &SetupError{Upstream: c.Upstream, What: "prepare", Failure: a.Failure, Detail: a.Detail}
 	}
-	c.prepared[name] = true
+	c.prepared[p.Name] = true
 	return nil
 }
 
 // Adopt makes the connection hold exactly a session's values.
 func (c *Conn) Adopt(deadline time.Time, values map[string]string) error {
-	if c.holdsOnly(values) && len(c.prepared) <= maxPrepared {
+	if c.holdsOnly(values) && (len(c.prepared) <= maxPrepared || c.state != StateIdle) {
 		return c.setAll(deadline, values)
 	}
 	a, err := c.Do(deadline, Request{Verb: VerbReset})
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -9,9 +9,9 @@
 //
 //	set := &connector.Set{Dialer: &connector.Dialer{Codec: codec}}
 //	set.Update(upstreams, limits)
-//	conn, err := set.Pool("i-1").Acquire(ctx, "prairie_1", values)
-//	answer, err := conn.Do(deadline, request)
-//	set.Pool("i-1").Release(conn)
+//	lease := set.Lease("i-1", "prairie_1")
+//	answers, err := lease.Run(ctx, limits, batch)
+//	lease.End()
 package connector
 
 import (
@@ -30,7 +30,7 @@
 
 // Update makes the set hold a pool for each upstream, with a limit of
 // connections each.
-func (s *Set) Update(upstreams map[string]keeper.Upstream, limit func(service string) int) {
+func (s *Set) Update(upstreams map[string]keeper.Upstream, limit func(u keeper.Upstream) int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pools == nil {
@@ -45,10 +45,10 @@
 	}
 	for id, u := range upstreams {
 		if p := s.pools[id]; p != nil {
-			p.SetLimit(limit(u.Service))
+			p.SetLimit(limit(u))
 			continue
 		}
-		s.pools[id] = newPool(s.Dialer, u, limit(u.Service))
+		s.pools[id] = newPool(s.Dialer, u, limit(u))
 	}
 }
 
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -54,18 +54,6 @@
 	return p.opened
 }
 
-// HasIdle reports whether an idle connection of an organisation is there.
-func (p *Pool) HasIdle(organisation string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		if c.Organisation == organisation {
-			return true
-		}
-	}
-	return false
-}
-
 // Acquire returns a connection of an organisation, one that fits the values
 // best. It waits in the queue until ctx ends.
 func (p *Pool) Acquire(ctx context.Context, organisation string, values map[string]string) (*Conn, error) {
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -128,7 +128,7 @@
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Upstreams: e.set, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lease, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	if e.Settings.Descriptors > 0 {
@@ -140,13 +140,21 @@
 // take makes the parts follow a new view.
 func (e *Entry) take(view *keeper.View) {
 	e.board.Update(view.Upstreams)
-	e.set.Update(view.Upstreams, func(service string) int {
-		most := view.Configuration.Services[service].MaxConnections
-		return max(1, int(usedPart*float64(most-reservedConnections))/max(1, view.Hosts))
-	})
+	e.set.Update(view.Upstreams, func(u keeper.Upstream) int { return e.limit(view, u) })
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
 
+// limit is how many connections this host may open to an upstream.
+func (e *Entry) limit(view *keeper.View, u keeper.Upstream) int {
+	most := view.Configuration.Services[u.Service].MaxConnections
+	return max(1, int(usedPart*float64(most-reservedConnections))/max(1, view.Hosts))
+}
+
+// lease returns a lease of a connection to an upstream.
+func (e *Entry) lease(u keeper.Upstream, organisation string) *connector.Lease {
+	return e.set.Lease(u.ID, organisation)
+}
+
 func (e *Entry) setReady(ready bool, reason string) {
 	if e.server.IsDraining() {
 		ready = false
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -97,7 +97,7 @@
 	st := r.statement
 	switch {
 	case st.Verb == VerbRollback:
-		s.tx.abandon(s.server)
+		s.tx.abandon()
 		s.tx = nil
 		return Reply{State: connector.StateIdle}
 	case st.Verb == VerbCommit:
@@ -145,9 +145,6 @@
 			break
 		}
 		s.values[st.Name] = st.Value
-		if s.tx != nil {
-			s.tx.stale = true
-		}
 	case VerbPrepare:
 		if _, ok := s.prepared[st.Name]; !ok && len(s.prepared) >= maxPrepared {
 			refusal = refuser.New(refuser.ReasonBatchTooLarge, "session holds too many prepared statements")
@@ -178,7 +175,7 @@
 	if s.tx == nil {
 		return Reply{Refusal: refusal, State: connector.StateIdle}
 	}
-	s.tx.abandon(s.server)
+	s.tx.abandon()
 	if st.Verb == VerbCommit || st.Verb == VerbRollback {
 		s.tx = nil
 		return Reply{Refusal: refusal, State: connector.StateIdle}
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -14,10 +14,7 @@
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
-// noFloor accepts any position.
-var noFloor = tracker.Position{}
-
-// laggingPause is the wait after all upstreams refused a read as lagging.
+// laggingPause is the wait after all upstreams refused a read.
 const laggingPause = 25 * time.Millisecond
 
 // floor returns the position that the session's reads must find. It asks the
@@ -37,25 +34,22 @@
 	return p, nil
 }
 
-// withReplica runs f with a connection to an upstream that may hold the floor,
-// one after the other, until f is done or the statement's time is over.
-func (r *request) withReplica(ctx context.Context, f func(c *connector.Conn, floor tracker.Position, deadline time.Time) (outcome, bool)) outcome {
+// withReplica runs f with leases of connections to upstreams that may hold the
+// floor, one after the other, until it need not be tried again, or the
+// statement's time is over.
+func (r *request) withReplica(ctx context.Context, f func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome) outcome {
 	server := r.session.server
 	floor, refusal := r.floor(ctx)
 	if refusal != nil {
 		return outcome{refusal: refusal}
 	}
 	excluded := map[string]bool{}
-	var last error
-	lagging := false
+	last := outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "service "+r.route.Service, errors.New("no upstream answers"))}
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
 		candidates := r.candidates(view, excluded)
 		i := balancer.Choose(floor, server.Now(), candidates)
 		if i < 0 {
-			if len(excluded) == 0 && last == nil {
-				last = errors.New("no upstream answers")
-			}
 			clear(excluded)
 			if !r.pause(ctx, changed, laggingPause) {
 				break
@@ -64,22 +58,18 @@
 		}
 		id := candidates[i].ID
 		r.attempts++
-		deadline := r.attemptDeadline()
-		c, err := r.acquire(ctx, id, deadline)
-		if err != nil {
-			last = err
-			excluded[id] = true
-			continue
-		}
-		out, done := f(c, floor, deadline)
+		l := r.lease(view.Upstreams[id])
+		out := f(l, floor, r.attemptDeadline())
 		out.upstream, out.floor, out.primary = id, floor, candidates[i].Primary
-		r.release(out, c)
-		if done {
+		if !out.kept {
+			l.End()
+		}
+		if !out.again {
 			return out
 		}
-		last, lagging = out.refusal, out.refusal.Reason == refuser.ReasonNoFloor
+		last = out
 		server.Log.Info(logger.EventRequestRetried, append(r.fields(out), zap.Int("candidates", len(candidates)))...)
-		if lagging {
+		if out.refusal.Reason == refuser.ReasonNoFloor {
 			server.Board.Lagged(id, floor)
 			if next, ok := r.renewFloor(ctx, floor, candidates[i].Primary); ok {
 				floor = next
@@ -87,13 +77,20 @@
 		}
 		excluded[id] = true
 	}
-	reason := refuser.ReasonNoUpstream
-	if lagging {
-		reason = refuser.ReasonNoFloor
+	return r.giveUp(last)
+}
+
+// giveUp is the outcome of a read that no upstream answered. Nothing is kept of
+// a read, whatever became of its attempts.
+func (r *request) giveUp(last outcome) outcome {
+	reason := last.refusal.Reason
+	if reason != refuser.ReasonNoFloor && reason != refuser.ReasonPoolFull {
+		reason = refuser.ReasonNoUpstream
 	}
-	refusal = refuser.Wrap(reason, "service "+r.route.Service, last)
-	refusal.RetryAfter = r.route.TargetLatency / 4
-	return outcome{refusal: refusal, floor: floor}
+	last.refusal = refuser.Wrap(reason, "service "+r.route.Service, last.refusal)
+	last.refusal.RetryAfter = r.route.TargetLatency / 4
+	last.again = false
+	return last
 }
 
 // renewFloor replaces a floor of an earlier term: a promotion may have rolled
@@ -113,70 +110,21 @@
 	return board.Floor(r.route.Service, r.arrived, r.route.MaxAge, r.session.own)
 }
 
-// attemptDeadline leaves time for a second attempt at a read whose answer may
-// be lost.
-func (r *request) attemptDeadline() time.Time {
-	left := time.Until(r.deadline)
-	if r.attempts > 1 {
-		return r.deadline
-	}
-	return time.Now().Add(left / 2)
-}
-
 // readReplica runs a single read on the nearest upstream that holds what it
-// must show.
+// must show. A prepared read runs in a transaction whose beginning carries the
+// floor.
 func (r *request) readReplica(ctx context.Context) outcome {
-	return r.withReplica(ctx, func(c *connector.Conn, floor tracker.Position, deadline time.Time) (outcome, bool) {
-		if err := r.equip(c); err != nil {
-			return notRun(err), false
-		}
+	return r.withReplica(ctx, func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome {
+		requests := []connector.Request{r.forward(floor)}
 		if r.statement.Verb == VerbExecute {
-			return r.executeReplica(ctx, c, floor, deadline)
-		}
-		a, err := r.exchange(ctx, c, deadline, r.forward(floor))
-		if err != nil {
-			return notRun(err), false
-		}
-		if a.State != connector.StateIdle {
-			c.MarkBroken()
+			requests = []connector.Request{
+				{Verb: connector.VerbBegin, ReadOnly: true, Floor: floor}, r.forward(noFloor), {Verb: connector.VerbRollback},
+			}
 		}
-		if a.Failure == connector.FailureNone {
-			return outcome{answer: a}, true
+		a, failed := r.run(ctx, l, deadline, requests...)
+		if failed != nil {
+			return *failed
 		}
-		return r.failedRead(a, c)
+		return outcome{answer: a}
 	})
 }
-
-// executeReplica runs a prepared read in a transaction of its own, whose
-// beginning carries the floor.
-func (r *request) executeReplica(ctx context.Context, c *connector.Conn, floor tracker.Position, deadline time.Time) (outcome, bool) {
-	if out, ok := r.begin(ctx, c, connector.Request{Verb: connector.VerbBegin, ReadOnly: true, Floor: floor}); !ok {
-		return out, false
-	}
-	board := r.session.server.Board
-	board.Asked(c.Upstream)
-	begin := time.Now()
-	if err := c.Send(deadline, r.forward(noFloor), connector.Request{Verb: connector.VerbRollback}); err != nil {
-		r.heard(ctx, c, connector.Answer{}, err, 0)
-		return notRun(err), false
-	}
-	a, err := c.Receive()
-	r.heard(ctx, c, a, err, time.Since(begin))
-	if err != nil {
-		return notRun(err), false
-	}
-	if rolled, err := c.Receive(); err != nil || rolled.State != connector.StateIdle {
-		c.MarkBroken()
-	}
-	if a.Failure == connector.FailureNone {
-		return outcome{answer: a}, true
-	}
-	return r.failedRead(a, c)
-}
-
-// failedRead turns the failure of a read into an outcome. A read may always be
-// tried again.
-func (r *request) failedRead(a connector.Answer, c *connector.Conn) (outcome, bool) {
-	out, _ := r.failed(a, c)
-	return out, false
-}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,10 +21,12 @@
 	// primaryPause is how long a request waits for news of the primary before
 	// it asks again.
 	primaryPause = 40 * time.Millisecond
-	// maxAttempts bounds the upstreams that one statement tries.
+	// maxAttempts bounds the upstreams that one read tries.
 	maxAttempts = 12
 	// answerReserve is the time kept for the answer's way to the caller.
 	answerReserve = 20 * time.Millisecond
+	// publicOrganisation is told to upstreams on routes that are open to all.
+	publicOrganisation = "public"
 )
 
 // request is one statement on its way.
@@ -46,14 +47,17 @@
 	attempts int
 }
 
-// outcome is what became of a request.
+// outcome is what became of a request, or of one attempt at it.
 type outcome struct {
 	answer   connector.Answer
 	refusal  *refuser.Refusal
 	upstream string
 	floor    tracker.Position
 	primary  bool
-	// kept is true when the connection stays with a transaction.
+	// again is true when another attempt may be made: nothing has run, or only
+	// a read.
+	again bool
+	// kept is true when the lease stays with a transaction.
 	kept bool
 }
 
@@ -86,88 +90,117 @@
 	return connector.Request{Verb: connector.VerbForward, ID: r.statement.ID, Text: text, Floor: floor}
 }
 
-// equip gives a connection the session's values and the statement's shape.
-func (r *request) equip(c *connector.Conn) error {
-	if err := c.Adopt(r.deadline, r.session.values); err != nil {
-		return err
+// lease returns a lease of a connection to an upstream.
+func (r *request) lease(u keeper.Upstream) *connector.Lease {
+	organisation := r.organisation
+	if organisation == "" {
+		organisation = publicOrganisation
 	}
-	return r.prepare(c)
+	return r.session.server.Lease(u, organisation)
 }
 
-func (r *request) prepare(c *connector.Conn) error {
-	if r.statement.Verb != VerbExecute {
-		return nil
+// run does requests on a lease with the session's values and the statement's
+// shape. It returns the last answer; failed is set unless all succeeded.
+func (r *request) run(ctx context.Context, l *connector.Lease, deadline time.Time, requests ...connector.Request) (last connector.Answer, failed *outcome) {
+	server := r.session.server
+	b := connector.Batch{Values: r.session.values, Requests: requests}
+	if r.statement.Verb == VerbExecute {
+		b.Prepare = connector.Preparation{Name: r.shape.name, Text: server.Codec.PrepareText(r.shape.name, r.shape.value)}
 	}
-	return c.Prepare(r.deadline, r.shape.name, r.session.server.Codec.PrepareText(r.shape.name, r.shape.value))
-}
-
-// exchange sends one request and reads its answer, and keeps the board.
-func (r *request) exchange(ctx context.Context, c *connector.Conn, deadline time.Time, q connector.Request) (connector.Answer, error) {
-	board := r.session.server.Board
-	board.Asked(c.Upstream)
+	asked := server.Now()
 	begin := time.Now()
-	a, err := c.Do(deadline, q)
-	r.heard(ctx, c, a, err, time.Since(begin))
-	return a, err
+	server.Board.Asked(l.Upstream)
+	answers, err := l.Run(ctx, connector.Limits{Deadline: deadline, Reserve: server.Board.Service(l.Upstream)}, b)
+	r.heard(ctx, l, answers, err, time.Since(begin))
+	for i, a := range answers {
+		if a.Failure != connector.FailureNone {
+			return a, r.failed(a, requests[i], l.Upstream)
+		}
+		r.sampled(asked, requests[i], a)
+		last = a
+		if requests[i].Verb == connector.VerbForward {
+			// What follows only cleans up.
+			return a, nil
+		}
+	}
+	if err != nil {
+		return last, r.unanswered(err, l.Upstream)
+	}
+	return last, nil
 }
 
-// heard keeps the board after an answer.
-func (r *request) heard(ctx context.Context, c *connector.Conn, a connector.Answer, err error, took time.Duration) {
+// heard keeps the board after a run.
+func (r *request) heard(ctx context.Context, l *connector.Lease, answers []connector.Answer, err error, took time.Duration) {
 	board := r.session.server.Board
-	if err == nil && a.Failure != connector.FailureNone {
-		took = 0
+	var position tracker.Position
+	for _, a := range answers {
+		position = a.Position
+		if a.Failure != connector.FailureNone {
+			took = 0
+		}
 	}
-	board.Heard(c.Upstream, err == nil, took, a.Position)
+	board.Heard(l.Upstream, len(answers) > 0, took, position)
 	if err == nil {
 		return
 	}
-	board.Doubt(ctx, c.Upstream)
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
-		r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", c.Upstream), zap.Error(err))
+	var full *connector.QueueError
+	if !errors.As(err, &full) {
+		board.Doubt(context.WithoutCancel(ctx), l.Upstream)
 	}
+	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
 }
 
-// acquire borrows a connection to an upstream.
-func (r *request) acquire(ctx context.Context, id string, deadline time.Time) (*connector.Conn, error) {
-	pool := r.session.server.Upstreams.Pool(id)
-	if pool == nil {
-		return nil, &connector.ConnectError{Upstream: id, Err: errors.New("upstream is unknown")}
+// sampled keeps positions that prove that the primary led.
+func (r *request) sampled(asked time.Time, q connector.Request, a connector.Answer) {
+	if q.Verb == connector.VerbBegin && !q.ReadOnly {
+		r.session.server.Board.Sampled(r.route.Service, asked, a.Position)
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline.Add(-r.session.server.Board.Service(id)))
-	defer cancel()
-	organisation := r.organisation
-	if organisation == "" {
-		organisation = publicOrganisation
-	}
-	c, err := pool.Acquire(ctx, organisation, r.session.values)
-	var failed *connector.ConnectError
-	if errors.As(err, &failed) && failed.Failure == connector.FailureNone {
-		r.session.server.Board.Doubt(context.WithoutCancel(ctx), id)
-	}
-	return c, err
 }
 
-// publicOrganisation is told to upstreams on routes that are open to all.
-const publicOrganisation = "public"
-
-// release gives a connection back unless a transaction keeps it.
-func (r *request) release(out outcome, c *connector.Conn) {
-	if !out.kept {
-		r.session.server.release(c)
+// unanswered turns the error of a run into an outcome.
+func (r *request) unanswered(err error, upstream string) *outcome {
+	var run *connector.RunError
+	if errors.As(err, &run) && run.Sent {
+		return &outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+upstream, err), upstream: upstream, again: r.reads}
+	}
+	var full *connector.QueueError
+	if errors.As(err, &full) {
+		return &outcome{refusal: refuser.Wrap(refuser.ReasonPoolFull, "upstream "+upstream, err), upstream: upstream, again: true}
 	}
+	return &outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "statement was not sent", err), upstream: upstream, again: true}
 }
 
-func (s *Server) release(c *connector.Conn) {
-	if pool := s.Upstreams.Pool(c.Upstream); pool != nil {
-		pool.Release(c)
-		return
+// failed turns an upstream's failure into an outcome.
+func (r *request) failed(a connector.Answer, q connector.Request, upstream string) *outcome {
+	detail := "upstream " + upstream + ": " + a.Detail
+	out := &outcome{upstream: upstream, again: a.Failure.NotRun() || r.reads || q.Verb != connector.VerbForward}
+	switch a.Failure {
+	case connector.FailureReadOnly:
+		out.refusal = refuser.New(refuser.ReasonPrimaryReplaced, detail).WithVerdict(refuser.NotRun)
+	case connector.FailureLagging:
+		out.refusal = refuser.New(refuser.ReasonNoFloor, detail)
+	case connector.FailureTimeout:
+		out.refusal = refuser.New(refuser.ReasonStatementTimeout, detail)
+	case connector.FailureOther:
+		out.refusal = refuser.New(refuser.ReasonUpstreamFailed, detail)
+	default:
+		out.refusal = refuser.New(refuser.ReasonNoUpstream, detail)
 	}
-	c.Close()
+	return out
 }
 
 // remaining is the time left for the statement.
 func (r *request) remaining() time.Duration { return time.Until(r.deadline) - answerReserve }
 
+// attemptDeadline leaves time for a second attempt at a read whose answer may
+// be lost.
+func (r *request) attemptDeadline() time.Time {
+	if r.attempts > 1 {
+		return r.deadline
+	}
+	return time.Now().Add(time.Until(r.deadline) / 2)
+}
+
 // pause waits for news of the view, at most for a time. It returns false when
 // the statement's time is over.
 func (r *request) pause(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
@@ -195,14 +228,8 @@
 		if u.Life != keeper.LifeReady || excluded[u.ID] {
 			continue
 		}
-		pool := server.Upstreams.Pool(u.ID)
-		if pool == nil {
-			continue
-		}
-		load := pool.Load()
 		c := balancer.Candidate{
-			ID: u.ID, Distance: server.Place.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID,
-			InUse: load.InUse, Waiting: load.Waiting, Limit: load.Limit, Idle: pool.HasIdle(r.organisation),
+			ID: u.ID, Distance: server.Place.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
 		}
 		server.Board.Describe(&c)
 		candidates = append(candidates, c)
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	s := &transactor.Server{Codec: codec, Upstreams: set, Board: board, View: view, ...}
+//	s := &transactor.Server{Codec: codec, Lease: lease, Board: board, View: view, ...}
 //	err := s.Serve(ctx, listener)
 //	s.Drain(ctx, 3*time.Second)
 package transactor
@@ -48,9 +48,11 @@
 
 // Server serves callers' sessions. Exported fields are set before Serve.
 type Server struct {
-	Codec     *Codec
-	Upstreams *connector.Set
-	Board     *Board
+	Codec *Codec
+	// Lease returns a lease of a connection to an upstream, for an
+	// organisation.
+	Lease func(u keeper.Upstream, organisation string) *connector.Lease
+	Board *Board
 	// View returns what is agreed on, and a channel that is closed when there
 	// is something newer.
 	View func() (*keeper.View, <-chan struct{})
@@ -69,9 +71,10 @@
 	sessions atomic.Int64
 	draining atomic.Bool
 
-	mu   sync.Mutex
-	open map[*session]bool
-	wait sync.WaitGroup
+	mu            sync.Mutex
+	open          map[*session]bool
+	stopAccepting context.CancelFunc
+	wait          sync.WaitGroup
 }
 
 // Observation is one answered statement.
@@ -87,8 +90,12 @@
 
 // Serve accepts sessions until ctx ends or the listener fails.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-	defer stop()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	s.mu.Lock()
+	s.stopAccepting = cancel
+	s.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -107,7 +114,7 @@
 			_ = conn.Close()
 			continue
 		}
-		s.start(ctx, conn)
+		s.start(context.WithoutCancel(ctx), conn)
 	}
 }
 
@@ -141,14 +148,14 @@
 func (s *Server) IsDraining() bool { return s.draining.Load() }
 
 // Drain closes sessions outside transactions once they are silent, and the
-// others when patience for transactions is over. It returns when none is left
-// or ctx ends.
+// others when patience for transactions is over. When none is left it accepts
+// no more; it returns when those accepted meanwhile have ended too, or ctx ends.
 func (s *Server) Drain(ctx context.Context, patience time.Duration) {
 	s.BeginDrain()
 	begin := time.Now()
 	ticker := time.NewTicker(closeInterval)
 	defer ticker.Stop()
-	for s.sessions.Load() > 0 {
+	for !s.isEmpty() {
 		s.closeSilent(time.Since(begin) > patience)
 		select {
 		case <-ctx.Done():
@@ -158,6 +165,22 @@
 	}
 }
 
+// isEmpty stops accepting once no session is left, and reports whether none was
+// accepted meanwhile.
+func (s *Server) isEmpty() bool {
+	if s.sessions.Load() > 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopAccepting != nil {
+		s.stopAccepting()
+		s.stopAccepting = nil
+		return false
+	}
+	return true
+}
+
 func (s *Server) closeSilent(all bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -26,6 +26,9 @@
 	// firstViewWait is how long a session's opening waits for the first
 	// configuration. Callers wait for two seconds.
 	firstViewWait = 1500 * time.Millisecond
+	// lastLookTime is how long a session that is being ended waits for a
+	// statement under way.
+	lastLookTime = 10 * time.Millisecond
 	// defaultTimeout bounds a statement whose route names no time.
 	defaultTimeout = time.Second
 )
@@ -69,6 +72,9 @@
 	}
 	for {
 		st, err := s.next()
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.isEnded() {
+			st, err = s.lastLook()
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && s.tx != nil && !s.isEnded() {
 			s.expire()
 			continue
@@ -148,7 +154,7 @@
 	deadline := time.Time{}
 	if s.tx != nil {
 		view, _ := s.server.View()
-		if idle := view.Configuration.TransactionIdle; idle > 0 && s.tx.conn != nil {
+		if idle := view.Configuration.TransactionIdle; idle > 0 && s.tx.lease != nil {
 			deadline = time.Now().Add(idle)
 		}
 	}
@@ -170,6 +176,15 @@
 	return st, err
 }
 
+// lastLook reads a statement that arrived while the session was being ended. A
+// passed deadline hides what is already there.
+func (s *session) lastLook() (Statement, error) {
+	if err := s.conn.SetReadDeadline(time.Now().Add(lastLookTime)); err != nil {
+		return Statement{}, err
+	}
+	return s.server.Codec.ReadStatement(s.r)
+}
+
 // answer sends a reply.
 func (s *session) answer(r Reply) bool {
 	s.out = s.server.Codec.AppendReply(s.out[:0], r)
@@ -211,15 +226,15 @@
 // expire ends a transaction that stayed idle too long. The caller learns of it
 // with its next statement.
 func (s *session) expire() {
-	s.server.Log.Warn(logger.EventTransactionExpired, zap.String("route", s.startup.Route), zap.String("upstream", s.tx.upstream))
-	s.tx.abandon(s.server)
+	s.server.Log.Warn(logger.EventTransactionExpired, zap.String("route", s.startup.Route), zap.String("upstream", s.tx.lease.Upstream))
+	s.tx.abandon()
 	s.tx.failed = refuser.New(refuser.ReasonTransactionLost, "transaction stayed idle too long")
 }
 
 // leave ends the session.
 func (s *session) leave(err error) {
 	if s.tx != nil {
-		s.tx.abandon(s.server)
+		s.tx.abandon()
 		s.tx = nil
 	}
 	if err != nil && !errors.Is(err, io.EOF) && !s.isEnded() {
--- a/internal/transactor/transaction.go
+++ b/internal/transactor/transaction.go
@@ -10,10 +10,6 @@
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
-// rollbackTimeout bounds the wait for the answer to a rollback. Without it the
-// connection is closed, which rolls back too.
-const rollbackTimeout = 500 * time.Millisecond
-
 // transaction is a caller's open transaction. Its upstream is chosen with its
 // first statement and stays the same to its end.
 type transaction struct {
@@ -21,16 +17,11 @@
 	// arrived is when the transaction began, by the clock that counts
 	// suspensions.
 	arrived time.Time
-	conn    *connector.Conn
-	// upstream is the upstream's ID once it is chosen.
-	upstream string
-	primary  bool
-	// ran is true once a statement was answered, wrote once a write was sent.
-	ran   bool
+	// lease is nil until the first statement.
+	lease   *connector.Lease
+	primary bool
+	// wrote is true once a write was sent.
 	wrote bool
-	// stale is true when a session value changed since the connection was
-	// equipped.
-	stale bool
 	// failed is why the transaction cannot go on.
 	failed *refuser.Refusal
 }
@@ -46,163 +37,103 @@
 
 // run carries one statement of the transaction out.
 func (t *transaction) run(ctx context.Context, r *request) outcome {
-	if t.conn == nil {
+	if t.lease == nil {
 		return t.first(ctx, r)
 	}
-	if err := t.equip(r); err != nil {
-		t.abandon(r.session.server)
-		return lost(t.upstream, err)
-	}
-	out, _ := t.forward(ctx, r)
-	if out.refusal != nil {
-		t.abandon(r.session.server)
+	t.wrote = t.wrote || r.writes
+	a, failed := t.insist(ctx, r)
+	if failed != nil {
+		t.abandon()
+		return rolledBack(*failed)
 	}
-	return out
+	return outcome{answer: a, upstream: t.lease.Upstream, primary: t.primary}
 }
 
-func (t *transaction) equip(r *request) error {
-	if !t.stale {
-		return r.prepare(t.conn)
+// insist runs a statement, again while the upstream has no free place for it
+// and the transaction stands.
+func (t *transaction) insist(ctx context.Context, r *request) (connector.Answer, *outcome) {
+	for {
+		a, failed := r.run(ctx, t.lease, r.deadline, r.forward(noFloor))
+		busy := a.Failure == connector.FailureBusy && a.State == connector.StateTransaction
+		if !busy || !r.pause(ctx, nil, retryPause) {
+			return a, failed
+		}
+		r.attempts++
 	}
-	t.stale = false
-	return r.equip(t.conn)
 }
 
 // first opens the transaction on an upstream and runs its first statement. As
-// nothing was answered yet, it may begin anew elsewhere.
+// nothing was answered yet, it may begin anew elsewhere: what a lost
+// connection leaves is rolled back.
 func (t *transaction) first(ctx context.Context, r *request) outcome {
 	r.arrived = t.arrived
+	var out outcome
 	if t.needsPrimary(r) {
-		return r.withPrimary(ctx, func(c *connector.Conn) (outcome, bool) {
-			return t.open(ctx, r, c, connector.Request{Verb: connector.VerbBegin})
+		out = r.withPrimary(ctx, func(l *connector.Lease) outcome {
+			return t.open(ctx, r, l, connector.Request{Verb: connector.VerbBegin}, r.deadline)
+		})
+	} else {
+		out = r.withReplica(ctx, func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome {
+			return t.open(ctx, r, l, connector.Request{Verb: connector.VerbBegin, ReadOnly: true, Floor: floor}, deadline)
 		})
 	}
-	return r.withReplica(ctx, func(c *connector.Conn, floor tracker.Position, _ time.Time) (outcome, bool) {
-		return t.open(ctx, r, c, connector.Request{Verb: connector.VerbBegin, ReadOnly: true, Floor: floor})
-	})
-}
-
-func (t *transaction) open(ctx context.Context, r *request, c *connector.Conn, begin connector.Request) (outcome, bool) {
-	if err := r.equip(c); err != nil {
-		return notRun(err), false
-	}
-	if out, ok := r.begin(ctx, c, begin); !ok {
-		return out, false
-	}
-	t.conn, t.upstream, t.primary, t.stale = c, c.Upstream, !begin.ReadOnly, false
-	if r.statement.Verb == VerbCommit {
-		return outcome{kept: true}, true
-	}
-	out, again := t.forward(ctx, r)
-	if out.refusal == nil {
-		out.kept = true
-		return out, true
+	if out.refusal != nil {
+		t.wrote = false
 	}
-	t.conn = nil
-	t.wrote = false
-	endOn(c)
-	return out, !again
+	return out
 }
 
-// forward passes a statement on. again is true when the transaction may begin
-// anew on another connection, if this was its first statement.
-func (t *transaction) forward(ctx context.Context, r *request) (out outcome, again bool) {
-	if r.writes {
-		t.wrote = true
+func (t *transaction) open(ctx context.Context, r *request, l *connector.Lease, begin connector.Request, deadline time.Time) outcome {
+	requests := []connector.Request{begin}
+	if r.statement.Verb != VerbCommit {
+		requests = append(requests, r.forward(noFloor))
 	}
-	a, err := r.exchange(ctx, t.conn, r.deadline, r.forward(noFloor))
-	if err != nil {
-		// Nothing was committed: the upstream rolls back what a lost
-		// connection leaves.
-		return lost(t.upstream, err), true
-	}
-	if a.Failure != connector.FailureNone {
-		out, done := r.failed(a, t.conn)
-		if !t.keepsReason(out.refusal) {
-			out.refusal = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+t.upstream, out.refusal)
-		}
-		return out, !done
+	a, failed := r.run(ctx, l, deadline, requests...)
+	if failed != nil {
+		out := rolledBack(*failed)
+		out.again = true
+		return out
 	}
-	t.ran = true
-	return outcome{answer: a, upstream: t.upstream, primary: t.primary}, false
+	t.lease, t.primary, t.wrote = l, !begin.ReadOnly, r.writes
+	return outcome{answer: a, kept: true}
 }
 
-// keepsReason reports whether a refusal says all that the caller needs: that
-// the transaction was rolled back, and why.
-func (t *transaction) keepsReason(refusal *refuser.Refusal) bool {
-	return refusal.Reason == refuser.ReasonTransactionLost
-}
-
-// lost is the outcome of a transaction whose connection was lost before its
-// commit.
-func lost(upstream string, err error) outcome {
-	return outcome{refusal: refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+upstream, err), upstream: upstream}
+// rolledBack is the outcome of a statement that ended its transaction before
+// the commit. Refusals that already say that nothing is kept stay.
+func rolledBack(out outcome) outcome {
+	if out.refusal.Verdict == refuser.NotRun && out.again {
+		return out
+	}
+	out.refusal = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+out.upstream, out.refusal)
+	return out
 }
 
 // commit ends the transaction.
 func (t *transaction) commit(ctx context.Context, r *request) outcome {
-	if t.conn == nil {
+	if t.lease == nil {
 		if out := t.first(ctx, r); out.refusal != nil {
 			return out
 		}
 	}
-	c := t.conn
-	defer t.abandon(r.session.server)
+	defer t.abandon()
 	asked := r.session.server.Now()
-	for {
-		a, err := r.exchange(ctx, c, r.deadline, r.forward(noFloor))
-		if err != nil {
-			if !t.wrote {
-				return lost(t.upstream, err)
-			}
-			return outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+t.upstream, err), upstream: t.upstream}
-		}
-		if a.Failure == connector.FailureBusy && a.State == connector.StateTransaction && r.pause(ctx, nil, retryPause) {
-			r.attempts++
-			continue
-		}
-		return t.committed(r, a, asked)
-	}
-}
-
-// committed turns the answer to a commit into an outcome.
-func (t *transaction) committed(r *request, a connector.Answer, asked time.Time) outcome {
-	out := outcome{answer: a, upstream: t.upstream, primary: t.primary}
-	if a.Failure == connector.FailureNone {
-		if a.State != connector.StateIdle {
-			t.conn.MarkBroken()
-		}
-		if t.primary && t.wrote {
+	a, failed := t.insist(ctx, r)
+	if failed == nil {
+		if t.wrote {
 			r.committed(asked, a)
 		}
-		return out
+		return outcome{answer: a, upstream: t.lease.Upstream, primary: t.primary}
 	}
-	refused, _ := r.failed(a, t.conn)
-	out.refusal = refused.refusal
-	if a.Failure.NotRun() || !t.wrote {
-		out.refusal = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+t.upstream, refused.refusal)
+	if failed.refusal.Verdict == refuser.NotRun || !t.wrote {
+		return outcome{refusal: refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+t.lease.Upstream, failed.refusal), upstream: t.lease.Upstream}
 	}
-	return out
+	return *failed
 }
 
 // abandon rolls the transaction back and gives its connection up.
-func (t *transaction) abandon(server *Server) {
-	if t.conn == nil {
-		return
-	}
-	c := t.conn
-	t.conn = nil
-	endOn(c)
-	server.release(c)
-}
-
-// endOn makes sure that no transaction is open on a connection.
-func endOn(c *connector.Conn) {
-	if c.Ended() {
-		return
-	}
-	a, err := c.Do(time.Now().Add(rollbackTimeout), connector.Request{Verb: connector.VerbRollback})
-	if err != nil || a.State != connector.StateIdle {
-		c.MarkBroken()
+func (t *transaction) abandon() {
+	if t.lease != nil {
+		t.lease.End()
+		t.lease = nil
 	}
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -34,8 +34,6 @@
 	farCost    = 150 * time.Millisecond
 	// primaryCost keeps slots of the primary free for what only it can serve.
 	primaryCost = 20 * time.Millisecond
-	// handshakeCost is the time of a new connection.
-	handshakeCost = 12 * time.Millisecond
 	// unknownCost is the risk that an upstream whose position is below the
 	// floor has not reached it since.
 	unknownCost = 6 * time.Millisecond
@@ -54,11 +52,10 @@
 	// LaggedUntil the time for which that is believed of higher floors.
 	LaggedFloor tracker.Position
 	LaggedUntil time.Time
-	// InUse and Waiting are the host's requests at it, Limit the connections
-	// that the host may have.
-	InUse, Waiting, Limit int
-	// Idle is true when a connection of the organisation stands idle.
-	Idle bool
+	// Outstanding are this host's requests at it that are not answered.
+	Outstanding int
+	// Slots are the statements that it runs at once; zero means not known.
+	Slots int
 	// Service is the mean time of a statement; zero means not known.
 	Service time.Duration
 	// Suspect is true when it did not answer of late.
@@ -70,7 +67,7 @@
 func Choose(floor tracker.Position, now time.Time, candidates []Candidate) int {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
-		if c.Suspect || c.Limit <= 0 || c.isLagging(floor, now) {
+		if c.Suspect || c.isLagging(floor, now) {
 			continue
 		}
 		cost := c.cost(floor)
@@ -95,16 +92,10 @@
 	if service == 0 {
 		service = defaultService
 	}
-	cost += service * time.Duration(c.InUse+c.Waiting) / time.Duration(c.Limit)
-	if c.Waiting > 0 {
-		cost += service
-	}
+	cost += service * time.Duration(1+c.Outstanding) / time.Duration(max(1, c.Slots))
 	if c.Primary {
 		return cost + primaryCost
 	}
-	if !c.Idle {
-		cost += handshakeCost
-	}
 	if c.Position.Less(floor) {
 		cost += unknownCost
 	}
