Let one entry host hold the connections to an upstream and lend them

Cause: six hosts with five connections each to an upstream served eight organisations: almost half of all requests opened a connection, which takes a slot for 12 ms; transactions that paused held a host's few connections while others were free elsewhere. Ruled out: more connections per host (the upstream's cap); sessions handed to owners whole (a session's reads go to several upstreams). Change: internal/lender: the owner by rendezvous among the upstream's data centre does the batch of a transaction; protobuf over the forwarder's multiplexed connections; a host that cannot reach it opens its own. The leading control host tells which hosts lend; a new leader keeps the count of hosts.

--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -14,7 +14,7 @@
 	return &hoster.Entry{
 		Settings: hoster.EntrySettings{
 			Host: s.Node, Place: transactor.Place{DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions},
-			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress(),
+			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress(), PeerAddress: s.PeerAddress(),
 			Grace: s.Grace, Descriptors: s.Descriptors,
 		},
 		Seeds: live.seedPeers, CallerCodec: platform.CallerCodec(), UpstreamCodec: platform.UpstreamCodec(),
--- a/internal/attender/attender.go
+++ b/internal/attender/attender.go
@@ -52,6 +52,8 @@
 	Host        string
 	Incarnation uint64
 	DataCentre  string
+	// PeerAddress is where other entry hosts reach this one.
+	PeerAddress string
 	// Seeds returns addresses of control hosts to begin with.
 	Seeds func() []string
 	Dial  func(ctx context.Context, address string) (*drpcconn.Conn, error)
@@ -242,7 +244,7 @@
 	a.sent[a.sequence] = a.Now()
 	view := a.current().view
 	r := Report{
-		Sequence: a.sequence, Host: a.Host, Incarnation: a.Incarnation, DataCentre: a.DataCentre, Version: view.Configuration.Version,
+		Sequence: a.sequence, Host: a.Host, Incarnation: a.Incarnation, DataCentre: a.DataCentre, PeerAddress: a.PeerAddress, Hosts: view.Hosts, Version: view.Configuration.Version,
 		Leaving: a.leaving.Load(), Shares: a.Shares.Report(), Sights: a.news(),
 	}
 	if err := stream.MsgSend(&r, linker.JSON{}); err != nil {
@@ -288,6 +290,11 @@
 		next.Hosts = u.Hosts
 		changed = true
 	}
+	if u.Peers != nil && !maps.Equal(u.Peers, next.Peers) {
+		next.Peers = u.Peers
+		changed = true
+		a.Log.Info(logger.EventPeersTaken, zap.Int("peers", len(next.Peers)))
+	}
 	if sent, ok := a.sent[u.Answers]; ok && u.Grant > 0 {
 		a.Shares.Grant(u.Grant, maps.Clone(u.Extras), sent.Add(u.Lease))
 	}
--- a/internal/attender/message.go
+++ b/internal/attender/message.go
@@ -20,6 +20,10 @@
 	Host        string `json:"host,omitempty"`
 	Incarnation uint64 `json:"incarnation,omitempty"`
 	DataCentre  string `json:"data_centre,omitempty"`
+	// PeerAddress is where other entry hosts reach this one.
+	PeerAddress string `json:"peer_address,omitempty"`
+	// Hosts is the number of entry hosts that the host was told last.
+	Hosts int `json:"hosts,omitempty"`
 	// Version is the configuration that the host has in force.
 	Version uint64 `json:"version"`
 	// Leaving is true when the process is about to end.
@@ -50,8 +54,11 @@
 	Configuration *keeper.Configuration `json:"configuration,omitempty"`
 	// Topology is set when it changed, and at the beginning.
 	Topology *Topology `json:"topology,omitempty"`
-	// Hosts is the number of entry hosts.
+	// Hosts is the number of entry hosts; zero means no change.
 	Hosts int `json:"hosts,omitempty"`
+	// Peers are the entry hosts that lend connections, by name; nil means no
+	// change.
+	Peers map[string]keeper.Peer `json:"peers,omitempty"`
 	// Grant numbers Extras, which hold for Lease from the time that the
 	// answered report was sent. Zero means no change.
 	Grant  uint64             `json:"grant,omitempty"`
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -23,6 +23,18 @@
 	// Prepare is prepared first; a zero one means nothing.
 	Prepare  Preparation
 	Requests []Request
+	// Last tells that the lease ends with this batch.
+	Last bool
+}
+
+// Forwards reports whether the batch passes a caller's statement on.
+func (b Batch) Forwards() bool {
+	for _, q := range b.Requests {
+		if q.Verb == VerbForward {
+			return true
+		}
+	}
+	return false
 }
 
 // RunError means that a batch ended before its last request was answered.
--- a/internal/coordinator/attendance.go
+++ b/internal/coordinator/attendance.go
@@ -11,6 +11,7 @@
 	"github.com/shallotstage/shallotstage/internal/attender"
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
 // attendance is one entry host's stream to this host while it leads. Its
@@ -24,6 +25,7 @@
 	// version and revision are what the host was last told.
 	version  uint64
 	revision uint64
+	peers    uint64
 	// answers is the report to answer, and due is true until it is answered.
 	answers uint64
 	due     bool
@@ -109,10 +111,9 @@
 		a.sights[s.Upstream] = s
 	}
 	c.lead.known[a.name] = now
+	c.lead.toldHosts = max(c.lead.toldHosts, r.Hosts)
 	c.lead.shares.Take(a.name, r.Shares, now)
-	if r.Leaving {
-		delete(c.lead.known, a.name)
-	}
+	c.lead.peers[a.name] = peer{Peer: keeper.Peer{Address: r.PeerAddress, DataCentre: r.DataCentre}, seen: now, leaving: r.Leaving}
 }
 
 // drop forgets a stream that has ended.
@@ -130,6 +131,9 @@
 		return attender.Update{NotLeading: true, Leader: c.leaderAddress()}
 	}
 	u := attender.Update{Hosts: c.lead.countHosts(now)}
+	if peers := c.lead.publishedPeers; peers != nil && a.peers != c.lead.published.peers {
+		u.Peers, a.peers = peers, c.lead.published.peers
+	}
 	if a.due {
 		a.due = false
 		u.Answers = a.answers
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,6 +26,12 @@
 	hosts map[string]*attendance
 	// known is when each entry host was last heard.
 	known map[string]time.Time
+	// toldHosts is the largest number of hosts that an earlier leader told.
+	toldHosts int
+	// peers are the entry hosts that lend connections, publishedPeers those
+	// that hosts are told of.
+	peers          map[string]peer
+	publishedPeers map[string]keeper.Peer
 	// announced is when each upstream last announced itself.
 	announced map[string]time.Time
 	// heard is when each control host last announced itself, and members what
@@ -40,8 +47,38 @@
 }
 
 type published struct {
-	revision, version uint64
-	hosts             int
+	revision, version, peers uint64
+	hosts                    int
+}
+
+// peer is an entry host that lends connections.
+type peer struct {
+	keeper.Peer
+	seen    time.Time
+	leaving bool
+}
+
+const (
+	// gatherTime is how long a new leader waits for hosts to attend before it
+	// tells who lends.
+	gatherTime = 2500 * time.Millisecond
+	// peerLife is the silence after which a host is no longer told to lend:
+	// more than two reports.
+	peerLife = 2600 * time.Millisecond
+)
+
+// livePeers returns the hosts that lend connections.
+func (l *leadership) livePeers(now time.Time) map[string]keeper.Peer {
+	live := map[string]keeper.Peer{}
+	for name, p := range l.peers {
+		switch {
+		case now.Sub(p.seen) > forgetHostAfter:
+			delete(l.peers, name)
+		case p.Address != "" && !p.leaving && now.Sub(p.seen) <= peerLife:
+			live[name] = p.Peer
+		}
+	}
+	return live
 }
 
 // decideInterval is the time between looks at primaries and members.
@@ -69,6 +106,7 @@
 	c.lead.begun = now
 	c.lead.hosts = map[string]*attendance{}
 	c.lead.known = map[string]time.Time{}
+	c.lead.peers = map[string]peer{}
 	c.lead.announced = map[string]time.Time{}
 	c.lead.heard = map[string]time.Time{}
 	c.lead.members = map[string]keeper.Member{}
@@ -92,11 +130,18 @@
 	if !l.leading {
 		return
 	}
-	now := published{revision: c.state.Revision(), version: c.state.Configuration().Version, hosts: l.countHosts(c.Now())}
-	if now == l.published {
+	at := c.Now()
+	next := published{revision: c.state.Revision(), version: c.state.Configuration().Version, hosts: l.countHosts(at), peers: l.published.peers}
+	if at.Sub(l.begun) > gatherTime {
+		if live := l.livePeers(at); l.publishedPeers == nil || !maps.Equal(live, l.publishedPeers) {
+			l.publishedPeers = live
+			next.peers++
+		}
+	}
+	if next == l.published {
 		return
 	}
-	l.published = now
+	l.published = next
 	for _, h := range l.hosts {
 		h.wake()
 	}
@@ -106,7 +151,8 @@
 // it may serve on while it is cut off.
 const forgetHostAfter = 60 * time.Second
 
-// countHosts returns the number of entry hosts that may be serving.
+// countHosts returns the number of entry hosts that may be serving. A new
+// leader also counts those of whom an earlier one told.
 func (l *leadership) countHosts(now time.Time) int {
 	n := 0
 	for name, at := range l.known {
@@ -116,5 +162,8 @@
 		}
 		n++
 	}
+	if now.Sub(l.begun) < forgetHostAfter {
+		return max(n, l.toldHosts)
+	}
 	return n
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -26,10 +26,14 @@
 )
 
 const (
-	// maxHeaderBytes bounds the header of a stream.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the header of a stream: a statement of 1 MiB and
+	// what goes with it.
+	maxHeaderBytes = 2 << 20
 	// openTimeout bounds the opening of a stream, its answer included.
 	openTimeout = 2 * time.Second
+	// forgottenLife is how long the streams of a connection that is replaced may
+	// go on.
+	forgottenLife = 10 * time.Second
 	// keepAlive is the time between two questions whether the other end lives.
 	keepAlive = 5 * time.Second
 )
@@ -65,26 +69,48 @@
 // Open opens a stream to the host at an address and hands it the header. It
 // returns ErrRefused when that host does not take the session.
 func (f *Forwarder) Open(ctx context.Context, address string, header []byte) (net.Conn, error) {
+	stream, _, err := f.Offer(ctx, address, header)
+	return stream, err
+}
+
+// Offer is Open that also tells whether the header was sent: the host may then
+// act on it although no answer came. It waits until ctx ends, at most for two
+// seconds.
+func (f *Forwarder) Offer(ctx context.Context, address string, header []byte) (stream net.Conn, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	link, err := f.link(ctx, address)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	stream, err := link.OpenStream()
+	stream, err = link.OpenStream()
 	if err != nil {
-		return nil, fmt.Errorf("forwarder: open stream to %s: %w", address, err)
+		return nil, false, fmt.Errorf("forwarder: open stream to %s: %w", address, err)
 	}
-	if err := offer(stream, header); err != nil {
+	deadline, _ := ctx.Deadline()
+	if err := offer(stream, header, deadline); err != nil {
 		_ = stream.Close()
-		return nil, err
+		return nil, !errors.Is(err, ErrRefused), err
+	}
+	return stream, true, nil
+}
+
+// Forget makes the next stream to an address use a new connection: the one of
+// now may have gone silent. Streams that still work on it go on for a while.
+func (f *Forwarder) Forget(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	link := f.links[address]
+	if link == nil {
+		return
 	}
-	return stream, nil
+	delete(f.links, address)
+	time.AfterFunc(forgottenLife, func() { _ = link.Close() })
 }
 
 // offer sends the header and awaits the answer.
-func offer(stream net.Conn, header []byte) error {
-	_ = stream.SetDeadline(time.Now().Add(openTimeout))
+func offer(stream net.Conn, header []byte, deadline time.Time) error {
+	_ = stream.SetDeadline(deadline)
 	b := binary.BigEndian.AppendUint32(nil, uint32(len(header)))
 	if _, err := stream.Write(append(b, header...)); err != nil {
 		return fmt.Errorf("forwarder: send header: %w", err)
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -19,6 +19,8 @@
 
 	"github.com/shallotstage/shallotstage/internal/attender"
 	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/forwarder"
+	"github.com/shallotstage/shallotstage/internal/lender"
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/timer"
@@ -33,13 +35,6 @@
 	rotationTime = 2200 * time.Millisecond
 	// endReserve is kept of the grace for the end of the process.
 	endReserve = 400 * time.Millisecond
-	// reservedConnections are left of an upstream's connections for control
-	// hosts' questions.
-	reservedConnections = 2
-	// usedPart is the part of an upstream's connections that hosts open. The
-	// rest is free for hosts that start again while the upstream still counts
-	// the connections of before.
-	usedPart = 0.6
 	// reservedDescriptors are left for files and the process's own
 	// connections.
 	reservedDescriptors = 400
@@ -54,6 +49,8 @@
 	CallerAddress  string
 	ReadyAddress   string
 	MetricsAddress string
+	// PeerAddress is where other entry hosts reach this one.
+	PeerAddress string
 	// Grace is the time for a graceful shutdown.
 	Grace time.Duration
 	// Descriptors bounds files and connections; zero means no bound.
@@ -72,12 +69,15 @@
 	ReadyHandler func(ready func() bool) http.Handler
 	Log          *logger.Logger
 
-	ready    atomic.Bool
-	attender *attender.Attender
-	board    *transactor.Board
-	set      *connector.Set
-	server   *transactor.Server
-	meter    *meter
+	ready     atomic.Bool
+	attender  *attender.Attender
+	board     *transactor.Board
+	set       *connector.Set
+	owners    *owners
+	forwarder *forwarder.Forwarder
+	lender    *lender.Lender
+	server    *transactor.Server
+	meter     *meter
 }
 
 // Run serves until ctx ends and then shuts down within the grace.
@@ -90,6 +90,10 @@
 	if err != nil {
 		return fmt.Errorf("hoster: listen for probes: %w", err)
 	}
+	peers, err := net.Listen("tcp", e.Settings.PeerAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for entry hosts: %w", err)
+	}
 	metrics, err := net.Listen("tcp", e.Settings.MetricsAddress)
 	if err != nil {
 		return fmt.Errorf("hoster: listen for metrics: %w", err)
@@ -99,6 +103,7 @@
 	defer stop()
 	go e.attender.Run(work)
 	go e.board.Watch(work)
+	go e.forwarder.Serve(work, peers, e.lender.Accept)
 	go e.note("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
 	go e.note("metrics", func() error { return serveHTTP(work, metrics, e.meter.handler()) })
 	go e.note("callers", func() error { return e.server.Serve(work, callers) })
@@ -121,14 +126,17 @@
 	shares := &spender.Spender{Now: timer.Now}
 	e.board = &transactor.Board{Now: timer.Now, Log: e.Log}
 	e.set = &connector.Set{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
+	e.owners = &owners{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre}
+	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
+	e.lender = &lender.Lender{Local: e.set, Forwarder: e.forwarder, Owners: e.owners.of, Log: e.Log}
 	e.attender = &attender.Attender{
-		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre,
+		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre, PeerAddress: e.Settings.PeerAddress,
 		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Sights: e.sights, Taken: e.take, Log: e.Log,
 	}
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.lease, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lender.Lease, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	if e.Settings.Descriptors > 0 {
@@ -140,21 +148,11 @@
 // take makes the parts follow a new view.
 func (e *Entry) take(view *keeper.View) {
 	e.board.Update(view.Upstreams)
-	e.set.Update(view.Upstreams, func(u keeper.Upstream) int { return e.limit(view, u) })
+	e.owners.take(view)
+	e.set.Update(view.Upstreams, func(u keeper.Upstream) int { return e.owners.limit(view, u) })
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
 
-// limit is how many connections this host may open to an upstream.
-func (e *Entry) limit(view *keeper.View, u keeper.Upstream) int {
-	most := view.Configuration.Services[u.Service].MaxConnections
-	return max(1, int(usedPart*float64(most-reservedConnections))/max(1, view.Hosts))
-}
-
-// lease returns a lease of a connection to an upstream.
-func (e *Entry) lease(u keeper.Upstream, organisation string) *connector.Lease {
-	return e.set.Lease(u.ID, organisation)
-}
-
 func (e *Entry) setReady(ready bool, reason string) {
 	if e.server.IsDraining() {
 		ready = false
@@ -180,11 +178,11 @@
 	grace := e.Settings.Grace
 	e.Log.Info(logger.EventDraining, zap.String("host", e.Settings.Host), zap.Duration("grace", grace), zap.Int64("sessions", e.server.Sessions()))
 	e.server.BeginDrain()
+	e.attender.Leave()
 	e.setReady(false, "shutdown")
 	time.Sleep(min(rotationTime, grace/2))
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(grace-endReserve))
 	defer cancel()
 	e.server.Drain(ctx, max(0, grace*3/4-time.Since(begin)))
-	e.attender.Leave()
 	e.Log.Info(logger.EventStopped, zap.Int64("sessions", e.server.Sessions()), zap.Duration("took", time.Since(begin)))
 }
--- /dev/null
+++ b/internal/hoster/owners.go
@@ -0,0 +1,114 @@
+package hoster
+
+import (
+	"maps"
+	"sort"
+	"sync/atomic"
+
+	"github.com/shallotstage/shallotstage/internal/lender"
+	"github.com/shallotstage/shallotstage/pkg/configurer"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/placer"
+)
+
+const (
+	// reservedConnections are left of an upstream's connections for control
+	// hosts' questions.
+	reservedConnections = 2
+	// ownerPart is the part of an upstream's connections that hosts of its data
+	// centre open. The rest is for hosts that do not reach the owner, and for
+	// an owner that starts again while the upstream still counts the
+	// connections of before.
+	ownerPart = 0.7
+	// otherPart is the part that hosts of other data centres open together.
+	otherPart = 0.2
+	// ownersKept is the number of owners that are tried one after the other.
+	ownersKept = 2
+)
+
+// owners knows which entry hosts hold the connections to each upstream.
+type owners struct {
+	host       string
+	dataCentre string
+
+	current atomic.Pointer[ownersOf]
+	peers   map[string]keeper.Peer
+}
+
+// ownersOf maps an upstream's ID to its owners, the best first.
+type ownersOf map[string][]lender.Owner
+
+// take follows a view. It is called by one goroutine.
+func (o *owners) take(view *keeper.View) {
+	old := o.current.Load()
+	next := ownersOf{}
+	same := maps.Equal(o.peers, view.Peers)
+	o.peers = view.Peers
+	byDataCentre := map[string]map[string]configurer.Host{}
+	for name, p := range view.Peers {
+		if byDataCentre[p.DataCentre] == nil {
+			byDataCentre[p.DataCentre] = map[string]configurer.Host{}
+		}
+		byDataCentre[p.DataCentre][name] = configurer.Host{ID: name}
+	}
+	for id, u := range view.Upstreams {
+		if same && old != nil {
+			if kept, ok := (*old)[id]; ok {
+				next[id] = kept
+				continue
+			}
+		}
+		next[id] = o.choose(id, byDataCentre[u.DataCentre], view.Peers)
+	}
+	o.current.Store(&next)
+}
+
+// choose ranks the hosts of an upstream's data centre.
+func (o *owners) choose(upstream string, hosts map[string]configurer.Host, peers map[string]keeper.Peer) []lender.Owner {
+	var ranked []lender.Owner
+	left := maps.Clone(hosts)
+	for range min(ownersKept, len(hosts)) {
+		best := placer.Placer{PerDataCentre: 1}.Owners(upstream, left)
+		if len(best) == 0 {
+			break
+		}
+		delete(left, best[0])
+		owner := lender.Owner{Host: best[0], Address: peers[best[0]].Address}
+		if owner.Host == o.host {
+			owner.Address = ""
+		}
+		ranked = append(ranked, owner)
+	}
+	return ranked
+}
+
+// of returns the owners of an upstream.
+func (o *owners) of(u keeper.Upstream) []lender.Owner {
+	if current := o.current.Load(); current != nil {
+		return (*current)[u.ID]
+	}
+	return nil
+}
+
+// limit is how many connections this host may open to an upstream.
+func (o *owners) limit(view *keeper.View, u keeper.Upstream) int {
+	most := float64(view.Configuration.Services[u.Service].MaxConnections - reservedConnections)
+	if u.DataCentre == o.dataCentre {
+		return max(1, int(most*ownerPart))
+	}
+	return max(1, int(most*otherPart)/max(1, view.Hosts))
+}
+
+// held returns the upstreams that this host owns, in order of ID.
+func (o *owners) held() []string {
+	var ids []string
+	if current := o.current.Load(); current != nil {
+		for id, ranked := range *current {
+			if len(ranked) > 0 && ranked[0].Host == o.host {
+				ids = append(ids, id)
+			}
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/lender/translate.go
@@ -0,0 +1,96 @@
+package lender
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+// The failures of work that ended before its last answer.
+const (
+	failureQueue   = "queue"
+	failureConnect = "connect"
+	failureLost    = "lost"
+)
+
+func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
+	work := &messenger.LentWork{
+		TimeMs: milliseconds(time.Until(limits.Deadline)), ReserveMs: milliseconds(limits.Reserve), Values: b.Values,
+		PrepareName: b.Prepare.Name, PrepareText: b.Prepare.Text, Last: b.Last,
+	}
+	for _, q := range b.Requests {
+		work.Requests = append(work.Requests, &messenger.LentRequest{
+			Verb: string(q.Verb), Id: q.ID, Text: []byte(q.Text), ReadOnly: q.ReadOnly, FloorTerm: q.Floor.Term, FloorOffset: q.Floor.Offset,
+		})
+	}
+	return work
+}
+
+func milliseconds(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
+
+func decodeWork(work *messenger.LentWork) (connector.Limits, connector.Batch) {
+	limits := connector.Limits{
+		Deadline: time.Now().Add(time.Duration(work.GetTimeMs()) * time.Millisecond),
+		Reserve:  time.Duration(work.GetReserveMs()) * time.Millisecond,
+	}
+	b := connector.Batch{
+		Values: work.GetValues(), Last: work.GetLast(),
+		Prepare: connector.Preparation{Name: work.GetPrepareName(), Text: work.GetPrepareText()},
+	}
+	for _, q := range work.GetRequests() {
+		b.Requests = append(b.Requests, connector.Request{
+			Verb: connector.Verb(q.GetVerb()), ID: q.GetId(), Text: string(q.GetText()), ReadOnly: q.GetReadOnly(),
+			Floor: tracker.Position{Term: q.GetFloorTerm(), Offset: q.GetFloorOffset()},
+		})
+	}
+	return limits, b
+}
+
+func encodeResult(answers []connector.Answer, err error) *messenger.LentResult {
+	result := &messenger.LentResult{}
+	for _, a := range answers {
+		result.Answers = append(result.Answers, &messenger.LentAnswer{
+			Body: a.Body, Failure: string(a.Failure), Detail: []byte(a.Detail), State: string(a.State),
+			PositionTerm: a.Position.Term, PositionOffset: a.Position.Offset, Completed: a.Completed, Rows: uint32(a.Rows),
+		})
+	}
+	if err == nil {
+		return result
+	}
+	result.Failure, result.Detail = failureLost, err.Error()
+	var run *connector.RunError
+	result.Sent = !errors.As(err, &run) || run.Sent
+	var full *connector.QueueError
+	var connect *connector.ConnectError
+	switch {
+	case errors.As(err, &full):
+		result.Failure = failureQueue
+	case errors.As(err, &connect):
+		result.Failure, result.Refused = failureConnect, string(connect.Failure)
+	}
+	return result
+}
+
+func decodeResult(upstream string, result *messenger.LentResult) ([]connector.Answer, error) {
+	answers := make([]connector.Answer, 0, len(result.GetAnswers()))
+	for _, a := range result.GetAnswers() {
+		answers = append(answers, connector.Answer{
+			Body: a.GetBody(), Failure: connector.Failure(a.GetFailure()), Detail: string(a.GetDetail()), State: connector.TransactionState(a.GetState()),
+			Position: tracker.Position{Term: a.GetPositionTerm(), Offset: a.GetPositionOffset()}, Completed: a.GetCompleted(), Rows: int(a.GetRows()),
+		})
+	}
+	switch result.GetFailure() {
+	case "":
+		return answers, nil
+	case failureQueue:
+		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream}}
+	case failureConnect:
+		cause := fmt.Errorf("at its owner: %s", result.GetDetail())
+		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
+	}
+	return answers, &connector.RunError{Sent: result.GetSent(), Err: fmt.Errorf("lender: owner of %s: %s", upstream, result.GetDetail())}
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -33,6 +33,8 @@
 	EventSharesGranted          = Event{1307, "shares_granted"}
 	EventTopologyTaken          = Event{1308, "topology_taken"}
 	EventCommandApplied         = Event{1415, "command_applied"}
+	EventPeersTaken             = Event{1309, "peers_taken"}
+	EventOwnerLost              = Event{1310, "owner_lost"}
 	EventPartFailed             = Event{1008, "part_failed"}
 	EventMembersPlanned         = Event{1416, "control_members_planned"}
 	EventStandingUnknown        = Event{1417, "upstream_standing_unknown"}
@@ -72,6 +74,6 @@
 		EventRequestServed, EventRequestRefused, EventRequestRetried,
 		EventUpstreamSuspect, EventUpstreamBack, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsBad, EventLinesDropped, EventReadinessChanged,
-		EventControlFailed, EventOperatorCall, EventPromotionOrdered, EventPromotionAnswered, EventSharesGranted, EventTopologyTaken, EventCommandApplied, EventPartFailed, EventMembersPlanned, EventStandingUnknown,
+		EventControlFailed, EventOperatorCall, EventPromotionOrdered, EventPromotionAnswered, EventSharesGranted, EventTopologyTaken, EventCommandApplied, EventPeersTaken, EventOwnerLost, EventPartFailed, EventMembersPlanned, EventStandingUnknown,
 	}
 }
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -90,6 +90,11 @@
 	return connector.Request{Verb: connector.VerbForward, ID: r.statement.ID, Text: text, Floor: floor}
 }
 
+// endsLease reports whether the statement is the last on its connection.
+func (r *request) endsLease() bool {
+	return r.statement.Verb == VerbCommit && r.session.tx.lease != nil || r.session.tx == nil
+}
+
 // lease returns a lease of a connection to an upstream.
 func (r *request) lease(u keeper.Upstream) *connector.Lease {
 	organisation := r.organisation
@@ -103,7 +108,7 @@
 // shape. It returns the last answer; failed is set unless all succeeded.
 func (r *request) run(ctx context.Context, l *connector.Lease, deadline time.Time, requests ...connector.Request) (last connector.Answer, failed *outcome) {
 	server := r.session.server
-	b := connector.Batch{Values: r.session.values, Requests: requests}
+	b := connector.Batch{Values: r.session.values, Requests: requests, Last: r.endsLease()}
 	if r.statement.Verb == VerbExecute {
 		b.Prepare = connector.Preparation{Name: r.shape.name, Text: server.Codec.PrepareText(r.shape.name, r.shape.value)}
 	}
--- a/pkg/keeper/view.go
+++ b/pkg/keeper/view.go
@@ -14,12 +14,20 @@
 	Members map[string]Member
 	// Hosts is the number of entry hosts that share the services.
 	Hosts int
+	// Peers are the entry hosts that lend connections, by name.
+	Peers map[string]Peer
 	// Revision names the state of Upstreams, Primaries, Promotions and Members.
 	Revision uint64
 
 	byService map[string][]Upstream
 }
 
+// Peer is an entry host as the others reach it.
+type Peer struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+}
+
 // Index prepares the view for ByService. It is called once, before the view is
 // shared.
 func (v *View) Index() {
