Back off from full upstreams, and pass over owners that do not reach one

A host that was no longer the owner kept its idle connections. An owner cut off from a primary stopped the statements of all hosts.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -15,7 +15,11 @@
 package connector
 
 import (
+	"context"
+	"maps"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
@@ -28,9 +32,16 @@
 	pools map[string]*Pool
 }
 
-// Update makes the set hold a pool for each upstream, with a limit of
-// connections each.
-func (s *Set) Update(upstreams map[string]keeper.Upstream, limit func(u keeper.Upstream) int) {
+// Allowance is what a host may hold of an upstream's connections.
+type Allowance struct {
+	// Connections bounds them.
+	Connections int
+	// Keep is how long an idle one is kept; zero means for ever.
+	Keep time.Duration
+}
+
+// Update makes the set hold a pool for each upstream, with an allowance each.
+func (s *Set) Update(upstreams map[string]keeper.Upstream, allow func(u keeper.Upstream) Allowance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.pools == nil {
@@ -44,14 +55,42 @@
 		}
 	}
 	for id, u := range upstreams {
-		if p := s.pools[id]; p != nil {
-			p.SetLimit(limit(u))
-			continue
+		p := s.pools[id]
+		if p == nil {
+			p = newPool(s.Dialer, u)
+			s.pools[id] = p
+		}
+		a := allow(u)
+		p.SetLimit(a.Connections, a.Keep)
+	}
+}
+
+// sweepInterval is the time between looks for connections that are kept no
+// longer.
+const sweepInterval = 500 * time.Millisecond
+
+// Sweep closes connections that are kept no longer, until ctx ends.
+func (s *Set) Sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			for _, p := range s.all() {
+				p.sweep(now)
+			}
 		}
-		s.pools[id] = newPool(s.Dialer, u, limit(u))
 	}
 }
 
+func (s *Set) all() []*Pool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.pools))
+}
+
 // Pool returns the pool of an upstream, or nil.
 func (s *Set) Pool(id string) *Pool {
 	s.mu.Lock()
@@ -61,10 +100,8 @@
 
 // Opened returns the number of connections opened so far by the pools of now.
 func (s *Set) Opened() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	n := uint64(0)
-	for _, p := range s.pools {
+	for _, p := range s.all() {
 		n += p.Opened()
 	}
 	return n
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -76,6 +78,10 @@
 	if a.Failure != FailureNone {
 		return a, &ConnectError{Upstream: u.ID, Failure: a.Failure, Err: fmt.Errorf("refused: %s %s", a.Failure, a.Detail)}
 	}
+	if errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) {
+		// An upstream at its bound of connections cuts new ones off.
+		return a, &ConnectError{Upstream: u.ID, Failure: FailureTooMany, Err: err}
+	}
 	if err != nil {
 		return a, &ConnectError{Upstream: u.ID, Err: err}
 	}
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -15,6 +16,13 @@
 // and a slot.
 const patience = 40 * time.Millisecond
 
+const (
+	// minFull and maxFull bound the time for which no connection is opened
+	// after the upstream took none; it doubles while that goes on.
+	minFull = 100 * time.Millisecond
+	maxFull = 800 * time.Millisecond
+)
+
 // Pool holds one host's connections to one upstream.
 type Pool struct {
 	dialer *Dialer
@@ -29,6 +37,12 @@
 	queue  queuer.Queue
 	closed bool
 	opened uint64
+	// keep is how long an idle connection is kept; zero means for ever.
+	keep time.Duration
+	// fullUntil is when a connection may be opened again, after the upstream
+	// took none, and fullFor the last wait.
+	fullUntil time.Time
+	fullFor   time.Duration
 }
 
 // Load is what a pool tells a balancer.
@@ -36,8 +50,8 @@
 	InUse, Waiting, Limit int
 }
 
-func newPool(d *Dialer, u keeper.Upstream, limit int) *Pool {
-	return &Pool{dialer: d, upstream: u, limit: limit, queue: queuer.Queue{Patience: patience}}
+func newPool(d *Dialer, u keeper.Upstream) *Pool {
+	return &Pool{dialer: d, upstream: u, queue: queuer.Queue{Patience: patience}}
 }
 
 // Load returns how busy the pool is.
@@ -131,10 +145,19 @@
 // makePlace reports whether one more connection may be opened; it closes the
 // connection that was idle longest when that makes place.
 func (p *Pool) makePlace() bool {
+	if time.Now().Before(p.fullUntil) {
+		return p.exchangeIdle()
+	}
 	if p.open < p.limit {
 		return true
 	}
-	if len(p.idle) == 0 || p.open > p.limit {
+	return p.open == p.limit && p.exchangeIdle()
+}
+
+// exchangeIdle closes the connection that was idle longest, so that its place
+// is free.
+func (p *Pool) exchangeIdle() bool {
+	if len(p.idle) == 0 {
 		return false
 	}
 	oldest := p.idle[0]
@@ -147,9 +170,7 @@
 // dial opens a connection in a place that is already counted.
 func (p *Pool) dial(ctx context.Context, organisation string) (*Conn, error) {
 	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
+	p.noteOpening(err)
 	if err != nil {
 		p.freePlace()
 		return nil, err
@@ -157,6 +178,50 @@
 	return c, nil
 }
 
+// noteOpening keeps the time for which the upstream takes no connection.
+func (p *Pool) noteOpening(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened++
+	var refused *ConnectError
+	if !errors.As(err, &refused) || refused.Failure != FailureTooMany {
+		p.fullFor = 0
+		return
+	}
+	now := time.Now()
+	if now.Before(p.fullUntil) {
+		return
+	}
+	p.fullFor = min(max(2*p.fullFor, minFull), maxFull)
+	p.fullUntil = now.Add(p.fullFor)
+	time.AfterFunc(p.fullFor, p.openForWaiters)
+}
+
+// openForWaiters lets waiters open connections in free places.
+func (p *Pool) openForWaiters() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Now().Before(p.fullUntil) {
+		return
+	}
+	for p.open < p.limit && p.queue.Len() > 0 {
+		p.open++
+		p.inUse++
+		p.queue.Pop("", time.Now()).Granted <- queuer.Grant{}
+	}
+}
+
+// sweep closes connections that were idle longer than they are kept.
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.keep > 0 && len(p.idle) > 0 && now.Sub(p.idle[0].idleAt) > p.keep {
+		_ = p.idle[0].net.Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
 // Release gives a connection back. A broken one is closed.
 func (p *Pool) Release(c *Conn) {
 	if c.broken || c.state != StateIdle {
@@ -191,7 +256,7 @@
 func (p *Pool) freePlace() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open <= p.limit {
+	if p.open <= p.limit && !time.Now().Before(p.fullUntil) {
 		if w := p.queue.Pop("", time.Now()); w != nil {
 			w.Granted <- queuer.Grant{}
 			return
@@ -201,21 +266,17 @@
 	p.inUse--
 }
 
-// SetLimit changes the number of connections.
-func (p *Pool) SetLimit(limit int) {
+// SetLimit changes the number of connections, and how long idle ones are kept.
+func (p *Pool) SetLimit(limit int, keep time.Duration) {
+	defer p.openForWaiters()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit = limit
+	p.limit, p.keep = limit, keep
 	for p.open > p.limit && len(p.idle) > 0 {
 		_ = p.idle[0].net.Close()
 		p.idle = p.idle[1:]
 		p.open--
 	}
-	for p.open < p.limit && p.queue.Len() > 0 {
-		p.open++
-		p.inUse++
-		p.queue.Pop("", time.Now()).Granted <- queuer.Grant{}
-	}
 }
 
 // DropIdle closes the idle connections: they may have gone silent with one
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -103,6 +103,7 @@
 	defer stop()
 	go e.attender.Run(work)
 	go e.board.Watch(work)
+	go e.set.Sweep(work)
 	go e.forwarder.Serve(work, peers, e.lender.Accept)
 	go e.note("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
 	go e.note("metrics", func() error { return serveHTTP(work, metrics, e.meter.handler()) })
@@ -136,7 +137,7 @@
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.lender.Lease, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	if e.Settings.Descriptors > 0 {
@@ -149,7 +150,7 @@
 func (e *Entry) take(view *keeper.View) {
 	e.board.Update(view.Upstreams)
 	e.owners.take(view)
-	e.set.Update(view.Upstreams, func(u keeper.Upstream) int { return e.owners.limit(view, u) })
+	e.set.Update(view.Upstreams, func(u keeper.Upstream) connector.Allowance { return e.owners.allow(view, u) })
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
 
--- a/internal/hoster/owners.go
+++ b/internal/hoster/owners.go
@@ -2,9 +2,10 @@
 
 import (
 	"maps"
-	"sort"
 	"sync/atomic"
+	"time"
 
+	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/lender"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
@@ -19,9 +20,12 @@
 	// centre open. The rest is for hosts that do not reach the owner, and for
 	// an owner that starts again while the upstream still counts the
 	// connections of before.
-	ownerPart = 0.7
+	ownerPart = 0.45
 	// otherPart is the part that hosts of other data centres open together.
 	otherPart = 0.2
+	// otherKeep is how long a host that is not the owner keeps an idle
+	// connection.
+	otherKeep = time.Second
 	// ownersKept is the number of owners that are tried one after the other.
 	ownersKept = 2
 )
@@ -90,25 +94,15 @@
 	return nil
 }
 
-// limit is how many connections this host may open to an upstream.
-func (o *owners) limit(view *keeper.View, u keeper.Upstream) int {
+// allow is what this host may hold of an upstream's connections.
+func (o *owners) allow(view *keeper.View, u keeper.Upstream) connector.Allowance {
 	most := float64(view.Configuration.Services[u.Service].MaxConnections - reservedConnections)
-	if u.DataCentre == o.dataCentre {
-		return max(1, int(most*ownerPart))
+	a := connector.Allowance{Connections: max(1, int(most*ownerPart)), Keep: otherKeep}
+	if u.DataCentre != o.dataCentre {
+		a.Connections = max(1, int(most*otherPart)/max(1, view.Hosts))
 	}
-	return max(1, int(most*otherPart)/max(1, view.Hosts))
-}
-
-// held returns the upstreams that this host owns, in order of ID.
-func (o *owners) held() []string {
-	var ids []string
-	if current := o.current.Load(); current != nil {
-		for id, ranked := range *current {
-			if len(ranked) > 0 && ranked[0].Host == o.host {
-				ids = append(ids, id)
-			}
-		}
+	if ranked := o.of(u); len(ranked) > 0 && ranked[0].Host == o.host {
+		a.Keep = 0
 	}
-	sort.Strings(ids)
-	return ids
+	return a
 }
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -16,6 +16,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -64,39 +65,66 @@
 	Owners func(u keeper.Upstream) []Owner
 	Log    *logger.Logger
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// down holds until when an owner is passed over, by host, or by host and
+	// upstream when only that upstream is out of its reach.
 	down map[string]time.Time
 }
 
 // Lease returns a lease of a connection to an upstream.
 func (l *Lender) Lease(u keeper.Upstream, organisation string) *connector.Lease {
-	for _, o := range l.Owners(u) {
-		if o.Address == "" {
-			break
-		}
-		if !l.isDown(o.Host) {
-			return l.borrow(u, organisation, o)
-		}
+	if o, ok := l.owner(u); ok {
+		return l.borrow(u, organisation, o)
 	}
 	return l.Local.Lease(u.ID, organisation)
 }
 
-func (l *Lender) isDown(host string) bool {
+// Reaches reports whether another host that reaches the upstream lends its
+// connections.
+func (l *Lender) Reaches(u keeper.Upstream) bool {
+	_, ok := l.owner(u)
+	return ok
+}
+
+// owner returns the best other host to borrow from; false means that this host
+// uses a connection of its own.
+func (l *Lender) owner(u keeper.Upstream) (Owner, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Now().Before(l.down[host])
+	now := time.Now()
+	for _, o := range l.Owners(u) {
+		if now.Before(l.down[key(o, u)]) {
+			continue
+		}
+		if o.Address == "" {
+			return Owner{}, false
+		}
+		if !now.Before(l.down[o.Host]) {
+			return o, true
+		}
+	}
+	return Owner{}, false
 }
 
-// markDown passes an owner over for a while.
-func (l *Lender) markDown(o Owner, err error) {
+// key names an upstream as an owner reaches it.
+func key(o Owner, u keeper.Upstream) string { return o.Host + " " + u.ID }
+
+// pass passes an owner over for a while, and reports whether it was not yet.
+func (l *Lender) pass(name string) bool {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.down == nil {
 		l.down = map[string]time.Time{}
 	}
 	now := time.Now()
-	news := !now.Before(l.down[o.Host])
-	l.down[o.Host] = now.Add(downFor)
-	l.mu.Unlock()
+	news := !now.Before(l.down[name])
+	l.down[name] = now.Add(downFor)
+	return news
+}
+
+// markDown passes an owner over that does not answer.
+func (l *Lender) markDown(o Owner, err error) {
+	news := l.pass(o.Host)
 	l.Forwarder.Forget(o.Address)
 	if news {
 		l.Log.Warn(logger.EventOwnerLost, zap.String("owner", o.Host), zap.Error(err))
@@ -169,7 +197,12 @@
 		b.lender.markDown(b.owner, err)
 		return nil, &connector.RunError{Sent: batch.Forwards(), Err: fmt.Errorf("lender: result of %s: %w", b.owner.Host, err)}
 	}
-	return decodeResult(b.upstream.ID, &result)
+	answers, err := decodeResult(b.upstream.ID, &result)
+	var connect *connector.ConnectError
+	if errors.As(err, &connect) && connect.Failure == connector.FailureNone && b.lender.pass(key(b.owner, b.upstream)) {
+		b.lender.Log.Warn(logger.EventOwnerLost, zap.String("owner", b.owner.Host), zap.String("upstream", b.upstream.ID), zap.Error(err))
+	}
+	return answers, err
 }
 
 // Accept serves the streams of other hosts.
--- a/internal/transactor/board.go
+++ b/internal/transactor/board.go
@@ -209,7 +209,7 @@
 		return
 	}
 	c.Position, c.LaggedFloor, c.LaggedUntil = s.position, s.laggedFloor, s.laggedUntil
-	c.Service, c.Suspect, c.Outstanding = s.service, s.suspect, s.outstanding
+	c.Service, c.Outstanding = s.service, s.outstanding
 }
 
 // minService is the time of a statement that is kept for an upstream of which
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -19,13 +19,12 @@
 // false when none answers. An upstream that is being promoted is asked when the
 // one that led refused or does not answer.
 func (r *request) primary(view *keeper.View, refusedBy string) (keeper.Upstream, bool) {
-	board := r.session.server.Board
-	id := view.Primaries[r.route.Service]
-	if candidate := view.Candidate(r.route.Service); candidate != "" && (id == "" || id == refusedBy || board.IsSuspect(id)) {
-		id = candidate
+	server := r.session.server
+	u, ok := view.Upstreams[view.Primaries[r.route.Service]]
+	if candidate := view.Candidate(r.route.Service); candidate != "" && (!ok || u.ID == refusedBy || server.isSuspect(u)) {
+		u, ok = view.Upstreams[candidate], true
 	}
-	u, ok := view.Upstreams[id]
-	return u, ok && !board.IsSuspect(id)
+	return u, ok && !server.isSuspect(u)
 }
 
 // withPrimary runs f with a lease of a connection to the primary until it need
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -149,7 +149,8 @@
 		return
 	}
 	var full *connector.QueueError
-	if !errors.As(err, &full) {
+	var connect *connector.ConnectError
+	if !errors.As(err, &full) && (!errors.As(err, &connect) || connect.Failure == connector.FailureNone) {
 		board.Doubt(context.WithoutCancel(ctx), l.Upstream)
 	}
 	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
@@ -237,6 +238,7 @@
 			ID: u.ID, Distance: server.Place.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
 		}
 		server.Board.Describe(&c)
+		c.Suspect = server.isSuspect(u)
 		candidates = append(candidates, c)
 	}
 	return candidates
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -52,7 +52,10 @@
 	// Lease returns a lease of a connection to an upstream, for an
 	// organisation.
 	Lease func(u keeper.Upstream, organisation string) *connector.Lease
-	Board *Board
+	// Reaches reports whether another host lends connections to an upstream;
+	// nil means no.
+	Reaches func(u keeper.Upstream) bool
+	Board   *Board
 	// View returns what is agreed on, and a channel that is closed when there
 	// is something newer.
 	View func() (*keeper.View, <-chan struct{})
@@ -138,6 +141,12 @@
 	})
 }
 
+// isSuspect reports whether an upstream does not accept connections of this
+// host and no other host lends any.
+func (s *Server) isSuspect(u keeper.Upstream) bool {
+	return s.Board.IsSuspect(u.ID) && (s.Reaches == nil || !s.Reaches(u))
+}
+
 // Sessions returns the number of open sessions.
 func (s *Server) Sessions() int64 { return s.sessions.Load() }
 
