Lend anew as soon as all hosts were heard after a change of leader

Change: the names of entry hosts are agreed on, so that a new leader lends once all of them have reported; base 0.25 of the rate; the wait for a token follows the route's objective; election timeout 0.45 s.

--- a/internal/coordinator/attendance.go
+++ b/internal/coordinator/attendance.go
@@ -106,6 +106,9 @@
 		c.lead.hosts[a.name] = a
 		c.Log.Info(logger.EventHostJoined, zap.String("host", a.name), zap.Uint64("incarnation", a.incarnation), zap.Uint64("version", r.Version))
 	}
+	if !c.state.Hosts[a.name] {
+		c.agreeHost(keeper.CommandHostJoined, a.name)
+	}
 	a.seen, a.due, a.answers = now, true, r.Sequence
 	for _, s := range r.Sights {
 		a.sights[s.Upstream] = s
@@ -137,7 +140,7 @@
 	if a.due {
 		a.due = false
 		u.Answers = a.answers
-		if c.elector.HasLease(now) {
+		if c.elector.HasLease(now) && c.state.Hosts[a.name] {
 			u.Grant, u.Extras = c.lead.shares.Grant(a.name, now)
 			u.Lease = shareLease
 		}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -39,8 +39,8 @@
 	tickInterval = 50 * time.Millisecond
 	// heartbeat and electionTimeout let a leader be replaced within a second,
 	// with round trips of 60 ms and syncs of some milliseconds.
-	heartbeat       = 150 * time.Millisecond
-	electionTimeout = 600 * time.Millisecond
+	heartbeat       = 110 * time.Millisecond
+	electionTimeout = 450 * time.Millisecond
 	// jitterPart is the random part of the election timeout that keeps hosts
 	// from standing at once.
 	jitterPart = 2
@@ -357,6 +357,8 @@
 			zap.String("life", string(u.Life)), zap.String("role", string(u.Role)), zap.Int64("born", u.Born), zap.Uint64("sequence", u.Sequence))
 	case keeper.CommandPromote:
 		fields = append(fields, zap.String("service", command.Service), zap.String("candidate", command.Candidate), zap.String("reason", command.Reason))
+	case keeper.CommandHostJoined, keeper.CommandHostLeft:
+		fields = append(fields, zap.String("host", command.Host))
 	case keeper.CommandMember:
 		fields = append(fields, zap.String("member", command.Member.ID), zap.String("address", command.Member.PeerAddress))
 	}
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -26,6 +26,8 @@
 	hosts map[string]*attendance
 	// known is when each entry host was last heard.
 	known map[string]time.Time
+	// joining are entry hosts about whom an agreement is under way.
+	joining map[string]bool
 	// toldHosts is the largest number of hosts that an earlier leader told.
 	toldHosts int
 	// peers are the entry hosts that lend connections, publishedPeers those
@@ -107,11 +109,12 @@
 	c.lead.hosts = map[string]*attendance{}
 	c.lead.known = map[string]time.Time{}
 	c.lead.peers = map[string]peer{}
+	c.lead.joining = map[string]bool{}
 	c.lead.announced = map[string]time.Time{}
 	c.lead.heard = map[string]time.Time{}
 	c.lead.members = map[string]keeper.Member{}
 	c.lead.groups = map[string]*group{}
-	c.lead.shares = sharer.Sharer{Begun: now, Lease: shareLease, First: c.state.Configuration().Version == 0}
+	c.lead.shares = sharer.Sharer{Begun: now, Lease: shareLease, Awaited: maps.Clone(c.state.Hosts)}
 }
 
 // tick takes the leader's decisions.
@@ -122,9 +125,31 @@
 	c.lead.decided = now
 	c.replaceMembers(now)
 	c.appointPrimaries(now)
+	c.forgetHosts(now)
 	c.lead.publish(c)
 }
 
+// forgetHosts lets the fleet forget entry hosts that were not heard for long.
+func (c *Coordinator) forgetHosts(now time.Time) {
+	if now.Sub(c.lead.begun) < forgetHostAfter {
+		return
+	}
+	for name := range c.state.Hosts {
+		if _, known := c.lead.known[name]; !known && !c.lead.joining[name] {
+			c.agreeHost(keeper.CommandHostLeft, name)
+		}
+	}
+}
+
+// agreeHost lets the fleet agree that an entry host joined or left.
+func (c *Coordinator) agreeHost(kind keeper.CommandKind, name string) {
+	if c.lead.joining[name] {
+		return
+	}
+	c.lead.joining[name] = true
+	c.propose(keeper.Command{Kind: kind, Host: name}, func(keeper.Outcome, error) { delete(c.lead.joining, name) })
+}
+
 // publish wakes the attendances when there is news for them.
 func (l *leadership) publish(c *Coordinator) {
 	if !l.leading {
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -53,7 +53,7 @@
 	if st.Verb != VerbBegin && !r.reads && !r.writes {
 		return s.refuse(st, view, refuser.New(refuser.ReasonProtocolViolation, string(st.Verb)+" outside a transaction"))
 	}
-	if refusal := s.admit(ctx, o); refusal != nil {
+	if refusal := s.admit(ctx, r.route, o); refusal != nil {
 		return s.refuse(st, view, refusal)
 	}
 	if st.Verb == VerbBegin {
@@ -69,13 +69,20 @@
 	return s.finish(r, r.readReplica(ctx))
 }
 
+const (
+	// tokenWaitPart is the part of the latency objective for which an operation
+	// waits for its token, and maxTokenWait the bound of it.
+	tokenWaitPart = 3
+	maxTokenWait  = 500 * time.Millisecond
+)
+
 // admit spends a token of the organisation's rate. Routes open to all have no
 // organisation.
-func (s *session) admit(ctx context.Context, o keeper.Organisation) *refuser.Refusal {
+func (s *session) admit(ctx context.Context, route keeper.Route, o keeper.Organisation) *refuser.Refusal {
 	if o.Name == "" || s.server.Admit == nil {
 		return nil
 	}
-	a := s.server.Admit(o)
+	a := s.server.Admit(o, min(route.TargetLatency/tokenWaitPart, maxTokenWait))
 	if !a.Admitted {
 		detail := fmt.Sprintf("organisation %s, rate %g, burst %g, share %.3f, tokens %.2f", o.Name, o.Rate, o.Burst, a.Share, a.Level)
 		refusal := refuser.New(refuser.ReasonRateExceeded, detail)
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -59,8 +59,9 @@
 	// View returns what is agreed on, and a channel that is closed when there
 	// is something newer.
 	View func() (*keeper.View, <-chan struct{})
-	// Admit spends a token of an organisation's rate.
-	Admit func(o keeper.Organisation) spender.Admission
+	// Admit spends a token of an organisation's rate, for which the operation
+	// may wait for a time.
+	Admit func(o keeper.Organisation, maxWait time.Duration) spender.Admission
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// DistanceTo classes an upstream's data centre.
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -10,6 +10,10 @@
 	CommandRemove    CommandKind = "remove"
 	CommandPromote   CommandKind = "promote"
 	CommandMember    CommandKind = "member"
+	// CommandHostJoined and CommandHostLeft keep the names of entry hosts that
+	// may hold shares.
+	CommandHostJoined CommandKind = "host_joined"
+	CommandHostLeft   CommandKind = "host_left"
 )
 
 // Command is one entry of the agreed log.
@@ -26,6 +30,8 @@
 	Candidate string `json:"candidate,omitempty"`
 	Holder    string `json:"holder,omitempty"`
 	Reason    string `json:"reason,omitempty"`
+	// Host is set for CommandHostJoined and CommandHostLeft.
+	Host string `json:"host,omitempty"`
 	// Member is set for CommandMember.
 	Member *Member `json:"member,omitempty"`
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -41,6 +41,8 @@
 	Promotions map[string]Promotion `json:"promotions"`
 	// Members are keyed by ID.
 	Members map[string]Member `json:"members"`
+	// Hosts are the names of entry hosts that may hold shares.
+	Hosts map[string]bool `json:"hosts"`
 
 	configuration Configuration
 	decode        DecodeFunc
@@ -62,7 +64,7 @@
 func New(decode DecodeFunc) *State {
 	return &State{
 		Upstreams: map[string]Upstream{}, Removed: map[string]Upstream{}, Primaries: map[string]string{},
-		Promotions: map[string]Promotion{}, Members: map[string]Member{}, decode: decode,
+		Promotions: map[string]Promotion{}, Members: map[string]Member{}, Hosts: map[string]bool{}, decode: decode,
 	}
 }
 
@@ -127,6 +129,14 @@
 			return Outcome{Err: fmt.Errorf("keeper: command %d names no member", index)}
 		}
 		return s.changed(s.admit(*c.Member))
+	case CommandHostJoined:
+		changed := !s.Hosts[c.Host]
+		s.Hosts[c.Host] = true
+		return Outcome{Changed: changed}
+	case CommandHostLeft:
+		changed := s.Hosts[c.Host]
+		delete(s.Hosts, c.Host)
+		return Outcome{Changed: changed}
 	}
 	return Outcome{Err: fmt.Errorf("keeper: unknown command %q at %d", c.Kind, index)}
 }
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -3,8 +3,8 @@
 //
 // What a host may spend is counted until the host has told that it took a
 // smaller grant, or until the grant's lease has certainly ended. A new leader
-// only renews what hosts tell that they hold, for the time of a lease: until
-// then a host that it has not heard may hold any part.
+// only renews what hosts tell that they hold until it has heard all hosts that
+// were lent anything, or for the time of a lease.
 //
 // # Usage
 //
@@ -38,9 +38,9 @@
 	Begun time.Time
 	// Lease is the time for which extras are lent.
 	Lease time.Duration
-	// First is true for the first leader of a fleet: no other one lent
-	// anything.
-	First bool
+	// Awaited are the hosts that may hold what an earlier leader lent and were
+	// not heard yet.
+	Awaited map[string]bool
 
 	hosts  map[string]*host
 	number uint64
@@ -62,6 +62,7 @@
 	if s.hosts == nil {
 		s.hosts = map[string]*host{}
 	}
+	delete(s.Awaited, id)
 	h := s.hosts[id]
 	if h == nil {
 		h = &host{granted: map[string]float64{}, bound: map[string]float64{}, until: now.Add(s.Lease + leaseReserve)}
@@ -111,7 +112,7 @@
 	}
 	wanted := lentPart * demand / total
 	free := math.Max(0, lentPart-others-h.bound[name])
-	if !s.First && now.Sub(s.Begun) < s.Lease+leaseReserve {
+	if len(s.Awaited) > 0 && now.Sub(s.Begun) < s.Lease+leaseReserve {
 		// Hosts that were not heard yet may hold what seems free.
 		free = 0
 	}
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -1,7 +1,7 @@
 // Package spender admits an organisation's operations on one host, within the
 // host's share of the organisation's rate and burst.
 //
-// A share has two parts. The base is the host's equal part of half of the rate;
+// A share has two parts. The base is the host's equal part of a quarter of the rate;
 // it needs nobody's leave, so that a host without control hosts serves on. The
 // extra follows demand, is lent by the leading control host and ends with its
 // lease. All bases and extras together never exceed the rate.
@@ -11,7 +11,7 @@
 //	s := &spender.Spender{Now: timer.Now}
 //	s.SetHosts(6)
 //	s.Grant(3, map[string]float64{"prairie_1": 0.2}, until)
-//	admission := s.Admit(organisation)
+//	admission := s.Admit(organisation, 250*time.Millisecond)
 //	report := s.Report()
 package spender
 
@@ -25,10 +25,7 @@
 
 const (
 	// BasePart is the part of a rate that hosts hold without a lease.
-	BasePart = 0.5
-	// maxWait is how long an operation waits for its token at most. It evens
-	// out arrivals; beyond it the caller is told when to come back.
-	maxWait = 250 * time.Millisecond
+	BasePart = 0.25
 	// demandWindow is the time constant of the demand's average.
 	demandWindow = 2 * time.Second
 	// startPart is the part of the burst that a new bucket holds: an earlier
@@ -110,8 +107,9 @@
 	Level float64
 }
 
-// Admit spends one operation of an organisation.
-func (s *Spender) Admit(o keeper.Organisation) Admission {
+// Admit spends one operation of an organisation. It waits for its token for
+// maxWait at most, which evens out arrivals.
+func (s *Spender) Admit(o keeper.Organisation, maxWait time.Duration) Admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
