Queue for an upstream's slots in one place and refuse early

Cause: while replicas were far behind, their service's primary got more than its slots; requests queued at the upstream until their time was over, were worked on in vain and were asked again: almost none was served. Change: pkg/queuer orders statements for an upstream's slots: open transactions, then urgent routes, then by arrival; one that would wait more than a third of its objective is refused at once with the time to come back. Ruled out: more connections (the slots bind).

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -60,8 +60,7 @@
 			p = newPool(s.Dialer, u)
 			s.pools[id] = p
 		}
-		a := allow(u)
-		p.SetLimit(a.Connections, a.Keep)
+		p.Set(u, allow(u))
 	}
 }
 
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -56,7 +56,7 @@
 		last = out.refusal
 		switch out.refusal.Reason {
 		case refuser.ReasonPoolFull:
-			out.refusal.RetryAfter = retryAfterQueue
+			out.refusal.RetryAfter = retryAfter(out.refusal)
 			out.again = false
 			return out
 		case refuser.ReasonPrimaryReplaced:
@@ -72,9 +72,19 @@
 	return outcome{refusal: refusal, primary: true}
 }
 
-// retryAfterQueue is when a request that found no connection may come back:
-// several statements later.
-const retryAfterQueue = 250 * time.Millisecond
+// minRetryAfter is when a request that found an upstream's queue full may come
+// back at the earliest: several statements later.
+const minRetryAfter = 250 * time.Millisecond
+
+// retryAfter returns when a request that found a queue full may come back: when
+// those who wait have been served.
+func retryAfter(refusal *refuser.Refusal) time.Duration {
+	var full *connector.QueueError
+	if errors.As(refusal.Err, &full) {
+		return max(minRetryAfter, full.Expected)
+	}
+	return minRetryAfter
+}
 
 // write runs a single statement that writes.
 func (r *request) write(ctx context.Context) outcome {
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -49,6 +49,11 @@
 		view, changed := server.View()
 		candidates := r.candidates(view, excluded)
 		i := balancer.Choose(floor, server.Now(), candidates)
+		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
+			// All that hold the floor are full: what cannot be served in time is
+			// refused at once.
+			break
+		}
 		if i < 0 {
 			clear(excluded)
 			if !r.pause(ctx, changed, laggingPause) {
@@ -87,8 +92,12 @@
 	if reason != refuser.ReasonNoFloor && reason != refuser.ReasonPoolFull {
 		reason = refuser.ReasonNoUpstream
 	}
-	last.refusal = refuser.Wrap(reason, "service "+r.route.Service, last.refusal)
+	cause := last.refusal
+	last.refusal = refuser.Wrap(reason, "service "+r.route.Service, cause)
 	last.refusal.RetryAfter = r.route.TargetLatency / 4
+	if reason == refuser.ReasonPoolFull {
+		last.refusal.RetryAfter = retryAfter(cause)
+	}
 	last.again = false
 	return last
 }
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -25,6 +25,9 @@
 	maxAttempts = 12
 	// answerReserve is the time kept for the answer's way to the caller.
 	answerReserve = 20 * time.Millisecond
+	// queuePart is the part of the latency objective that an operation may spend
+	// in an upstream's queue.
+	queuePart = 3
 	// publicOrganisation is told to upstreams on routes that are open to all.
 	publicOrganisation = "public"
 )
@@ -115,7 +118,7 @@
 	asked := server.Now()
 	begin := time.Now()
 	server.Board.Asked(l.Upstream)
-	answers, err := l.Run(ctx, connector.Limits{Deadline: deadline, Reserve: server.Board.Service(l.Upstream)}, b)
+	answers, err := l.Run(ctx, r.limits(l, deadline), b)
 	r.heard(ctx, l, answers, err, time.Since(begin))
 	for i, a := range answers {
 		if a.Failure != connector.FailureNone {
@@ -134,6 +137,20 @@
 	return last, nil
 }
 
+// limits bound a run. An operation that would spend too much of its objective
+// in a queue is refused at once: the caller may come back, and those who wait
+// are served in time.
+func (r *request) limits(l *connector.Lease, deadline time.Time) connector.Limits {
+	objective := r.route.TargetLatency
+	if objective <= 0 {
+		objective = defaultTimeout
+	}
+	maxWait := min(objective/queuePart, time.Until(deadline)/2)
+	return connector.Limits{
+		Deadline: deadline, Reserve: r.session.server.Board.Service(l.Upstream), MaxWait: max(maxWait, time.Millisecond), Priority: r.route.Priority,
+	}
+}
+
 // heard keeps the board after a run.
 func (r *request) heard(ctx context.Context, l *connector.Lease, answers []connector.Answer, err error, took time.Duration) {
 	board := r.session.server.Board
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -1,15 +1,21 @@
-// Package queuer orders the requests that wait for a connection of an upstream.
+// Package queuer orders the statements that wait for a slot of an upstream.
 //
-// A connection belongs to one organisation, and a new one costs the upstream a
-// handshake. So the queue is first come, first served, except that a freed
-// connection goes to a waiter of its own organisation as long as the first
-// waiter has not waited long.
+// An upstream runs a few statements at once and queues the rest itself, in the
+// order in which they come. So no more are sent than it runs; the others wait
+// here, where one that cannot be served in time is refused at once, before it
+// has cost anything. Statements of open transactions go first, as they hold
+// what others wait for; then those of urgent routes; then who came first. A
+// connection belongs to one organisation and a new one costs a handshake, so a
+// free connection of an organisation is used before the first waiter needs a
+// new one, as long as that waiter has not waited long.
 //
 // # Usage
 //
-//	q := queuer.Queue{Patience: 30 * time.Millisecond}
+//	q := queuer.Queue{Slots: 5}
+//	if wait := q.Expect(w); wait > maxWait { ... }   // refuse
 //	q.Push(w)
-//	next := q.Pop("prairie_1", now)
+//	next := q.Next(now, fit)
+//	q.Served(33 * time.Millisecond)
 //
 // A Queue is plain state: its user serialises the calls.
 package queuer
@@ -19,38 +25,97 @@
 	"time"
 )
 
-// Waiter is a request that waits.
-type Waiter struct {
-	Organisation string
-	Since        time.Time
-	// Granted receives one value when the waiter is popped.
-	Granted chan Grant
+const (
+	// patience is how long a waiter that needs a new connection may be passed
+	// over for one that does not.
+	patience = 40 * time.Millisecond
+	// serviceWeight is the weight of the newest statement in the mean time.
+	serviceWeight = 0.05
+	// defaultService is a statement's time while none was measured.
+	defaultService = 20 * time.Millisecond
+	// ahead is the number of statements sent beyond the slots, which cover the
+	// way to the upstream.
+	ahead = 1
+)
 
-	element *list.Element
-}
+// Fit says how a waiter could get a connection now.
+type Fit string
 
-// Grant is what a popped waiter gets: a connection of its organisation, or the
-// right to open one when Connection is nil.
-type Grant struct {
-	Connection any
-}
+// The ways to a connection.
+const (
+	// FitNone means that there is none.
+	FitNone Fit = "none"
+	// FitIdle means an idle connection of the waiter's organisation.
+	FitIdle Fit = "idle"
+	// FitOpen means that one may be opened.
+	FitOpen Fit = "open"
+)
 
-// Queue holds waiters. The zero value is empty and strictly first come, first
-// served.
+// Queue holds waiters and counts the statements that run. The zero value has no
+// bound on them.
 type Queue struct {
-	// Patience is how long the first waiter may be passed over.
-	Patience time.Duration
+	// Slots are the statements that the upstream runs at once; zero means no
+	// bound.
+	Slots int
 
 	waiters list.List
+	running int
+	service time.Duration
 }
 
 // Len returns the number of waiters.
 func (q *Queue) Len() int { return q.waiters.Len() }
 
-// Push appends a waiter.
-func (q *Queue) Push(w *Waiter) { w.element = q.waiters.PushBack(w) }
+// Running returns the number of statements that run.
+func (q *Queue) Running() int { return q.running }
+
+// HasSlot reports whether one more statement may run.
+func (q *Queue) HasSlot() bool { return q.Slots <= 0 || q.running < q.Slots+ahead }
+
+// Start counts a statement that runs.
+func (q *Queue) Start() { q.running++ }
+
+// Stop counts a statement that has ended.
+func (q *Queue) Stop() { q.running-- }
+
+// Served notes how long a statement ran.
+func (q *Queue) Served(took time.Duration) {
+	if q.service == 0 {
+		q.service = took
+	}
+	q.service += time.Duration(serviceWeight * float64(took-q.service))
+}
+
+// Expect returns the time for which w would probably wait.
+func (q *Queue) Expect(w *Waiter) time.Duration {
+	if q.Slots <= 0 || (q.HasSlot() && q.waiters.Len() == 0) {
+		return 0
+	}
+	before := 1
+	for e := q.waiters.Front(); e != nil; e = e.Next() {
+		if !w.precedes(e.Value.(*Waiter)) {
+			before++
+		}
+	}
+	service := q.service
+	if service == 0 {
+		service = defaultService
+	}
+	return time.Duration(before) * service / time.Duration(q.Slots)
+}
 
-// Remove takes a waiter back. It returns false when it was popped already.
+// Push adds a waiter behind all that go before it.
+func (q *Queue) Push(w *Waiter) {
+	for e := q.waiters.Back(); e != nil; e = e.Prev() {
+		if !w.precedes(e.Value.(*Waiter)) {
+			w.element = q.waiters.InsertAfter(w, e)
+			return
+		}
+	}
+	w.element = q.waiters.PushFront(w)
+}
+
+// Remove takes a waiter back. It returns false when it was taken already.
 func (q *Queue) Remove(w *Waiter) bool {
 	if w.element == nil {
 		return false
@@ -60,23 +125,33 @@
 	return true
 }
 
-// Pop removes the waiter that a freed connection of an organisation serves
-// next, or returns nil. An empty organisation means a free place.
-func (q *Queue) Pop(organisation string, now time.Time) *Waiter {
-	front := q.waiters.Front()
-	if front == nil {
+// Next removes and returns the waiter that runs next, or nil when none may run
+// or has a connection. fit tells how a waiter could get one.
+func (q *Queue) Next(now time.Time, fit func(w *Waiter) Fit) *Waiter {
+	if !q.HasSlot() {
 		return nil
 	}
-	first := front.Value.(*Waiter)
-	chosen := first
-	if organisation != "" && first.Organisation != organisation && now.Sub(first.Since) < q.Patience {
-		for e := front; e != nil; e = e.Next() {
-			if w := e.Value.(*Waiter); w.Organisation == organisation {
-				chosen = w
-				break
-			}
+	var chosen *Waiter
+	for e := q.waiters.Front(); e != nil; e = e.Next() {
+		w := e.Value.(*Waiter)
+		if chosen != nil && w.rank() > chosen.rank() {
+			break
 		}
+		switch f := fit(w); {
+		case w.Holds || f == FitIdle:
+			q.Remove(w)
+			return w
+		case f == FitNone:
+			continue
+		case now.Sub(w.Since) >= patience && chosen == nil:
+			q.Remove(w)
+			return w
+		case chosen == nil:
+			chosen = w
+		}
+	}
+	if chosen != nil {
+		q.Remove(chosen)
 	}
-	q.Remove(chosen)
 	return chosen
 }
