Let a started host spend its share of the burst; test shares over leaders and cuts

Cause: after a loss of all power 1,300 tries in a second were refused: buckets began half full of a base share, though nothing had been spent while all was down. Change: a new bucket is full, and takes the burst of its first extras within 5 s of the start.

--- /dev/null
+++ b/pkg/sharer/sharer_test.go
@@ -0,0 +1,141 @@
+package sharer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/spender"
+)
+
+const lease = 10 * time.Second
+
+func TestDemandMovesWithoutExceedingTheRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Sharer{Begun: now, Lease: lease}
+	s.Take("h1", spender.Report{Demands: map[string]float64{"a": 10}}, now)
+	n1, extras := s.Grant("h1", now)
+	qt.Assert(t, extras["a"], qt.Equals, lentPart)
+
+	// A second host asks: nothing is free before the first has taken less.
+	s.Take("h2", spender.Report{Demands: map[string]float64{"a": 10}}, now)
+	_, extras = s.Grant("h2", now)
+	qt.Assert(t, extras, qt.HasLen, 0)
+
+	s.Take("h1", spender.Report{Grant: n1, Demands: map[string]float64{"a": 10}}, now)
+	n1, extras = s.Grant("h1", now)
+	qt.Assert(t, extras["a"], qt.Equals, lentPart/2)
+	_, extras = s.Grant("h2", now)
+	qt.Assert(t, extras, qt.HasLen, 0, qt.Commentf("the first host may not have taken the smaller grant yet"))
+	s.Take("h1", spender.Report{Grant: n1, Demands: map[string]float64{"a": 10}}, now)
+	_, extras = s.Grant("h2", now)
+	qt.Assert(t, extras["a"], qt.Equals, lentPart/2)
+}
+
+func TestSilentHostsPartIsFreeAfterItsLease(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Sharer{Begun: now, Lease: lease}
+	s.Take("h1", spender.Report{Demands: map[string]float64{"a": 10}}, now)
+	s.Grant("h1", now)
+	later := now.Add(lease + leaseReserve)
+	s.Take("h2", spender.Report{Demands: map[string]float64{"a": 10}}, later)
+	_, extras := s.Grant("h2", later)
+	qt.Assert(t, extras, qt.HasLen, 0)
+	_, extras = s.Grant("h2", later.Add(time.Millisecond))
+	qt.Assert(t, extras["a"], qt.Equals, lentPart)
+}
+
+func TestNewLeaderOnlyRenewsUntilAllHostsWereHeard(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Sharer{Begun: now, Lease: lease, Awaited: map[string]bool{"h1": true, "h2": true}}
+	s.Take("h1", spender.Report{Demands: map[string]float64{"a": 10}, Extras: map[string]float64{"a": 0.2}}, now)
+	_, extras := s.Grant("h1", now)
+	qt.Assert(t, extras["a"], qt.Equals, 0.2)
+	s.Take("h2", spender.Report{}, now)
+	_, extras = s.Grant("h1", now)
+	qt.Assert(t, extras["a"], qt.Equals, lentPart)
+}
+
+// linkTo carries a host's reports and its grants, or loses them.
+type linkTo struct {
+	host *spender.Spender
+	cut  bool
+}
+
+// TestNoWindowExceedsTheBound plays hosts whose demand moves, that are cut off
+// and that start again, under changing leaders, and checks that all together
+// never admit more than the rate and the burst in any window, but for what
+// restarts add.
+func TestNoWindowExceedsTheBound(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { playHosts(t, seed) })
+	}
+}
+
+func playHosts(t *testing.T, seed uint64) {
+	const (
+		hosts  = 6
+		step   = 20 * time.Millisecond
+		window = 5 * time.Second
+		rate   = 120.0
+	)
+	rnd := rand.New(rand.NewPCG(seed, 3))
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	o := keeper.Organisation{Name: "a", Rate: rate, Burst: rate}
+	all := map[string]bool{}
+	links := make([]*linkTo, hosts)
+	for i := range links {
+		links[i] = &linkTo{host: &spender.Spender{Now: clock}}
+		links[i].host.SetHosts(hosts)
+		all[fmt.Sprint(i)] = true
+	}
+	leader := Sharer{Begun: now, Lease: lease}
+	var times []time.Time
+	for tick := range int(60 * time.Second / step) {
+		now = now.Add(step)
+		if rnd.IntN(800) == 0 {
+			awaited := map[string]bool{}
+			for name := range all {
+				awaited[name] = true
+			}
+			leader = Sharer{Begun: now, Lease: lease, Awaited: awaited}
+		}
+		for i, l := range links {
+			if rnd.IntN(600) == 0 {
+				l.cut = !l.cut
+			}
+			if tick%25 == i && !l.cut {
+				leader.Take(fmt.Sprint(i), l.host.Report(), now)
+				sent := now
+				n, extras := leader.Grant(fmt.Sprint(i), now)
+				if rnd.IntN(5) > 0 {
+					l.host.Grant(n, extras, sent.Add(lease))
+				}
+			}
+			asked := 2
+			if int(now.Unix()/7)%hosts == i {
+				asked = 12
+			}
+			for range rnd.IntN(asked + 1) {
+				if l.host.Admit(o, 0).Admitted {
+					times = append(times, now)
+				}
+			}
+		}
+	}
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		bound := (rate*window.Seconds()+rate)*1.1 + 20
+		if got := float64(i - first + 1); got > bound {
+			t.Fatalf("%v operations in %s up to %s, bound %v", got, window, at, bound)
+		}
+	}
+}
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -28,9 +28,10 @@
 	BasePart = 0.25
 	// demandWindow is the time constant of the demand's average.
 	demandWindow = 2 * time.Second
-	// startPart is the part of the burst that a new bucket holds: an earlier
-	// incarnation of the host may have spent the rest.
-	startPart = 0.5
+	// youth is how long after its start a host also takes the burst of its first
+	// extras. The rate that an earlier incarnation could not spend while the
+	// host was down makes up for it.
+	youth = 5 * time.Second
 	// starvedInterval is the least time between two calls of Starved.
 	starvedInterval = 150 * time.Millisecond
 	// minBurst lets a host with a small share serve single operations.
@@ -45,7 +46,9 @@
 	// token; nil means nobody is told. It must not block.
 	Starved func()
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// begun is the first use.
+	begun   time.Time
 	starved time.Time
 	hosts   int
 	grant   uint64
@@ -55,7 +58,9 @@
 }
 
 type bucket struct {
-	level  float64
+	level float64
+	// burst is the organisation's burst over all hosts.
+	burst  float64
 	at     time.Time
 	demand float64
 }
@@ -75,15 +80,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.hosts = n
+	s.isYoung(s.Now())
 }
 
 // Grant replaces the extras. They end at until.
 func (s *Spender) Grant(number uint64, extras map[string]float64, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.Now()
+	if s.isYoung(now) {
+		for name, part := range extras {
+			if b := s.buckets[name]; b != nil && s.extras[name] == 0 {
+				b.level += b.burst * part
+			}
+		}
+	}
 	s.grant, s.extras, s.until = number, extras, until
 }
 
+// isYoung reports whether the host has just started.
+func (s *Spender) isYoung(now time.Time) bool {
+	if s.begun.IsZero() {
+		s.begun = now
+	}
+	return now.Sub(s.begun) < youth
+}
+
 // share returns the part of an organisation's rate that the host may spend.
 func (s *Spender) share(organisation string, now time.Time) float64 {
 	share := BasePart / float64(max(1, s.hosts))
@@ -116,6 +138,7 @@
 	share := s.share(o.Name, now)
 	rate, burst := o.Rate*share, math.Max(minBurst, o.Burst*share)
 	b := s.bucket(o.Name, burst, now)
+	b.burst = o.Burst
 	elapsed := now.Sub(b.at).Seconds()
 	b.at = now
 	b.demand = b.demand*math.Exp(-elapsed/demandWindow.Seconds()) + 1/demandWindow.Seconds()
@@ -151,7 +174,7 @@
 	if s.buckets == nil {
 		s.buckets = map[string]*bucket{}
 	}
-	b := &bucket{level: burst * startPart, at: now}
+	b := &bucket{level: burst, at: now}
 	s.buckets[name] = b
 	return b
 }
