Let a started host wait for its first shares before it refuses

Connections of all hosts went to upstreams directly for 2.5 s, beyond their bound, as a new leader waited that long to name the lenders. Change: a host that has just started waits for the next grant before it refuses; a new leader names the lenders as soon as all hosts were heard; the pause after a refused connection is 320 ms at most.

--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -14,8 +14,8 @@
 const (
 	// minFull and maxFull bound the time for which no connection is opened
 	// after the upstream took none; it doubles while that goes on.
-	minFull = 100 * time.Millisecond
-	maxFull = 800 * time.Millisecond
+	minFull = 80 * time.Millisecond
+	maxFull = 320 * time.Millisecond
 )
 
 // Pool holds one host's connections to one upstream, and the queue of the
--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -61,8 +61,8 @@
 }
 
 const (
-	// gatherTime is how long a new leader waits for hosts to attend before it
-	// tells who lends.
+	// gatherTime is how long a new leader waits for all hosts to attend before
+	// it tells who lends.
 	gatherTime = 2500 * time.Millisecond
 	// peerLife is the silence after which a host is no longer told to lend:
 	// more than two reports.
@@ -157,7 +157,7 @@
 	}
 	at := c.Now()
 	next := published{revision: c.state.Revision(), version: c.state.Configuration().Version, hosts: l.countHosts(at), peers: l.published.peers}
-	if at.Sub(l.begun) > gatherTime {
+	if at.Sub(l.begun) > gatherTime || len(l.shares.Awaited) == 0 {
 		if live := l.livePeers(at); l.publishedPeers == nil || !maps.Equal(live, l.publishedPeers) {
 			l.publishedPeers = live
 			next.peers++
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -137,7 +137,7 @@
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: shares.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: shares.Admit, Settling: shares.Settling, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	if e.Settings.Descriptors > 0 {
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -62,6 +62,9 @@
 	// Admit spends a token of an organisation's rate, for which the operation
 	// may wait for a time.
 	Admit func(o keeper.Organisation, maxWait time.Duration) spender.Admission
+	// Settling returns a channel that is closed when the host learns more of
+	// its part of the rates, or nil when it knows it.
+	Settling func() <-chan struct{}
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// DistanceTo classes an upstream's data centre.
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -50,6 +50,8 @@
 	// begun is the first use.
 	begun   time.Time
 	starved time.Time
+	// changed is closed by the next grant.
+	changed chan struct{}
 	hosts   int
 	grant   uint64
 	extras  map[string]float64
@@ -96,6 +98,25 @@
 		}
 	}
 	s.grant, s.extras, s.until = number, extras, until
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// Settling returns a channel that is closed by the next grant while the host
+// has just started: until then it does not know its part of the rates. It
+// returns nil later.
+func (s *Spender) Settling() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isYoung(s.Now()) {
+		return nil
+	}
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+	}
+	return s.changed
 }
 
 // isYoung reports whether the host has just started.
