--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,282 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+)
+
+const patience = 20 * time.Second
+
+// decodeVersion reads a document that is just a version.
+func decodeVersion(document []byte) (keeper.Configuration, error) {
+	v, err := strconv.ParseUint(string(document), 10, 64)
+	if err != nil {
+		return keeper.Configuration{}, errors.New("not a version")
+	}
+	return keeper.Configuration{Version: v}, nil
+}
+
+// controlHost is a running control host of a test.
+type controlHost struct {
+	*Coordinator
+	dir     string
+	address string
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// controlFleet is a fleet of control hosts on this machine.
+type controlFleet struct {
+	t        *testing.T
+	founders []string
+	hosts    map[string]*controlHost
+	orders   chan Order
+}
+
+func newControlFleet(t *testing.T, n int) *controlFleet {
+	f := &controlFleet{t: t, hosts: map[string]*controlHost{}, orders: make(chan Order, 100)}
+	var listeners []net.Listener
+	for range n {
+		l := listen(t, "127.0.0.1:0")
+		listeners = append(listeners, l)
+		f.founders = append(f.founders, l.Addr().String())
+	}
+	for i, l := range listeners {
+		f.start("c"+strconv.Itoa(i), l, t.TempDir(), true)
+	}
+	return f
+}
+
+func listen(t *testing.T, address string) net.Listener {
+	var l net.Listener
+	waitFor(t, "the address "+address, func() bool {
+		var err error
+		l, err = net.Listen("tcp", address)
+		return err == nil
+	})
+	return l
+}
+
+// waitFor waits until a condition holds.
+func waitFor(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("waited for %s in vain", what)
+}
+
+func (f *controlFleet) start(node string, l net.Listener, dir string, bootstrap bool) *controlHost {
+	address := l.Addr().String()
+	h := &controlHost{dir: dir, address: address, done: make(chan error, 1)}
+	h.Coordinator = &Coordinator{
+		Settings: Settings{
+			Node: node, DataDir: dir, PeerAddress: address, OperatorAddress: "operator-of-" + node, DataCentre: "a", Region: "r",
+			Bootstrap: bootstrap, Founders: f.founders, Voters: 3,
+		},
+		Seeds: func() []string { return f.founders }, Decode: decodeVersion, Now: time.Now, Dial: linker.Linker{}.Dial,
+		Promote: func(_ context.Context, o Order) (OrderResult, error) {
+			f.orders <- o
+			return OrderTaken, nil
+		},
+		Ask: func(context.Context, keeper.Upstream) (connector.Standing, error) {
+			return connector.Standing{}, errors.New("not asked")
+		},
+	}
+	qt.Assert(f.t, h.Open(), qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go func() { _ = h.ServePeers(ctx, l) }()
+	go func() { h.done <- h.Run(ctx) }()
+	f.hosts[node] = h
+	f.t.Cleanup(func() { f.stop(node) })
+	return h
+}
+
+func (f *controlFleet) stop(node string) {
+	h := f.hosts[node]
+	if h == nil {
+		return
+	}
+	delete(f.hosts, node)
+	h.cancel()
+	qt.Assert(f.t, <-h.done, qt.IsNil)
+}
+
+// leader waits for a control host that certainly leads.
+func (f *controlFleet) leader() (node string) {
+	waitFor(f.t, "a leader", func() bool {
+		for name, h := range f.hosts {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, err := h.Document(ctx)
+			cancel()
+			if err == nil {
+				node = name
+				return true
+			}
+		}
+		return false
+	})
+	return node
+}
+
+// configure lets the fleet agree on a version, at whichever host leads.
+func (f *controlFleet) configure(version uint64) {
+	waitFor(f.t, "version "+strconv.FormatUint(version, 10), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return f.hosts[f.leader()].Configure(ctx, version, []byte(strconv.FormatUint(version, 10))) == nil
+	})
+}
+
+// read returns the agreed document from whichever host leads.
+func (f *controlFleet) read() string {
+	var document []byte
+	waitFor(f.t, "the document", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		var err error
+		document, err = f.hosts[f.leader()].Document(ctx)
+		return err == nil
+	})
+	return string(document)
+}
+
+// voters returns the membership's voters as the leader knows them.
+func (f *controlFleet) voters() []string {
+	h := f.hosts[f.leader()]
+	found := make(chan []string, 1)
+	if !h.do(func() { found <- h.elector.Membership().Voters }) {
+		return nil
+	}
+	return <-found
+}
+
+func TestFleetAgreesAndSurvivesItsLeader(t *testing.T) {
+	f := newControlFleet(t, 3)
+	f.configure(3)
+	ctx := context.Background()
+	leader := f.hosts[f.leader()]
+	qt.Assert(t, leader.Configure(ctx, 2, []byte("2")), qt.IsNil, qt.Commentf("an older version is acknowledged"))
+	qt.Assert(t, f.read(), qt.Equals, "3")
+	for name, h := range f.hosts {
+		if h == leader {
+			continue
+		}
+		_, err := h.Document(ctx)
+		qt.Assert(t, err, qt.Equals, ErrNotLeading, qt.Commentf("%s", name))
+		waitFor(t, "the leader's address", func() bool { return h.LeaderOperatorAddress(ctx) == leader.OperatorAddress })
+	}
+	f.stop(leader.Node)
+	qt.Assert(t, f.read(), qt.Equals, "3")
+	f.configure(4)
+	qt.Assert(t, f.read(), qt.Equals, "4")
+}
+
+func TestAcknowledgedVersionSurvivesALossOfAllProcesses(t *testing.T) {
+	f := newControlFleet(t, 3)
+	for v := uint64(1); v <= 250; v++ {
+		f.configure(v)
+	}
+	type place struct{ node, dir, address string }
+	var places []place
+	for node, h := range f.hosts {
+		places = append(places, place{node, h.dir, h.address})
+	}
+	for _, p := range places {
+		f.stop(p.node)
+	}
+	for _, p := range places {
+		f.start(p.node, listen(t, p.address), p.dir, true)
+	}
+	qt.Assert(t, f.read(), qt.Equals, "250")
+}
+
+func TestHostThatLostItsFolderIsReplacedThenASecondLossIsBorne(t *testing.T) {
+	f := newControlFleet(t, 3)
+	f.configure(5)
+	lost := ""
+	for node := range f.hosts {
+		if node != f.leader() {
+			lost = node
+		}
+	}
+	old := f.hosts[lost]
+	f.stop(lost)
+	qt.Assert(t, os.RemoveAll(old.dir), qt.IsNil)
+	fresh := f.start(lost, listen(t, old.address), t.TempDir(), false)
+	qt.Assert(t, fresh.ID(), qt.Not(qt.Equals), old.ID())
+	waitFor(t, "the vote of the emptied host", func() bool {
+		voters := f.voters()
+		return len(voters) == 3 && contains(voters, fresh.ID()) && !contains(voters, old.ID())
+	})
+	for node := range f.hosts {
+		if node != lost {
+			f.stop(node)
+			break
+		}
+	}
+	f.configure(6)
+	qt.Assert(t, f.read(), qt.Equals, "6")
+}
+
+func contains(list []string, s string) bool {
+	for _, other := range list {
+		if other == s {
+			return true
+		}
+	}
+	return false
+}
+
+func TestSpareAtAnotherAddressReplacesALostHost(t *testing.T) {
+	f := newControlFleet(t, 3)
+	f.configure(5)
+	spare := f.start("spare", listen(t, "127.0.0.1:0"), t.TempDir(), false)
+	for node := range f.hosts {
+		if node != f.leader() && node != "spare" {
+			f.stop(node)
+			break
+		}
+	}
+	waitFor(t, "the spare's vote", func() bool { return contains(f.voters(), spare.ID()) })
+	f.configure(6)
+	qt.Assert(t, f.read(), qt.Equals, "6")
+}
+
+func TestPrimaryThatEndsIsReplacedUnderRisingTokens(t *testing.T) {
+	f := newControlFleet(t, 3)
+	f.configure(1)
+	observe := func(id string, life keeper.Life, role keeper.Role, sequence uint64) {
+		waitFor(t, "the announcement of "+id, func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			u := keeper.Upstream{ID: id, Service: "s", Address: id + ":1", Life: life, Role: role, Sequence: sequence}
+			return f.hosts[f.leader()].Observe(ctx, u) == nil
+		})
+	}
+	observe("p", keeper.LifeReady, keeper.RolePrimary, 1)
+	observe("r1", keeper.LifeReady, keeper.RoleReplica, 1)
+	observe("r2", keeper.LifeReady, keeper.RoleReplica, 1)
+	observe("p", keeper.LifeDraining, keeper.RolePrimary, 2)
+	first := <-f.orders
+	qt.Assert(t, first.Candidate, qt.Equals, "r1")
+	observe("r1", keeper.LifeReady, keeper.RolePrimary, 2)
+	observe("r1", keeper.LifeDraining, keeper.RolePrimary, 3)
+	second := <-f.orders
+	qt.Assert(t, second.Candidate, qt.Equals, "r2")
+	qt.Assert(t, second.Token > first.Token, qt.IsTrue)
+}
--- /dev/null
+++ b/pkg/balancer/balancer_test.go
@@ -0,0 +1,53 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+func TestChoose(t *testing.T) {
+	now := time.Unix(1000, 0)
+	floor := tracker.Position{Term: 2, Offset: 50}
+	at := func(offset uint64) tracker.Position { return tracker.Position{Term: 2, Offset: offset} }
+	near := Candidate{ID: "near", Distance: DistanceDataCentre, Position: at(60), Slots: 5}
+	region := Candidate{ID: "region", Distance: DistanceRegion, Position: at(60), Slots: 5}
+	far := Candidate{ID: "far", Distance: DistanceFar, Position: at(60), Slots: 5}
+	tests := []struct {
+		name   string
+		change func(near, region, far *Candidate)
+		want   string
+	}{
+		{"nearest", func(_, _, _ *Candidate) {}, "near"},
+		{"nearest is busy", func(n, _, _ *Candidate) { n.Outstanding = 10 }, "region"},
+		{"nearest is the primary and busy", func(n, _, _ *Candidate) { n.Primary, n.Outstanding = true, 3 }, "region"},
+		{"nearest does not answer", func(n, _, _ *Candidate) { n.Suspect = true }, "region"},
+		{"nearest refused such a floor", func(n, _, _ *Candidate) {
+			n.Position, n.LaggedFloor, n.LaggedUntil = at(40), at(45), now.Add(time.Millisecond)
+		}, "region"},
+		{"nearest refused a higher floor", func(n, _, _ *Candidate) {
+			n.Position, n.LaggedFloor, n.LaggedUntil = at(49), at(55), now.Add(time.Millisecond)
+		}, "near"},
+		{"the refusal is old", func(n, _, _ *Candidate) {
+			n.Position, n.LaggedFloor, n.LaggedUntil = at(49), at(45), now
+		}, "near"},
+		{"the link between regions is not taken for a little load", func(n, r, _ *Candidate) { n.Outstanding, r.Outstanding = 8, 8 }, "near"},
+		{"only the far one is left", func(n, r, _ *Candidate) { n.Suspect, r.Suspect = true, true }, "far"},
+		{"none is left", func(n, r, f *Candidate) { n.Suspect, r.Suspect, f.Suspect = true, true, true }, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			n, r, f := near, region, far
+			test.change(&n, &r, &f)
+			candidates := []Candidate{f, r, n}
+			got := ""
+			if i := Choose(floor, now, candidates); i >= 0 {
+				got = candidates[i].ID
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/keeper/keeper_test.go
@@ -0,0 +1,122 @@
+package keeper
+
+import (
+	"errors"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// decode reads a document that is just a version.
+func decode(document []byte) (Configuration, error) {
+	v, err := strconv.ParseUint(string(document), 10, 64)
+	if err != nil {
+		return Configuration{}, errors.New("not a version")
+	}
+	return Configuration{Version: v}, nil
+}
+
+func configure(version uint64) Command {
+	return Command{Kind: CommandConfigure, Version: version, Document: []byte(strconv.FormatUint(version, 10))}
+}
+
+func TestHighestVersionHolds(t *testing.T) {
+	s := New(decode)
+	qt.Assert(t, s.Apply(configure(3), 1).Changed, qt.IsTrue)
+	qt.Assert(t, s.Apply(configure(2), 2).Changed, qt.IsFalse)
+	other := configure(3)
+	other.Document = []byte("03")
+	qt.Assert(t, s.Apply(other, 3).Changed, qt.IsFalse)
+	qt.Assert(t, string(s.Document), qt.Equals, "3")
+	qt.Assert(t, s.Apply(configure(9), 4).Changed, qt.IsTrue)
+	bad := Command{Kind: CommandConfigure, Version: 10, Document: []byte("x")}
+	qt.Assert(t, s.Apply(bad, 5).Err, qt.Not(qt.IsNil))
+	qt.Assert(t, s.Configuration().Version, qt.Equals, uint64(9))
+}
+
+func up(id, address string, born int64, sequence uint64, role Role) Command {
+	return Command{Kind: CommandObserve, Upstream: &Upstream{
+		ID: id, Service: "s", Address: address, Life: LifeReady, Role: role, Born: born, Sequence: sequence,
+	}}
+}
+
+func TestUpstreams(t *testing.T) {
+	remove := func(id string, born int64) Command {
+		return Command{Kind: CommandRemove, Upstream: &Upstream{ID: id, Born: born}}
+	}
+	tests := []struct {
+		name     string
+		commands []Command
+		live     []string
+		primary  string
+	}{
+		{"late announcement", []Command{up("a", "x:1", 5, 2, RoleReplica), up("a", "x:1", 5, 1, RolePrimary)}, []string{"a"}, ""},
+		{"restart under the same id", []Command{up("a", "x:1", 5, 9, RolePrimary), up("a", "x:1", 6, 1, RoleReplica)}, []string{"a"}, ""},
+		{"announcement of an earlier incarnation", []Command{up("a", "x:1", 6, 1, RoleReplica), up("a", "x:1", 5, 9, RolePrimary)}, []string{"a"}, ""},
+		{"address taken over", []Command{up("a", "x:1", 5, 9, RolePrimary), up("b", "x:1", 6, 1, RoleReplica)}, []string{"b"}, ""},
+		{"late announcement of the address's former holder", []Command{up("b", "x:1", 6, 1, RoleReplica), up("a", "x:1", 5, 9, RolePrimary)}, []string{"b"}, ""},
+		{"farewell", []Command{up("a", "x:1", 5, 9, RolePrimary), remove("a", 0)}, nil, ""},
+		{"late announcement after the farewell", []Command{up("a", "x:1", 5, 9, RoleReplica), remove("a", 0), up("a", "x:1", 5, 8, RoleReplica)}, nil, ""},
+		{"return after the farewell", []Command{up("a", "x:1", 5, 9, RoleReplica), remove("a", 0), up("a", "x:1", 6, 1, RoleReplica)}, []string{"a"}, ""},
+		{"late farewell of an earlier incarnation", []Command{up("a", "x:1", 6, 1, RoleReplica), remove("a", 5)}, []string{"a"}, ""},
+		{"change of primary", []Command{up("a", "x:1", 5, 1, RolePrimary), up("b", "y:1", 5, 1, RoleReplica), up("b", "y:1", 5, 2, RolePrimary)}, []string{"a", "b"}, "b"},
+		{"replaced primary that repeats itself", []Command{
+			up("a", "x:1", 5, 1, RolePrimary), up("b", "y:1", 5, 1, RoleReplica), up("b", "y:1", 5, 2, RolePrimary), up("a", "x:1", 5, 2, RolePrimary),
+		}, []string{"a", "b"}, "b"},
+		{"replaced primary that restarts", []Command{
+			up("a", "x:1", 5, 1, RolePrimary), up("b", "y:1", 5, 1, RoleReplica), {Kind: CommandPromote, Service: "s", Candidate: "b"},
+			up("b", "y:1", 5, 2, RolePrimary), up("a", "x:1", 7, 1, RolePrimary),
+		}, []string{"a", "b"}, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := New(decode)
+			for i, c := range test.commands {
+				qt.Assert(t, s.Apply(c, uint64(i+1)).Err, qt.IsNil)
+			}
+			qt.Assert(t, s.Upstreams, qt.HasLen, len(test.live))
+			for _, id := range test.live {
+				_, ok := s.Upstreams[id]
+				qt.Assert(t, ok, qt.IsTrue)
+			}
+			qt.Assert(t, s.Primaries["s"], qt.Equals, test.primary)
+			body, err := s.Marshal()
+			qt.Assert(t, err, qt.IsNil)
+			again, err := Unmarshal(body, decode)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, again.Upstreams, qt.DeepEquals, s.Upstreams)
+			qt.Assert(t, again.Primaries, qt.DeepEquals, s.Primaries)
+		})
+	}
+}
+
+func TestTokensRise(t *testing.T) {
+	s := New(decode)
+	first := s.Apply(Command{Kind: CommandPromote, Service: "s", Candidate: "a"}, 7).Token
+	second := s.Apply(Command{Kind: CommandPromote, Service: "s", Candidate: "a"}, 12).Token
+	qt.Assert(t, second > first, qt.IsTrue)
+	qt.Assert(t, s.Promotions["s"].Token, qt.Equals, second)
+}
+
+func TestOnlyNewsIsAgreedOn(t *testing.T) {
+	s := New(decode)
+	s.Apply(up("a", "x:1", 5, 1, RoleReplica), 1)
+	same := *up("a", "x:1", 5, 2, RoleReplica).Upstream
+	qt.Assert(t, s.IsNews(same), qt.IsFalse)
+	same.Life = LifeDraining
+	qt.Assert(t, s.IsNews(same), qt.IsTrue)
+	late := *up("a", "x:1", 5, 1, RolePrimary).Upstream
+	qt.Assert(t, s.IsNews(late), qt.IsFalse)
+}
+
+func TestMemberAtTheSameAddressReplacesTheOther(t *testing.T) {
+	s := New(decode)
+	admit := func(id, address string) Outcome {
+		return s.Apply(Command{Kind: CommandMember, Member: &Member{ID: id, PeerAddress: address}}, 1)
+	}
+	qt.Assert(t, admit("m1", "x:1").Changed, qt.IsTrue)
+	qt.Assert(t, admit("m1", "x:1").Changed, qt.IsFalse)
+	qt.Assert(t, admit("m2", "x:1").Changed, qt.IsTrue)
+	qt.Assert(t, s.Members, qt.HasLen, 1)
+}
