--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,6 +35,7 @@
 	Plan        *planCommand        `arg:"subcommand:plan" help:"read, discuss, confirm or reject a plan"`
 	Record      *recordCommand      `arg:"subcommand:record" help:"print the written record"`
 	Report      *reportCommand      `arg:"subcommand:report" help:"print how much of each service level's error budget was burned, and by what"`
+	Explain     *explainCommand     `arg:"subcommand:explain" help:"tell from hosts' logs what became of a request"`
 	Certificate *certificateCommand `arg:"subcommand:certificate" help:"make the certificates of a fleet"`
 	Verifier    *verifierCommand    `arg:"subcommand:verifier" help:"print the stored forms of a secret"`
 	Load        *loadCommand        `arg:"subcommand:load" help:"send an open-loop load and measure what callers see"`
