--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -143,7 +143,7 @@
 		return nil, &RunError{Err: err}
 	}
 	answers := make([]Answer, 0, len(b.Requests))
-	for i := 0; i < len(b.Requests); i++ {
+	for i := range b.Requests {
 		send := b.Requests[i : i+1]
 		if i+2 == len(b.Requests) && b.Requests[i+1].Verb == VerbRollback {
 			send = b.Requests[i:]
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -44,10 +44,13 @@
 	orders   chan Order
 }
 
-func newControlFleet(t *testing.T, n int) *controlFleet {
+// fleetSize is the number of control hosts that found a fleet.
+const fleetSize = 3
+
+func newControlFleet(t *testing.T) *controlFleet {
 	f := &controlFleet{t: t, hosts: map[string]*controlHost{}, orders: make(chan Order, 100)}
 	var listeners []net.Listener
-	for range n {
+	for range fleetSize {
 		l := listen(t, "127.0.0.1:0")
 		listeners = append(listeners, l)
 		f.founders = append(f.founders, l.Addr().String())
@@ -166,7 +169,7 @@
 }
 
 func TestFleetAgreesAndSurvivesItsLeader(t *testing.T) {
-	f := newControlFleet(t, 3)
+	f := newControlFleet(t)
 	f.configure(3)
 	ctx := context.Background()
 	leader := f.hosts[f.leader()]
@@ -187,7 +190,7 @@
 }
 
 func TestAcknowledgedVersionSurvivesALossOfAllProcesses(t *testing.T) {
-	f := newControlFleet(t, 3)
+	f := newControlFleet(t)
 	for v := uint64(1); v <= 250; v++ {
 		f.configure(v)
 	}
@@ -206,7 +209,7 @@
 }
 
 func TestHostThatLostItsFolderIsReplacedThenASecondLossIsBorne(t *testing.T) {
-	f := newControlFleet(t, 3)
+	f := newControlFleet(t)
 	f.configure(5)
 	lost := ""
 	for node := range f.hosts {
@@ -243,7 +246,7 @@
 }
 
 func TestSpareAtAnotherAddressReplacesALostHost(t *testing.T) {
-	f := newControlFleet(t, 3)
+	f := newControlFleet(t)
 	f.configure(5)
 	spare := f.start("spare", listen(t, "127.0.0.1:0"), t.TempDir(), false)
 	for node := range f.hosts {
@@ -258,7 +261,7 @@
 }
 
 func TestPrimaryThatEndsIsReplacedUnderRisingTokens(t *testing.T) {
-	f := newControlFleet(t, 3)
+	f := newControlFleet(t)
 	f.configure(1)
 	observe := func(id string, life keeper.Life, role keeper.Role, sequence uint64) {
 		waitFor(t, "the announcement of "+id, func() bool {
