Spend a small rate in one place of each data centre; take nobody near the end of a drain

Change: a drain stops accepting when its patience is over; internal/admitter asks one host of the data centre for a token where a rate is below 2 operations a second and host; base 0.1 of the rate, leases of 15 s.

--- a/internal/coordinator/leadership.go
+++ b/internal/coordinator/leadership.go
@@ -14,7 +14,7 @@
 
 // shareLease is the time for which extras of rates are lent. A host that is cut
 // off for longer falls back to its base.
-const shareLease = 10 * time.Second
+const shareLease = 15 * time.Second
 
 // leadership is what a control host keeps while it leads. None of it is agreed
 // on: a new leader gathers it anew.
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/admitter"
 	"github.com/shallotstage/shallotstage/internal/attender"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
@@ -76,6 +77,7 @@
 	owners    *owners
 	forwarder *forwarder.Forwarder
 	lender    *lender.Lender
+	admitter  *admitter.Admitter
 	server    *transactor.Server
 	meter     *meter
 }
@@ -104,7 +106,7 @@
 	go e.attender.Run(work)
 	go e.board.Watch(work)
 	go e.set.Sweep(work)
-	go e.forwarder.Serve(work, peers, e.lender.Accept)
+	go e.forwarder.Serve(work, peers, e.accept)
 	go e.note("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
 	go e.note("metrics", func() error { return serveHTTP(work, metrics, e.meter.handler()) })
 	go e.note("callers", func() error { return e.server.Serve(work, callers) })
@@ -130,6 +132,9 @@
 	e.owners = &owners{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.lender = &lender.Lender{Local: e.set, Forwarder: e.forwarder, Owners: e.owners.of, Log: e.Log}
+	e.admitter = &admitter.Admitter{
+		Local: shares.Admit, Organisation: e.organisation, Forwarder: e.forwarder, Hosts: e.hosts, Treasurers: e.owners.treasurersOf, Log: e.Log,
+	}
 	e.attender = &attender.Attender{
 		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre, PeerAddress: e.Settings.PeerAddress,
 		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Sights: e.sights, Taken: e.take, Log: e.Log,
@@ -137,7 +142,7 @@
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: shares.Admit, Settling: shares.Settling, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: e.admitter.Admit, Settling: shares.Settling, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	if e.Settings.Descriptors > 0 {
@@ -146,6 +151,34 @@
 	e.meter.watch(e.server, e.set)
 }
 
+// organisation returns an organisation of the configuration in force.
+func (e *Entry) organisation(name string) (keeper.Organisation, bool) {
+	view, _ := e.attender.View()
+	o, ok := view.Configuration.Organisations[name]
+	return o, ok
+}
+
+// hosts returns the number of entry hosts.
+func (e *Entry) hosts() int {
+	view, _ := e.attender.View()
+	return view.Hosts
+}
+
+// accept serves the streams of other entry hosts, by the first byte of their
+// header.
+func (e *Entry) accept(header []byte) func(ctx context.Context, conn net.Conn) {
+	if len(header) == 0 {
+		return nil
+	}
+	switch header[0] {
+	case lender.Kind:
+		return e.lender.Accept(header[1:])
+	case admitter.Kind:
+		return e.admitter.Accept(header[1:])
+	}
+	return nil
+}
+
 // take makes the parts follow a new view.
 func (e *Entry) take(view *keeper.View) {
 	e.board.Update(view.Upstreams)
--- a/internal/hoster/owners.go
+++ b/internal/hoster/owners.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shallotstage/shallotstage/internal/admitter"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/lender"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
@@ -37,6 +38,11 @@
 
 	current atomic.Pointer[ownersOf]
 	peers   map[string]keeper.Peer
+	// treasurers maps an organisation to the hosts of this data centre that
+	// spend its tokens.
+	treasurers atomic.Pointer[map[string][]admitter.Treasurer]
+	// spent is the configuration that treasurers was made for.
+	spent uint64
 }
 
 // ownersOf maps an upstream's ID to its owners, the best first.
@@ -65,14 +71,33 @@
 		next[id] = o.choose(id, byDataCentre[u.DataCentre], view.Peers)
 	}
 	o.current.Store(&next)
+	if same && o.spent == view.Configuration.Version {
+		return
+	}
+	o.spent = view.Configuration.Version
+	treasurers := map[string][]admitter.Treasurer{}
+	for name := range view.Configuration.Organisations {
+		for _, owner := range o.choose("organisation "+name, byDataCentre[o.dataCentre], view.Peers) {
+			treasurers[name] = append(treasurers[name], admitter.Treasurer(owner))
+		}
+	}
+	o.treasurers.Store(&treasurers)
+}
+
+// treasurersOf returns the hosts that spend an organisation's tokens.
+func (o *owners) treasurersOf(organisation string) []admitter.Treasurer {
+	if current := o.treasurers.Load(); current != nil {
+		return (*current)[organisation]
+	}
+	return nil
 }
 
-// choose ranks the hosts of an upstream's data centre.
-func (o *owners) choose(upstream string, hosts map[string]configurer.Host, peers map[string]keeper.Peer) []lender.Owner {
+// choose ranks hosts as owners of a thing.
+func (o *owners) choose(thing string, hosts map[string]configurer.Host, peers map[string]keeper.Peer) []lender.Owner {
 	var ranked []lender.Owner
 	left := maps.Clone(hosts)
 	for range min(ownersKept, len(hosts)) {
-		best := placer.Placer{PerDataCentre: 1}.Owners(upstream, left)
+		best := placer.Placer{PerDataCentre: 1}.Owners(thing, left)
 		if len(best) == 0 {
 			break
 		}
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -170,7 +170,7 @@
 			return nil, &connector.RunError{Err: fmt.Errorf("lender: encode work: %w", err)}
 		}
 		openCtx, cancel := context.WithTimeout(ctx, openTimeout)
-		stream, sent, err := b.lender.Forwarder.Offer(openCtx, b.owner.Address, header)
+		stream, sent, err := b.lender.Forwarder.Offer(openCtx, b.owner.Address, append([]byte{Kind}, header...))
 		cancel()
 		if err != nil {
 			b.lender.markDown(b.owner, err)
@@ -205,6 +205,9 @@
 	return answers, err
 }
 
+// Kind is the first byte of a header that Accept takes.
+const Kind = 'L'
+
 // Accept serves the streams of other hosts.
 func (l *Lender) Accept(header []byte) func(ctx context.Context, stream net.Conn) {
 	var first messenger.LentWork
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -161,15 +161,20 @@
 func (s *Server) IsDraining() bool { return s.draining.Load() }
 
 // Drain closes sessions outside transactions once they are silent, and the
-// others when patience for transactions is over. When none is left it accepts
-// no more; it returns when those accepted meanwhile have ended too, or ctx ends.
+// others when patience for transactions is over. Then, or when none is left, it
+// accepts no more; it returns when those accepted meanwhile have ended too, or ctx ends.
 func (s *Server) Drain(ctx context.Context, patience time.Duration) {
 	s.BeginDrain()
 	begin := time.Now()
 	ticker := time.NewTicker(closeInterval)
 	defer ticker.Stop()
 	for !s.isEmpty() {
-		s.closeSilent(time.Since(begin) > patience)
+		late := time.Since(begin) > patience
+		if late {
+			// What is accepted now could be cut by the end of the process.
+			s.refuseCallers()
+		}
+		s.closeSilent(late)
 		select {
 		case <-ctx.Done():
 			return
@@ -184,13 +189,18 @@
 	if s.sessions.Load() > 0 {
 		return false
 	}
+	return !s.refuseCallers()
+}
+
+// refuseCallers stops accepting. It returns false when that was done before.
+func (s *Server) refuseCallers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopAccepting != nil {
-		s.stopAccepting()
-		s.stopAccepting = nil
+	if s.stopAccepting == nil {
 		return false
 	}
+	s.stopAccepting()
+	s.stopAccepting = nil
 	return true
 }
 
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -1,7 +1,7 @@
 // Package spender admits an organisation's operations on one host, within the
 // host's share of the organisation's rate and burst.
 //
-// A share has two parts. The base is the host's equal part of a quarter of the rate;
+// A share has two parts. The base is the host's equal part of a small part of the rate;
 // it needs nobody's leave, so that a host without control hosts serves on. The
 // extra follows demand, is lent by the leading control host and ends with its
 // lease. All bases and extras together never exceed the rate.
@@ -25,7 +25,7 @@
 
 const (
 	// BasePart is the part of a rate that hosts hold without a lease.
-	BasePart = 0.25
+	BasePart = 0.1
 	// demandWindow is the time constant of the demand's average.
 	demandWindow = 2 * time.Second
 	// youth is how long after its start a host also takes the burst of its first
