--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"os"
 	"time"
 )
 
@@ -24,6 +26,9 @@
 	Requests []Request
 	// Last tells that the lease ends with this batch.
 	Last bool
+	// Reads tells that the batch only reads and may be done again elsewhere:
+	// an answer that is long in coming is not waited for to the deadline.
+	Reads bool
 }
 
 // Forwards reports whether the batch passes a caller's statement on.
@@ -98,13 +103,20 @@
 		return nil, &RunError{Err: err}
 	}
 	begin := time.Now()
-	answers, err := l.conn.Run(limits.Deadline, b)
+	slot, deadline := l.pool.begin(), limits.Deadline
+	if patience := l.pool.readPatience(); b.Reads && begin.Add(patience).Before(deadline) {
+		deadline = begin.Add(patience)
+	}
+	answers, err := l.conn.Run(deadline, b)
 	took := time.Since(begin)
+	if b.Reads && errors.Is(err, os.ErrDeadlineExceeded) {
+		l.pool.missed()
+	}
 	if err != nil || len(answers) < len(b.Requests) {
 		// A failure says nothing about the time of a statement.
 		took = 0
 	}
-	l.pool.Park(took)
+	slot.end(took)
 	return answers, err
 }
 
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -54,44 +54,35 @@
 // Acquire waits for a slot and a connection of an organisation, one that fits
 // the values best.
 func (p *Pool) Acquire(ctx context.Context, organisation string, values map[string]string, limits Limits) (*Conn, error) {
-	w := &queuer.Waiter{Organisation: organisation, Priority: limits.Priority}
-	if err := p.wait(ctx, w, limits); err != nil {
+	w := &queuer.Waiter{Organisation: organisation, Priority: limits.Priority, Values: values}
+	grant, err := p.wait(ctx, w, limits)
+	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	c := p.takeIdle(organisation, values)
-	if c == nil && !p.makePlace() {
-		p.queue.Stop()
-		p.dispatch()
-		p.mu.Unlock()
-		return nil, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.Since)}
-	}
-	if c != nil {
-		p.mu.Unlock()
+	if c, ok := grant.Connection.(*Conn); ok {
 		return c, nil
 	}
-	p.open++
-	p.mu.Unlock()
 	return p.dial(ctx, organisation)
 }
 
 // Resume waits for a slot for the next statement of an open transaction.
 func (p *Pool) Resume(ctx context.Context, c *Conn, limits Limits) error {
-	return p.wait(ctx, &queuer.Waiter{Organisation: c.Organisation, Holds: true}, limits)
+	_, err := p.wait(ctx, &queuer.Waiter{Organisation: c.Organisation, Holds: true}, limits)
+	return err
 }
 
 // wait waits for a slot. A statement that would wait too long is refused at
 // once.
-func (p *Pool) wait(ctx context.Context, w *queuer.Waiter, limits Limits) error {
+func (p *Pool) wait(ctx context.Context, w *queuer.Waiter, limits Limits) (queuer.Grant, error) {
 	p.mu.Lock()
 	if p.closed && !w.Holds {
 		p.mu.Unlock()
-		return &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
+		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
 	}
 	w.Since = time.Now()
 	if expected := p.queue.Expect(w); !w.Holds && limits.MaxWait > 0 && expected > limits.MaxWait {
 		p.mu.Unlock()
-		return &QueueError{Upstream: p.upstream.ID, Expected: expected}
+		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Expected: expected}
 	}
 	w.Granted = make(chan queuer.Grant, 1)
 	p.queue.Push(w)
@@ -100,37 +91,38 @@
 	timer := time.NewTimer(time.Until(limits.Deadline) - limits.Reserve)
 	defer timer.Stop()
 	select {
-	case <-w.Granted:
-		return nil
+	case g := <-w.Granted:
+		return g, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.queue.Remove(w) {
-		// Granted at the same moment.
-		p.queue.Stop()
-		p.dispatch()
+		p.giveBack(w, <-w.Granted)
 	}
-	return &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.Since)}
+	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.Since)}
+}
+
+// giveBack takes a grant back that came at the moment the waiter gave up.
+func (p *Pool) giveBack(w *queuer.Waiter, g queuer.Grant) {
+	p.queue.Stop()
+	if c, ok := g.Connection.(*Conn); ok {
+		p.put(c)
+	} else if !w.Holds {
+		p.open--
+	}
+	p.dispatch()
 }
 
 // dispatch lets waiters run while there are slots and connections.
 func (p *Pool) dispatch() {
 	now := time.Now()
-	reserved := map[string]int{}
-	opening := 0
 	fit := func(w *queuer.Waiter) queuer.Fit {
-		idle := 0
-		for _, c := range p.idle {
-			if c.Organisation == w.Organisation {
-				idle++
-			}
-		}
 		switch {
-		case idle > reserved[w.Organisation]:
+		case p.hasIdle(w.Organisation):
 			return queuer.FitIdle
-		case p.places(now) > opening:
+		case p.hasPlace(now):
 			return queuer.FitOpen
 		}
 		return queuer.FitNone
@@ -140,25 +132,44 @@
 		if w == nil {
 			return
 		}
+		p.queue.Start()
+		grant := queuer.Grant{}
 		if !w.Holds {
-			if fit(w) == queuer.FitIdle {
-				reserved[w.Organisation]++
+			if c := p.takeIdle(w.Organisation, w.Values); c != nil {
+				grant.Connection = c
 			} else {
-				opening++
+				p.makePlace(now)
+				p.open++
 			}
 		}
-		p.queue.Start()
-		w.Granted <- queuer.Grant{}
+		w.Granted <- grant
 	}
 }
 
-// places returns how many connections may be opened now, counting idle ones
-// that can be closed for it.
-func (p *Pool) places(now time.Time) int {
-	if now.Before(p.fullUntil) {
-		return len(p.idle)
+func (p *Pool) hasIdle(organisation string) bool {
+	for _, c := range p.idle {
+		if c.Organisation == organisation {
+			return true
+		}
+	}
+	return false
+}
+
+// hasPlace reports whether a connection may be opened now, if need be in the
+// place of an idle one.
+func (p *Pool) hasPlace(now time.Time) bool {
+	if p.open < p.limit && !now.Before(p.fullUntil) {
+		return true
+	}
+	return len(p.idle) > 0 && p.open <= p.limit
+}
+
+// makePlace closes the connection that was idle longest when that is what makes
+// the place.
+func (p *Pool) makePlace(now time.Time) {
+	if p.open >= p.limit || now.Before(p.fullUntil) {
+		p.closeOldest()
 	}
-	return p.limit - p.open + len(p.idle)
 }
 
 // takeIdle removes the idle connection that fits best.
@@ -180,19 +191,6 @@
 	return c
 }
 
-// makePlace reports whether one more connection may be opened; it closes the
-// connection that was idle longest when that makes place.
-func (p *Pool) makePlace() bool {
-	if p.open < p.limit && !time.Now().Before(p.fullUntil) {
-		return true
-	}
-	if len(p.idle) == 0 {
-		return false
-	}
-	p.closeOldest()
-	return p.open < p.limit
-}
-
 func (p *Pool) closeOldest() {
 	_ = p.idle[0].net.Close()
 	p.idle = p.idle[1:]
@@ -235,30 +233,80 @@
 	})
 }
 
-// Park ends the use of a slot; the connection stays with its transaction.
-func (p *Pool) Park(took time.Duration) {
+// use is a slot in use.
+type use struct {
+	pool  *Pool
+	ended bool
+	timer *time.Timer
+}
+
+// begin watches a slot that was granted. When no answer has come for long, the
+// upstream has probably run the statement and its answer is lost: the slot
+// counts as free.
+func (p *Pool) begin() *use {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.queue.Stop()
+	u := &use{pool: p}
+	u.timer = time.AfterFunc(p.queue.Overdue(), u.free)
+	return u
+}
+
+// readPatience returns how long the answer to a read is waited for.
+func (p *Pool) readPatience() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.queue.ReadPatience()
+}
+
+// missed notes that a read's answer was waited for in vain.
+func (p *Pool) missed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue.Missed()
+}
+
+// end ends the use of the slot. took is the statement's time, or zero when it
+// says nothing.
+func (u *use) end(took time.Duration) {
+	u.timer.Stop()
 	if took > 0 {
-		p.queue.Served(took)
+		u.pool.mu.Lock()
+		u.pool.queue.Served(took)
+		u.pool.mu.Unlock()
 	}
-	p.dispatch()
+	u.free()
+}
+
+// free gives the slot to others, once.
+func (u *use) free() {
+	u.pool.mu.Lock()
+	defer u.pool.mu.Unlock()
+	if u.ended {
+		return
+	}
+	u.ended = true
+	u.pool.queue.Stop()
+	u.pool.dispatch()
 }
 
-// Release gives a parked connection back. A broken one, or one with an open
+// Release gives a connection back. A broken one, or one with an open
 // transaction, is closed.
 func (p *Pool) Release(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.put(c)
+	p.dispatch()
+}
+
+// put makes a connection idle, or closes it.
+func (p *Pool) put(c *Conn) {
 	if c.broken || c.state != StateIdle || p.closed || p.open > p.limit {
 		_ = c.net.Close()
 		p.open--
-	} else {
-		c.idleAt = time.Now()
-		p.idle = append(p.idle, c)
+		return
 	}
-	p.dispatch()
+	c.idleAt = time.Now()
+	p.idle = append(p.idle, c)
 }
 
 // sweep closes connections that were idle longer than they are kept.
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -111,7 +111,7 @@
 // shape. It returns the last answer; failed is set unless all succeeded.
 func (r *request) run(ctx context.Context, l *connector.Lease, deadline time.Time, requests ...connector.Request) (last connector.Answer, failed *outcome) {
 	server := r.session.server
-	b := connector.Batch{Values: r.session.values, Requests: requests, Last: r.endsLease()}
+	b := connector.Batch{Values: r.session.values, Requests: requests, Last: r.endsLease(), Reads: r.reads && r.session.tx == nil}
 	if r.statement.Verb == VerbExecute {
 		b.Prepare = connector.Preparation{Name: r.shape.name, Text: server.Codec.PrepareText(r.shape.name, r.shape.value)}
 	}
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -33,6 +33,17 @@
 	serviceWeight = 0.05
 	// defaultService is a statement's time while none was measured.
 	defaultService = 20 * time.Millisecond
+	// overdueFactor times the mean is the time after which a statement without
+	// an answer counts as ended, minOverdue the least such time.
+	overdueFactor = 6
+	minOverdue    = 200 * time.Millisecond
+	// patienceFactor times that is how long the answer to a read is waited for:
+	// it can be asked for again.
+	patienceFactor = 2
+	// missedFactor times the mean is what a missed answer counts for, so that
+	// the patience grows with an upstream that became slow, but not with one
+	// that loses answers.
+	missedFactor = 2
 	// ahead is the number of statements sent beyond the slots, which cover the
 	// way to the upstream.
 	ahead = 1
@@ -86,6 +97,16 @@
 	q.service += time.Duration(serviceWeight * float64(took-q.service))
 }
 
+// Overdue returns the time after which a statement without an answer has
+// probably ended.
+func (q *Queue) Overdue() time.Duration { return max(minOverdue, overdueFactor*q.service) }
+
+// ReadPatience returns how long the answer to a read is waited for.
+func (q *Queue) ReadPatience() time.Duration { return patienceFactor * q.Overdue() }
+
+// Missed notes that a read's answer was waited for in vain.
+func (q *Queue) Missed() { q.Served(missedFactor * max(q.service, defaultService)) }
+
 // Expect returns the time for which w would probably wait.
 func (q *Queue) Expect(w *Waiter) time.Duration {
 	if q.Slots <= 0 || (q.HasSlot() && q.waiters.Len() == 0) {
--- a/pkg/queuer/queuer_test.go
+++ b/pkg/queuer/queuer_test.go
@@ -71,3 +71,20 @@
 	qt.Assert(t, q.Expect(&Waiter{Priority: 2}), qt.Equals, 100*time.Millisecond)
 	qt.Assert(t, q.Expect(&Waiter{Priority: 1}), qt.Equals, 10*time.Millisecond)
 }
+
+func TestPatienceFollowsASlowUpstreamButNotLostAnswers(t *testing.T) {
+	var slow Queue
+	slow.Served(33 * time.Millisecond)
+	for range 80 {
+		slow.Missed()
+	}
+	qt.Assert(t, slow.ReadPatience() > 5*time.Second, qt.IsTrue, qt.Commentf("%s", slow.ReadPatience()))
+	var lossy Queue
+	for range 200 {
+		for range 4 {
+			lossy.Served(33 * time.Millisecond)
+		}
+		lossy.Missed()
+	}
+	qt.Assert(t, lossy.ReadPatience() < 700*time.Millisecond, qt.IsTrue, qt.Commentf("%s", lossy.ReadPatience()))
+}
--- a/pkg/queuer/waiter.go
+++ b/pkg/queuer/waiter.go
@@ -13,7 +13,9 @@
 	// Holds is true for a statement of an open transaction, which has its
 	// connection.
 	Holds bool
-	Since time.Time
+	// Values are session values that a connection should already hold.
+	Values map[string]string
+	Since  time.Time
 	// Granted receives one value when the waiter may run.
 	Granted chan Grant
 
