Let voters learn each other's addresses from the stored log

Voters that are no founders go by their folders; their addresses were known from announcements only, and the seeds named hosts that had lost theirs. Ruled out: a membership without a quorum (three of five were intact). Change: addresses are taken from the agreed state and from the stored log. TestFleetOfReplacedHostsStartsAgain fails before (no leader in 20 s), passes after.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -154,7 +154,6 @@
 		_ = store.Close()
 		return err
 	}
-	c.links = newLinks(c)
 	return nil
 }
 
@@ -177,12 +176,27 @@
 		return err
 	}
 	c.applied = loaded.Snapshot.Index
+	c.links = newLinks(c)
+	c.learnStored(loaded.Entries)
 	c.elector, err = elector.New(elector.Config{
 		ID: c.id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Drift: drift, Jitter: jitter,
 	}, loaded.Hard, loaded.Snapshot, loaded.Entries, c.Now())
 	return err
 }
 
+// learnStored takes the addresses of control hosts from the stored log. Its
+// entries may not be agreed on, but without the addresses the voters of the log
+// could not find each other to agree.
+func (c *Coordinator) learnStored(entries []elector.Entry) {
+	c.links.learnAll(c.state.Members)
+	for _, e := range entries {
+		var command keeper.Command
+		if e.Kind == elector.EntryCommand && json.Unmarshal(e.Data, &command) == nil && command.Kind == keeper.CommandMember && command.Member != nil {
+			c.links.learn(*command.Member)
+		}
+	}
+}
+
 // jitter returns a random part of an election timeout.
 func jitter(bound time.Duration) time.Duration { return rand.N(bound / jitterPart) }
 
@@ -279,6 +293,7 @@
 				return err
 			}
 			c.state, c.applied, c.logBytes = state, out.Snapshot.Index, 0
+			c.links.learnAll(state.Members)
 		}
 		for _, m := range out.Messages {
 			c.links.send(m)
@@ -342,6 +357,9 @@
 		return
 	}
 	out := c.state.Apply(command, e.Index)
+	if command.Kind == keeper.CommandMember {
+		c.links.learnAll(c.state.Members)
+	}
 	c.logApplied(command, e.Index, out)
 	c.answer(e, out, out.Err)
 }
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -283,3 +283,36 @@
 	qt.Assert(t, second.Candidate, qt.Equals, "r2")
 	qt.Assert(t, second.Token > first.Token, qt.IsTrue)
 }
+
+// Voters that are no founders go by their folders. When all processes start
+// again and the seeds are of no help, they must still find each other.
+func TestFleetOfReplacedHostsStartsAgain(t *testing.T) {
+	f := newControlFleet(t)
+	f.configure(5)
+	for range 2 {
+		lost := ""
+		for node, h := range f.hosts {
+			if node != f.leader() && contains(f.founders, h.ID()) {
+				lost = node
+			}
+		}
+		address := f.hosts[lost].address
+		f.stop(lost)
+		fresh := f.start(lost, listen(t, address), t.TempDir(), false)
+		waitFor(t, "the vote of "+fresh.ID(), func() bool { return contains(f.voters(), fresh.ID()) })
+	}
+	f.configure(6)
+	type place struct{ node, dir, address string }
+	var places []place
+	for node, h := range f.hosts {
+		places = append(places, place{node, h.dir, h.address})
+	}
+	for _, p := range places {
+		f.stop(p.node)
+	}
+	f.founders = []string{"127.0.0.1:1"}
+	for _, p := range places {
+		f.start(p.node, listen(t, p.address), p.dir, false)
+	}
+	qt.Assert(t, f.read(), qt.Equals, "6")
+}
--- a/internal/coordinator/links.go
+++ b/internal/coordinator/links.go
@@ -73,6 +73,18 @@
 	l.address[m.ID] = m.PeerAddress
 }
 
+// learnAll keeps the addresses that are agreed on. Those that control hosts
+// announced since are newer.
+func (l *links) learnAll(members map[string]keeper.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, m := range members {
+		if _, ok := l.address[id]; !ok {
+			l.address[id] = m.PeerAddress
+		}
+	}
+}
+
 // addressOf returns where a control host is reached. Founders go by their
 // address.
 func (l *links) addressOf(id string) string {
