Tell holders of shares at once what another host lacks

Ruled out: smaller first grants (they refuse where demand is in one place). Change: a report of a host that gets less than its due makes the leader grant anew those who hold it; a host that gives a part up reports at once. Sums by organisation are kept, so that a grant does not look at all hosts.

--- a/internal/attender/attender.go
+++ b/internal/attender/attender.go
@@ -295,10 +295,12 @@
 		changed = true
 		a.Log.Info(logger.EventPeersTaken, zap.Int("peers", len(next.Peers)))
 	}
-	if sent, ok := a.sent[u.Answers]; ok && u.Grant > 0 {
-		a.Shares.Grant(u.Grant, maps.Clone(u.Extras), sent.Add(u.Lease))
+	if sent, ok := a.sent[u.Answers]; ok && u.Grant > 0 && a.Shares.Grant(u.Grant, maps.Clone(u.Extras), sent.Add(u.Lease)) {
+		// Others wait for what this host gave up.
+		a.Poke()
 	}
-	maps.DeleteFunc(a.sent, func(n uint64, _ time.Time) bool { return n <= u.Answers })
+	// A later update may answer the same report again.
+	maps.DeleteFunc(a.sent, func(n uint64, _ time.Time) bool { return n < u.Answers })
 	if !changed {
 		return
 	}
--- a/internal/coordinator/attendance.go
+++ b/internal/coordinator/attendance.go
@@ -116,6 +116,13 @@
 	c.lead.known[a.name] = now
 	c.lead.toldHosts = max(c.lead.toldHosts, r.Hosts)
 	c.lead.shares.Take(a.name, r.Shares, now)
+	for _, name := range c.lead.shares.Holding(a.name, now) {
+		// What this host lacks is held by others: they are told at once.
+		if other := c.lead.hosts[name]; other != nil {
+			other.due = true
+			other.wake()
+		}
+	}
 	c.lead.peers[a.name] = peer{Peer: keeper.Peer{Address: r.PeerAddress, DataCentre: r.DataCentre}, seen: now, leaving: r.Leaving}
 }
 
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -43,9 +43,50 @@
 	Awaited map[string]bool
 
 	hosts  map[string]*host
+	totals map[string]*total
 	number uint64
 }
 
+// total sums one organisation over all hosts.
+type total struct {
+	demand, bound float64
+}
+
+// totalOf returns an organisation's sums.
+func (s *Sharer) totalOf(name string) *total {
+	t := s.totals[name]
+	if t == nil {
+		if s.totals == nil {
+			s.totals = map[string]*total{}
+		}
+		t = &total{}
+		s.totals[name] = t
+	}
+	return t
+}
+
+// setDemands replaces a host's demands.
+func (s *Sharer) setDemands(h *host, demands map[string]float64) {
+	for name, d := range h.demands {
+		s.totalOf(name).demand -= d
+	}
+	for name, d := range demands {
+		s.totalOf(name).demand += d
+	}
+	h.demands = demands
+}
+
+// setBound replaces what a host may hold.
+func (s *Sharer) setBound(h *host, bound map[string]float64) {
+	for name, part := range h.bound {
+		s.totalOf(name).bound -= part
+	}
+	for name, part := range bound {
+		s.totalOf(name).bound += part
+	}
+	h.bound = bound
+}
+
 // host is what is known of one incarnation of an entry host.
 type host struct {
 	demands map[string]float64
@@ -65,20 +106,62 @@
 	delete(s.Awaited, id)
 	h := s.hosts[id]
 	if h == nil {
-		h = &host{granted: map[string]float64{}, bound: map[string]float64{}, until: now.Add(s.Lease + leaseReserve)}
-		for name, part := range r.Extras {
-			h.granted[name], h.bound[name] = part, part
-		}
+		h = &host{granted: copyOf(r.Extras), until: now.Add(s.Lease + leaseReserve)}
+		s.setBound(h, copyOf(r.Extras))
 		s.hosts[id] = h
 	}
-	h.demands = r.Demands
+	s.setDemands(h, r.Demands)
 	if r.Grant == h.number {
-		h.bound = copyOf(h.granted)
+		s.setBound(h, copyOf(h.granted))
 	}
 }
 
 // Forget drops a host that has certainly ended.
-func (s *Sharer) Forget(id string) { delete(s.hosts, id) }
+func (s *Sharer) Forget(id string) {
+	if h := s.hosts[id]; h != nil {
+		s.setDemands(h, nil)
+		s.setBound(h, nil)
+		delete(s.hosts, id)
+	}
+}
+
+// shrinkPart is the part of a grant below which a host should learn of its
+// smaller one at once.
+const shrinkPart = 0.8
+
+// Holding returns the hosts that hold clearly more than they are due of what a
+// host asks for and cannot get. They are to be granted anew at once.
+func (s *Sharer) Holding(id string, now time.Time) []string {
+	asker := s.hosts[id]
+	if asker == nil {
+		return nil
+	}
+	var lacking []string
+	for name, demand := range asker.demands {
+		if s.part(asker, name, demand, now) < shrinkPart*s.due(name, demand) {
+			lacking = append(lacking, name)
+		}
+	}
+	var holding []string
+	for other, h := range s.hosts {
+		for _, name := range lacking {
+			if due := s.due(name, h.demands[name]); other != id && h.granted[name] >= step && due < shrinkPart*h.granted[name] {
+				holding = append(holding, other)
+				break
+			}
+		}
+	}
+	return holding
+}
+
+// due is the part that a demand is due.
+func (s *Sharer) due(name string, demand float64) float64 {
+	all := s.totalOf(name).demand
+	if all <= 0 {
+		return 0
+	}
+	return lentPart * demand / all
+}
 
 // Grant returns a host's new extras, to be told at once. They hold for Lease.
 func (s *Sharer) Grant(id string, now time.Time) (number uint64, extras map[string]float64) {
@@ -95,35 +178,29 @@
 	}
 	s.number++
 	h.granted, h.number, h.until = next, s.number, now.Add(s.Lease+leaseReserve)
+	bound := copyOf(h.bound)
 	for name, part := range next {
-		h.bound[name] = math.Max(h.bound[name], part)
+		bound[name] = math.Max(bound[name], part)
 	}
+	s.setBound(h, bound)
 	return s.number, copyOf(next)
 }
 
 // part returns what a host gets of one organisation's lent part.
 func (s *Sharer) part(h *host, name string, demand float64, now time.Time) float64 {
-	total, others := 0.0, 0.0
-	for _, other := range s.hosts {
-		total += other.demands[name]
-		if other != h {
-			others += other.bound[name]
-		}
-	}
-	wanted := lentPart * demand / total
-	free := math.Max(0, lentPart-others-h.bound[name])
+	free := math.Max(0, lentPart-s.totalOf(name).bound)
 	if len(s.Awaited) > 0 && now.Sub(s.Begun) < s.Lease+leaseReserve {
 		// Hosts that were not heard yet may hold what seems free.
 		free = 0
 	}
-	return math.Min(wanted, h.bound[name]+free)
+	return math.Min(s.due(name, demand), h.bound[name]+free)
 }
 
 // expire forgets what hosts held whose lease has ended.
 func (s *Sharer) expire(now time.Time) {
 	for id, h := range s.hosts {
 		if now.After(h.until) {
-			delete(s.hosts, id)
+			s.Forget(id)
 		}
 	}
 }
--- a/pkg/sharer/sharer_test.go
+++ b/pkg/sharer/sharer_test.go
@@ -37,6 +37,21 @@
 	qt.Assert(t, math.Abs(extras["a"]-lentPart/2) < 1e-9, qt.IsTrue)
 }
 
+func TestHoldersOfWhatAnotherLacksAreTold(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Sharer{Begun: now, Lease: lease}
+	s.Take("h1", spender.Report{Demands: map[string]float64{"a": 10, "b": 1}}, now)
+	s.Grant("h1", now)
+	qt.Assert(t, s.Holding("h1", now), qt.HasLen, 0)
+	s.Take("h2", spender.Report{Demands: map[string]float64{"a": 10}}, now)
+	qt.Assert(t, s.Holding("h2", now), qt.DeepEquals, []string{"h1"})
+	n, _ := s.Grant("h1", now)
+	qt.Assert(t, s.Holding("h2", now), qt.HasLen, 0)
+	s.Take("h1", spender.Report{Grant: n, Demands: map[string]float64{"a": 10}}, now)
+	_, extras := s.Grant("h2", now)
+	qt.Assert(t, math.Abs(extras["a"]-lentPart/2) < 1e-9, qt.IsTrue)
+}
+
 func TestSilentHostsPartIsFreeAfterItsLease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := Sharer{Begun: now, Lease: lease}
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -34,6 +34,9 @@
 	youth = 5 * time.Second
 	// starvedInterval is the least time between two calls of Starved.
 	starvedInterval = 150 * time.Millisecond
+	// keptPart is the part of an extra below which a smaller one counts as given
+	// up.
+	keptPart = 0.8
 	// minBurst lets a host with a small share serve single operations.
 	minBurst = 1
 )
@@ -85,8 +88,9 @@
 	s.isYoung(s.Now())
 }
 
-// Grant replaces the extras. They end at until.
-func (s *Spender) Grant(number uint64, extras map[string]float64, until time.Time) {
+// Grant replaces the extras. They end at until. It returns true when the host
+// gave a part up, which the leading control host must learn.
+func (s *Spender) Grant(number uint64, extras map[string]float64, until time.Time) (gaveUp bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
@@ -97,11 +101,15 @@
 			}
 		}
 	}
+	for name, part := range s.extras {
+		gaveUp = gaveUp || extras[name] < keptPart*part
+	}
 	s.grant, s.extras, s.until = number, extras, until
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
 	}
+	return gaveUp
 }
 
 // Settling returns a channel that is closed by the next grant while the host
