--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -31,7 +31,8 @@
 			DataCentre: s.DataCentre, Region: s.Region, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
 			Voters: 2*s.Tolerance + 1,
 		},
-		Seeds: live.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
+		MetricsAddress: s.MetricsAddress(),
+		Seeds:          live.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
 		Promote: platform.Promoter(live.platformAddress, promotionClient), Handler: platform.ControlHandler, Log: log,
 	}
 }
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -42,8 +42,10 @@
 	heartbeat       = 110 * time.Millisecond
 	electionTimeout = 450 * time.Millisecond
 	// jitterPart is the random part of the election timeout that keeps hosts
-	// from standing at once.
+	// from standing at once, and skewPart the fixed one: voters that start
+	// again together refuse a candidate of before their own timeout.
 	jitterPart = 2
+	skewPart   = 8
 	// drift bounds how much faster one clock runs than another.
 	drift = 0.01
 	// inboxSize bounds the functions that wait for the control goroutine.
@@ -198,7 +200,7 @@
 }
 
 // jitter returns a random part of an election timeout.
-func jitter(bound time.Duration) time.Duration { return rand.N(bound / jitterPart) }
+func jitter(bound time.Duration) time.Duration { return bound/skewPart + rand.N(bound/jitterPart) }
 
 // found names a host with a new data folder. A founder goes by its address and
 // begins with the founders as voters; any other host goes by its folder and
--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -92,6 +92,35 @@
 	return address
 }
 
+// Standing is what a control host is and knows.
+type Standing struct {
+	Leads   bool
+	Term    uint64
+	Applied uint64
+	// Version is the newest configuration that the host has applied.
+	Version   uint64
+	Voters    int
+	Hosts     int
+	Upstreams int
+}
+
+// Standing returns the host's standing; ok is false when the host is too busy
+// to tell.
+func (c *Coordinator) Standing(ctx context.Context) (s Standing, ok bool) {
+	told := make(chan Standing, 1)
+	err := c.wait(ctx, func(done func(error)) {
+		told <- Standing{
+			Leads: c.lead.leading, Term: c.elector.Term(), Applied: c.applied, Version: c.state.Configuration().Version,
+			Voters: len(c.elector.Membership().Voters), Hosts: len(c.lead.hosts), Upstreams: len(c.state.Upstreams),
+		}
+		done(nil)
+	})
+	if err != nil {
+		return Standing{}, false
+	}
+	return <-told, true
+}
+
 // wait runs f in the control goroutine until done is called or ctx ends.
 func (c *Coordinator) wait(ctx context.Context, f func(done func(error))) error {
 	result := make(chan error, 1)
--- a/internal/hoster/control.go
+++ b/internal/hoster/control.go
@@ -19,6 +19,8 @@
 // Control is a control host. All exported fields are set before Run.
 type Control struct {
 	Settings coordinator.Settings
+	// MetricsAddress is where metrics are served.
+	MetricsAddress string
 	// Seeds returns peer addresses of control hosts.
 	Seeds         func() []string
 	Decode        keeper.DecodeFunc
@@ -50,6 +52,15 @@
 	if err != nil {
 		return fmt.Errorf("hoster: listen for operators: %w", err)
 	}
+	metrics, err := net.Listen("tcp", c.MetricsAddress)
+	if err != nil {
+		return fmt.Errorf("hoster: listen for metrics: %w", err)
+	}
+	go func() {
+		if err := serveHTTP(ctx, metrics, controlMetrics(co)); err != nil {
+			c.Log.Error(logger.EventPartFailed, zap.String("part", "metrics"), zap.Error(err))
+		}
+	}()
 	go func() {
 		if err := co.ServePeers(ctx, peers); err != nil {
 			c.Log.Error(logger.EventPartFailed, zap.String("part", "peers"), zap.Error(err))
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -129,7 +129,7 @@
 	shares := &spender.Spender{Now: timer.Now}
 	e.board = &transactor.Board{Now: timer.Now, Log: e.Log}
 	e.set = &connector.Set{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
-	e.owners = &owners{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre}
+	e.owners = &owners{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, place: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.lender = &lender.Lender{Local: e.set, Forwarder: e.forwarder, Owners: e.owners.of, Log: e.Log}
 	e.admitter = &admitter.Admitter{
--- a/internal/hoster/meter.go
+++ b/internal/hoster/meter.go
@@ -17,6 +17,7 @@
 	statements *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
+	objectives *prometheus.CounterVec
 }
 
 func newMeter() *meter {
@@ -33,7 +34,11 @@
 			Buckets: []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5},
 		}, []string{"verb"}),
 	}
-	m.registry.MustRegister(m.statements, m.refusals, m.latency)
+	m.objectives = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "shallotstage_entry_objective_statements_total",
+		Help: "Statements against their route's latency objective, by kind of route and outcome: good, slow, or refused. The burn of a service level is the share that is not good.",
+	}, []string{"kind", "outcome"})
+	m.registry.MustRegister(m.statements, m.refusals, m.latency, m.objectives)
 	return m
 }
 
@@ -50,13 +55,22 @@
 func (m *meter) observe(o transactor.Observation) {
 	m.statements.WithLabelValues(string(o.Verb)).Inc()
 	m.latency.WithLabelValues(string(o.Verb)).Observe(o.Latency.Seconds())
+	outcome := "good"
+	if o.Objective > 0 && o.Latency > o.Objective {
+		outcome = "slow"
+	}
 	if o.Refused != "" {
+		outcome = "refused"
 		m.refusals.WithLabelValues(o.Refused).Inc()
 	}
+	m.objectives.WithLabelValues(string(o.Kind), outcome).Inc()
 }
 
-func (m *meter) handler() http.Handler {
+func (m *meter) handler() http.Handler { return metricsHandler(m.registry) }
+
+// metricsHandler serves a process's metrics.
+func metricsHandler(registry *prometheus.Registry) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return mux
 }
--- a/internal/hoster/owners.go
+++ b/internal/hoster/owners.go
@@ -8,6 +8,8 @@
 	"github.com/shallotstage/shallotstage/internal/admitter"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/lender"
+	"github.com/shallotstage/shallotstage/internal/transactor"
+	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/placer"
@@ -27,6 +29,10 @@
 	// otherKeep is how long a host that is not the owner keeps an idle
 	// connection.
 	otherKeep = time.Second
+	// dataCentreRate is the operations a second for each data centre below which
+	// an organisation's tokens are spent by one host of a whole region: chance
+	// arrivals are then large beside a data centre's part.
+	dataCentreRate = 5
 	// ownersKept is the number of owners that are tried one after the other.
 	ownersKept = 2
 )
@@ -35,11 +41,12 @@
 type owners struct {
 	host       string
 	dataCentre string
+	place      transactor.Place
 
 	current atomic.Pointer[ownersOf]
 	peers   map[string]keeper.Peer
-	// treasurers maps an organisation to the hosts of this data centre that
-	// spend its tokens.
+	// treasurers maps an organisation to the hosts of this data centre, or of
+	// this region, that spend its tokens.
 	treasurers atomic.Pointer[map[string][]admitter.Treasurer]
 	// spent is the configuration that treasurers was made for.
 	spent uint64
@@ -76,14 +83,30 @@
 	}
 	o.spent = view.Configuration.Version
 	treasurers := map[string][]admitter.Treasurer{}
-	for name := range view.Configuration.Organisations {
-		for _, owner := range o.choose("organisation "+name, byDataCentre[o.dataCentre], view.Peers) {
+	region := o.regionOf(view.Peers)
+	for name, organisation := range view.Configuration.Organisations {
+		hosts := byDataCentre[o.dataCentre]
+		if organisation.Rate < dataCentreRate*float64(len(byDataCentre)) {
+			hosts = region
+		}
+		for _, owner := range o.choose("organisation "+name, hosts, view.Peers) {
 			treasurers[name] = append(treasurers[name], admitter.Treasurer(owner))
 		}
 	}
 	o.treasurers.Store(&treasurers)
 }
 
+// regionOf returns the hosts of this host's region.
+func (o *owners) regionOf(peers map[string]keeper.Peer) map[string]configurer.Host {
+	hosts := map[string]configurer.Host{}
+	for name, p := range peers {
+		if o.place.DistanceTo(p.DataCentre) != balancer.DistanceFar {
+			hosts[name] = configurer.Host{ID: name}
+		}
+	}
+	return hosts
+}
+
 // treasurersOf returns the hosts that spend an organisation's tokens.
 func (o *owners) treasurersOf(organisation string) []admitter.Treasurer {
 	if current := o.treasurers.Load(); current != nil {
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -89,10 +89,10 @@
 	Kind    keeper.RouteKind
 	Verb    Verb
 	Latency time.Duration
+	// Objective is the route's latency objective; zero means none.
+	Objective time.Duration
 	// Refused is the reason of a refusal, or empty.
 	Refused string
-	// Replica is true when a replica answered.
-	Replica bool
 }
 
 // Serve accepts sessions until ctx ends or the listener fails.
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -246,7 +246,9 @@
 	if s.server.Observe == nil {
 		return
 	}
-	o := Observation{Verb: st.Verb, Latency: took}
+	view, _ := s.server.View()
+	route := view.Configuration.Routes[s.startup.Route]
+	o := Observation{Kind: route.Kind, Verb: st.Verb, Latency: took, Objective: route.TargetLatency}
 	if r.Refusal != nil {
 		o.Refused = string(r.Refusal.Reason)
 	}
