--- /dev/null
+++ b/cmd/shallotstage-host/process_test.go
@@ -0,0 +1,258 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const patience = 30 * time.Second
+
+// machine is a process of the fleet on an address of its own.
+type machine struct {
+	ip       string
+	settings string
+	log      string
+	cmd      *exec.Cmd
+}
+
+// fleet is a fleet of processes on this machine.
+type fleet struct {
+	t       *testing.T
+	program string
+	dir     string
+	ports   [5]int
+}
+
+// The ports of all machines, by use.
+const (
+	portPeer = iota
+	portMetrics
+	portControl
+	portCaller
+	portReady
+)
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, dir: t.TempDir()}
+	f.program = filepath.Join(f.dir, "host")
+	out, err := exec.Command("go", "build", "-o", f.program, ".").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	// The ports must follow each other from the first to the second, and be
+	// free on all addresses.
+	for base := 20000 + os.Getpid()%20000; ; base += 10 {
+		if f.free(base) {
+			for i := range f.ports {
+				f.ports[i] = base + i
+			}
+			return f
+		}
+	}
+}
+
+func (f *fleet) free(base int) bool {
+	for i := range len(f.ports) {
+		for host := 2; host <= 6; host++ {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", host, base+i))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
+func (f *fleet) address(ip string, use int) string { return fmt.Sprintf("%s:%d", ip, f.ports[use]) }
+
+// write writes the settings file of a machine.
+func (f *fleet) write(m *machine, seeds ...string) {
+	var quoted []string
+	for _, s := range seeds {
+		quoted = append(quoted, `"`+f.address(s, portControl)+`"`)
+	}
+	text := fmt.Sprintf(`node = "node-%s"
+ip = "%s"
+zone = "a"
+region = "r"
+internal_ports = [%d,%d]
+seeds = [%s]
+bootstrap = true
+data_dir = "%s"
+[zones]
+a = "r"
+[listen]
+front = "%s"
+ready = "%s"
+control = "%s"
+[limits]
+memory_mb = 284
+max_fds = 4300
+[fault_tolerance]
+machines = 1
+[bounds]
+grace_s = 4
+[cloud]
+address = "127.0.0.1:1"
+`, m.ip, m.ip, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, m.ip),
+		f.address(m.ip, portCaller), f.address(m.ip, portReady), f.address(m.ip, portControl))
+	qt.Assert(f.t, os.WriteFile(m.settings, []byte(text), 0o600), qt.IsNil)
+}
+
+func (f *fleet) start(role, ip string) *machine {
+	m := &machine{ip: ip, settings: filepath.Join(f.dir, ip+".toml"), log: filepath.Join(f.dir, ip+".log")}
+	f.write(m, "127.0.0.2", "127.0.0.3", "127.0.0.4")
+	log, err := os.Create(m.log)
+	qt.Assert(f.t, err, qt.IsNil)
+	m.cmd = exec.Command(f.program, role)
+	m.cmd.Env = []string{"SHALLOTSTAGE_CONFIG=" + m.settings}
+	m.cmd.Stdout, m.cmd.Stderr = log, log
+	qt.Assert(f.t, m.cmd.Start(), qt.IsNil)
+	f.t.Cleanup(func() {
+		_ = m.cmd.Process.Kill()
+		_, _ = m.cmd.Process.Wait()
+		_ = log.Close()
+	})
+	return m
+}
+
+func (f *fleet) waitFor(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("waited for %s in vain", what)
+}
+
+// call sends an HTTP request and returns the status, or zero.
+func call(method, url, body string) int {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	client := http.Client{Timeout: 2 * time.Second}
+	answer, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+// startUpstream runs a primary that answers every statement.
+func startUpstream(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveUpstream(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveUpstream(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	state := "I"
+	for first := true; ; first = false {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		switch {
+		case first:
+			_, err = fmt.Fprint(conn, "READY I 1.7\r\n")
+		case strings.Contains(line, " BEGIN"):
+			state = "T"
+			_, err = fmt.Fprint(conn, "COMPLETE -\r\nREADY T 1.7\r\n")
+		case strings.Contains(line, " ROLLBACK"):
+			state = "I"
+			_, err = fmt.Fprint(conn, "COMPLETE -\r\nREADY I 1.7\r\n")
+		default:
+			_, err = fmt.Fprintf(conn, "ROW one\r\nCOMPLETE sig\r\nREADY %s 1.7\r\n", state)
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// TestFleetOfProcesses runs three control hosts and an entry host as processes:
+// a configuration and an upstream are agreed on, a caller is served, seeds
+// change on a signal, and a stop ends in time.
+func TestFleetOfProcesses(t *testing.T) {
+	f := newFleet(t)
+	for _, ip := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
+		f.start("control", ip)
+	}
+	entry := f.start("entry", "127.0.0.5")
+	control := "http://" + f.address("127.0.0.3", portControl)
+	configuration := `{"version":3,"routes":[{"name":"r","host":"db","path_prefix":"/","type":"primary","timeout_ms":2000,"service":"s"}],
+"services":[{"name":"s","max_conns":20}],"tenants":[{"name":"t","api_keys":["k"],"rate_per_s":1000,"burst":1000}]}`
+	f.waitFor("the configuration's acknowledgement", func() bool { return call("PUT", control+"/config", configuration) == 200 })
+	qt.Assert(t, call("PUT", control+"/config", configuration[:40]), qt.Equals, 400)
+	f.waitFor("the configuration", func() bool { return call("GET", control+"/config", "") == 200 })
+	beat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","db_role":"primary","seq":1,"born":5}`, startUpstream(t))
+	f.waitFor("the heartbeat's acknowledgement", func() bool { return call("PUT", control+"/instances/i-1", beat) == 200 })
+	ready := "http://" + f.address(entry.ip, portReady) + "/ready"
+	f.waitFor("readiness", func() bool { return call("GET", ready, "") == 200 })
+
+	conn, err := net.Dial("tcp", f.address(entry.ip, portCaller))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	r := bufio.NewReader(conn)
+	_, err = fmt.Fprint(conn, "STARTUP db k\r\nQUERY a1 READ x\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	// The read runs in a transaction of the proxy's own, which callers do not
+	// see.
+	for _, want := range []string{"READY I -", "ROW one", "COMPLETE sig", "READY I 1.7"} {
+		line, err := r.ReadString('\n')
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, strings.TrimSpace(line), qt.Equals, want)
+	}
+	qt.Assert(t, call("GET", "http://"+f.address(entry.ip, portMetrics)+"/metrics", ""), qt.Equals, 200)
+	qt.Assert(t, call("GET", "http://"+f.address("127.0.0.2", portMetrics)+"/metrics", ""), qt.Equals, 200)
+
+	f.write(entry, "127.0.0.4")
+	qt.Assert(t, entry.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	f.waitFor("the new seeds", func() bool {
+		body, err := os.ReadFile(entry.log)
+		return err == nil && strings.Contains(string(body), `"settings_read"`)
+	})
+	qt.Assert(t, entry.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	f.waitFor("the end of readiness", func() bool { return call("GET", ready, "") != 200 })
+	state, err := entry.cmd.Process.Wait()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, state.ExitCode(), qt.Equals, 0)
+}
+
+func TestBadSettings(t *testing.T) {
+	f := newFleet(t)
+	path := filepath.Join(f.dir, "bad.toml")
+	qt.Assert(t, os.WriteFile(path, []byte("node = 7\n"), 0o600), qt.IsNil)
+	for _, config := range []string{path, filepath.Join(f.dir, "missing.toml")} {
+		cmd := exec.Command(f.program, "--config", config, "entry")
+		out, _ := cmd.CombinedOutput()
+		qt.Assert(t, cmd.ProcessState.ExitCode(), qt.Equals, exitUsage)
+		qt.Assert(t, string(out), qt.Contains, "settings")
+	}
+}
