--- /dev/null
+++ b/internal/coordinator/applier.go
@@ -0,0 +1,69 @@
+package coordinator
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/elector"
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+)
+
+// apply carries out an agreed entry.
+func (c *Coordinator) apply(e elector.Entry) {
+	c.applied = e.Index
+	c.logBytes += len(e.Data)
+	if e.Kind == elector.EntryMembership {
+		c.Log.Info(logger.EventMembersChanged, zap.Uint64("index", e.Index), zap.Strings("voters", e.Membership.Voters), zap.Strings("learners", e.Membership.Learners))
+	}
+	if e.Kind != elector.EntryCommand {
+		c.answer(e, keeper.Outcome{}, nil)
+		return
+	}
+	var command keeper.Command
+	if err := json.Unmarshal(e.Data, &command); err != nil {
+		c.answer(e, keeper.Outcome{}, fmt.Errorf("coordinator: decode entry %d: %w", e.Index, err))
+		return
+	}
+	out := c.state.Apply(command, e.Index)
+	if command.Kind == keeper.CommandMember {
+		c.links.learnAll(c.state.Members)
+	}
+	c.logApplied(command, e.Index, out)
+	c.answer(e, out, out.Err)
+}
+
+func (c *Coordinator) logApplied(command keeper.Command, index uint64, out keeper.Outcome) {
+	fields := []zap.Field{zap.Uint64("index", index), zap.String("command", string(command.Kind)), zap.Bool("changed", out.Changed)}
+	switch command.Kind {
+	case keeper.CommandConfigure:
+		fields = append(fields, zap.Uint64("version", command.Version))
+	case keeper.CommandObserve, keeper.CommandRemove:
+		u := command.Upstream
+		fields = append(fields, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
+			zap.String("life", string(u.Life)), zap.String("role", string(u.Role)), zap.Int64("born", u.Born), zap.Uint64("sequence", u.Sequence))
+	case keeper.CommandPromote:
+		fields = append(fields, zap.String("service", command.Service), zap.String("candidate", command.Candidate), zap.String("reason", command.Reason))
+	case keeper.CommandHostJoined, keeper.CommandHostLeft:
+		fields = append(fields, zap.String("host", command.Host))
+	case keeper.CommandMember:
+		fields = append(fields, zap.String("member", command.Member.ID), zap.String("address", command.Member.PeerAddress))
+	}
+	c.Log.Info(logger.EventCommandApplied, fields...)
+}
+
+// answer tells the proposer of an entry.
+func (c *Coordinator) answer(e elector.Entry, out keeper.Outcome, err error) {
+	p, ok := c.waiting[e.Index]
+	delete(c.waiting, e.Index)
+	if !ok {
+		return
+	}
+	if p.term != e.Term {
+		p.done(keeper.Outcome{}, ErrNotLeading)
+		return
+	}
+	p.done(out, err)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,8 +21,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,82 +140,6 @@
 	done func(keeper.Outcome, error)
 }
 
-// Open opens the data folder. It is called before the other methods.
-func (c *Coordinator) Open() error {
-	c.inbox = make(chan func(), inboxSize)
-	c.stopped = make(chan struct{})
-	c.waiting = map[uint64]proposal{}
-	store, err := storer.Open(c.DataDir, c.Node)
-	if err != nil {
-		return err
-	}
-	c.store = store
-	if err := c.load(); err != nil {
-		_ = store.Close()
-		return err
-	}
-	return nil
-}
-
-func (c *Coordinator) load() error {
-	member, err := c.store.Member()
-	if err != nil {
-		return err
-	}
-	if member == "" {
-		if member, err = c.found(); err != nil {
-			return err
-		}
-	}
-	c.id = member
-	loaded, err := c.store.Load()
-	if err != nil {
-		return err
-	}
-	if c.state, err = keeper.Unmarshal(loaded.Snapshot.Data, c.Decode); err != nil {
-		return err
-	}
-	c.applied = loaded.Snapshot.Index
-	c.links = newLinks(c)
-	c.learnStored(loaded.Entries)
-	c.elector, err = elector.New(elector.Config{
-		ID: c.id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Drift: drift, Jitter: jitter,
-	}, loaded.Hard, loaded.Snapshot, loaded.Entries, c.Now())
-	return err
-}
-
-// learnStored takes the addresses of control hosts from the stored log. Its
-// entries may not be agreed on, but without the addresses the voters of the log
-// could not find each other to agree.
-func (c *Coordinator) learnStored(entries []elector.Entry) {
-	c.links.learnAll(c.state.Members)
-	for _, e := range entries {
-		var command keeper.Command
-		if e.Kind == elector.EntryCommand && json.Unmarshal(e.Data, &command) == nil && command.Kind == keeper.CommandMember && command.Member != nil {
-			c.links.learn(*command.Member)
-		}
-	}
-}
-
-// jitter returns a random part of an election timeout.
-func jitter(bound time.Duration) time.Duration { return bound/skewPart + rand.N(bound/jitterPart) }
-
-// found names a host with a new data folder. A founder goes by its address and
-// begins with the founders as voters; any other host goes by its folder and
-// waits to be admitted.
-func (c *Coordinator) found() (string, error) {
-	member := "folder-" + c.store.Instance()
-	if c.Bootstrap && slices.Contains(c.Founders, c.PeerAddress) {
-		member = c.PeerAddress
-		voters := slices.Sorted(slices.Values(c.Founders))
-		first := elector.Snapshot{Index: 1, Membership: elector.Membership{Voters: slices.Compact(voters)}}
-		if err := c.store.SaveSnapshot(first); err != nil {
-			return "", err
-		}
-	}
-	return member, c.store.SetMember(member)
-}
-
 // ID returns the name under which the host takes part in the agreement.
 func (c *Coordinator) ID() string { return c.id }
 
@@ -342,63 +264,6 @@
 	c.logBytes = 0
 }
 
-// apply carries out an agreed entry.
-func (c *Coordinator) apply(e elector.Entry) {
-	c.applied = e.Index
-	c.logBytes += len(e.Data)
-	if e.Kind == elector.EntryMembership {
-		c.Log.Info(logger.EventMembersChanged, zap.Uint64("index", e.Index), zap.Strings("voters", e.Membership.Voters), zap.Strings("learners", e.Membership.Learners))
-	}
-	if e.Kind != elector.EntryCommand {
-		c.answer(e, keeper.Outcome{}, nil)
-		return
-	}
-	var command keeper.Command
-	if err := json.Unmarshal(e.Data, &command); err != nil {
-		c.answer(e, keeper.Outcome{}, fmt.Errorf("coordinator: decode entry %d: %w", e.Index, err))
-		return
-	}
-	out := c.state.Apply(command, e.Index)
-	if command.Kind == keeper.CommandMember {
-		c.links.learnAll(c.state.Members)
-	}
-	c.logApplied(command, e.Index, out)
-	c.answer(e, out, out.Err)
-}
-
-func (c *Coordinator) logApplied(command keeper.Command, index uint64, out keeper.Outcome) {
-	fields := []zap.Field{zap.Uint64("index", index), zap.String("command", string(command.Kind)), zap.Bool("changed", out.Changed)}
-	switch command.Kind {
-	case keeper.CommandConfigure:
-		fields = append(fields, zap.Uint64("version", command.Version))
-	case keeper.CommandObserve, keeper.CommandRemove:
-		u := command.Upstream
-		fields = append(fields, zap.String("upstream", u.ID), zap.String("service", u.Service), zap.String("address", u.Address),
-			zap.String("life", string(u.Life)), zap.String("role", string(u.Role)), zap.Int64("born", u.Born), zap.Uint64("sequence", u.Sequence))
-	case keeper.CommandPromote:
-		fields = append(fields, zap.String("service", command.Service), zap.String("candidate", command.Candidate), zap.String("reason", command.Reason))
-	case keeper.CommandHostJoined, keeper.CommandHostLeft:
-		fields = append(fields, zap.String("host", command.Host))
-	case keeper.CommandMember:
-		fields = append(fields, zap.String("member", command.Member.ID), zap.String("address", command.Member.PeerAddress))
-	}
-	c.Log.Info(logger.EventCommandApplied, fields...)
-}
-
-// answer tells the proposer of an entry.
-func (c *Coordinator) answer(e elector.Entry, out keeper.Outcome, err error) {
-	p, ok := c.waiting[e.Index]
-	delete(c.waiting, e.Index)
-	if !ok {
-		return
-	}
-	if p.term != e.Term {
-		p.done(keeper.Outcome{}, ErrNotLeading)
-		return
-	}
-	p.done(out, err)
-}
-
 // propose puts a command into the agreed log. done is called in the control
 // goroutine once it is applied, or when this host lost its lead.
 func (c *Coordinator) propose(command keeper.Command, done func(keeper.Outcome, error)) {
--- a/internal/transactor/board.go
+++ b/internal/transactor/board.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
@@ -48,39 +45,6 @@
 	floors    map[string]*tracker.Floors
 }
 
-// sight is what was seen of one upstream.
-type sight struct {
-	upstream keeper.Upstream
-	position tracker.Position
-	heardAt  time.Time
-	// laggedFloor and laggedUntil keep reads away from an upstream that refused
-	// one as lagging; the time doubles while it goes on.
-	laggedFloor tracker.Position
-	laggedUntil time.Time
-	laggedFor   time.Duration
-	service     time.Duration
-	// outstanding are the requests without an answer; silentSince is when the
-	// oldest silence among them began.
-	outstanding int
-	silentSince time.Time
-	probing     bool
-	suspect     bool
-	suspectAt   time.Time
-}
-
-// Sight is what a host tells control hosts of an upstream.
-type Sight struct {
-	Upstream string
-	// Reachable is false while the upstream does not accept connections.
-	Reachable bool
-	// For is the time since Reachable became false.
-	For time.Duration
-	// Heard is the time since it last answered.
-	Heard time.Duration
-	// Position is the last known position of its log.
-	Position tracker.Position
-}
-
 // Update takes the upstreams of a view.
 func (b *Board) Update(upstreams map[string]keeper.Upstream) {
 	b.mu.Lock()
@@ -253,105 +217,3 @@
 	}
 	return sights
 }
-
-// Watch probes upstreams that leave every request unanswered, until ctx ends.
-func (b *Board) Watch(ctx context.Context) {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, id := range b.silent() {
-			b.Doubt(ctx, id)
-		}
-	}
-}
-
-func (b *Board) silent() []string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var ids []string
-	now := b.Now()
-	for id, s := range b.upstreams {
-		if s.outstanding > 0 && !s.probing && now.Sub(s.silentSince) > silenceBeforeProbe {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-// Doubt probes an upstream and, while it does not accept a connection, holds it
-// suspect. It returns at once.
-func (b *Board) Doubt(ctx context.Context, id string) {
-	b.mu.Lock()
-	s := b.upstreams[id]
-	if s == nil || s.probing {
-		b.mu.Unlock()
-		return
-	}
-	s.probing = true
-	b.mu.Unlock()
-	go b.probe(ctx, id, s)
-}
-
-func (b *Board) probe(ctx context.Context, id string, s *sight) {
-	connect := b.Connect
-	if connect == nil {
-		connect = connectTCP
-	}
-	for ctx.Err() == nil {
-		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		err := connect(probeCtx, s.upstream.Address)
-		cancel()
-		if b.judge(id, s, err) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(probeInterval):
-		}
-	}
-}
-
-// judge takes the outcome of a probe. It returns true when probing ends.
-func (b *Board) judge(id string, s *sight, err error) bool {
-	b.mu.Lock()
-	changed := s.suspect != (err != nil)
-	s.suspect = err != nil
-	if changed && s.suspect {
-		s.suspectAt = b.Now()
-	}
-	current := b.upstreams[id] == s
-	if err == nil || !current {
-		s.probing = false
-		s.silentSince = b.Now()
-	}
-	done := !s.probing
-	b.mu.Unlock()
-	if changed && current {
-		b.tell(id, err)
-	}
-	return done
-}
-
-func (b *Board) tell(id string, err error) {
-	if err != nil {
-		b.Log.Warn(logger.EventUpstreamSuspect, zap.String("upstream", id), zap.Error(err))
-	} else {
-		b.Log.Info(logger.EventUpstreamBack, zap.String("upstream", id))
-	}
-	if b.SightsChanged != nil {
-		b.SightsChanged()
-	}
-}
-
-func connectTCP(ctx context.Context, address string) error {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	return conn.Close()
-}
