Wait in the tests of control hosts until a membership outlives its leader

The check was wrong, not the product: the replacement was not over. Change: the tests wait until every running voter holds three voters with the new and without the lost one, which is stricter. Ruled out: a lost vote (log entries of the emptied host are complete). go test -race -count=4 ./internal/coordinator: passed, 48 s.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -158,14 +158,25 @@
 	return string(document)
 }
 
-// voters returns the membership's voters as the leader knows them.
-func (f *controlFleet) voters() []string {
-	h := f.hosts[f.leader()]
-	found := make(chan []string, 1)
-	if !h.do(func() { found <- h.elector.Membership().Voters }) {
-		return nil
+// haveVoters reports whether all running voters hold a membership of three in
+// which joined votes and left does not. A leader takes a change up before it is
+// agreed on, so its word alone does not tell that the change outlives it.
+func (f *controlFleet) haveVoters(joined, left string) bool {
+	for _, h := range f.hosts {
+		found := make(chan []string, 1)
+		if !h.do(func() { found <- h.elector.Membership().Voters }) {
+			return false
+		}
+		voters := <-found
+		if !contains(voters, h.ID()) && h.ID() != joined {
+			// A host that stands by learns of it later.
+			continue
+		}
+		if len(voters) != fleetSize || !contains(voters, joined) || contains(voters, left) {
+			return false
+		}
 	}
-	return <-found
+	return true
 }
 
 func TestFleetAgreesAndSurvivesItsLeader(t *testing.T) {
@@ -222,10 +233,7 @@
 	qt.Assert(t, os.RemoveAll(old.dir), qt.IsNil)
 	fresh := f.start(lost, listen(t, old.address), t.TempDir(), false)
 	qt.Assert(t, fresh.ID(), qt.Not(qt.Equals), old.ID())
-	waitFor(t, "the vote of the emptied host", func() bool {
-		voters := f.voters()
-		return len(voters) == 3 && contains(voters, fresh.ID()) && !contains(voters, old.ID())
-	})
+	waitFor(t, "the vote of the emptied host", func() bool { return f.haveVoters(fresh.ID(), old.ID()) })
 	for node := range f.hosts {
 		if node != lost {
 			f.stop(node)
@@ -249,13 +257,15 @@
 	f := newControlFleet(t)
 	f.configure(5)
 	spare := f.start("spare", listen(t, "127.0.0.1:0"), t.TempDir(), false)
-	for node := range f.hosts {
+	lost := ""
+	for node, h := range f.hosts {
 		if node != f.leader() && node != "spare" {
+			lost = h.ID()
 			f.stop(node)
 			break
 		}
 	}
-	waitFor(t, "the spare's vote", func() bool { return contains(f.voters(), spare.ID()) })
+	waitFor(t, "the spare's vote", func() bool { return f.haveVoters(spare.ID(), lost) })
 	f.configure(6)
 	qt.Assert(t, f.read(), qt.Equals, "6")
 }
@@ -296,10 +306,10 @@
 				lost = node
 			}
 		}
-		address := f.hosts[lost].address
+		address, old := f.hosts[lost].address, f.hosts[lost].ID()
 		f.stop(lost)
 		fresh := f.start(lost, listen(t, address), t.TempDir(), false)
-		waitFor(t, "the vote of "+fresh.ID(), func() bool { return contains(f.voters(), fresh.ID()) })
+		waitFor(t, "the vote of "+fresh.ID(), func() bool { return f.haveVoters(fresh.ID(), old) })
 	}
 	f.configure(6)
 	type place struct{ node, dir, address string }
