--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -30,7 +30,6 @@
 	EventOperatorCall           = Event{1412, "operator_call_answered"}
 	EventPromotionOrdered       = Event{1413, "promotion_ordered"}
 	EventPromotionAnswered      = Event{1414, "promotion_answered"}
-	EventSharesGranted          = Event{1307, "shares_granted"}
 	EventTopologyTaken          = Event{1308, "topology_taken"}
 	EventCommandApplied         = Event{1415, "command_applied"}
 	EventPeersTaken             = Event{1309, "peers_taken"}
@@ -75,6 +74,6 @@
 		EventRequestServed, EventRequestRefused, EventRequestRetried,
 		EventUpstreamSuspect, EventUpstreamBack, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsBad, EventLinesDropped, EventReadinessChanged,
-		EventControlFailed, EventOperatorCall, EventPromotionOrdered, EventPromotionAnswered, EventSharesGranted, EventTopologyTaken, EventCommandApplied, EventPeersTaken, EventOwnerLost, EventTreasurerLost, EventPartFailed, EventMembersPlanned, EventStandingUnknown,
+		EventControlFailed, EventOperatorCall, EventPromotionOrdered, EventPromotionAnswered, EventTopologyTaken, EventCommandApplied, EventPeersTaken, EventOwnerLost, EventTreasurerLost, EventPartFailed, EventMembersPlanned, EventStandingUnknown,
 	}
 }
--- a/pkg/configurer/organisation.go
+++ b/pkg/configurer/organisation.go
@@ -5,7 +5,7 @@
 	"fmt"
 )
 
-// Organisation is a tenant whose callers share one rate.
+// Organisation is whoever callers act for; its callers share one rate.
 type Organisation struct {
 	ID string `json:"id"`
 	// Rate is in statements a second over all hosts together.
