--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -35,14 +35,19 @@
 )
 
 const (
-	// askTimeout bounds a question: many round trips within a data centre.
-	askTimeout = 120 * time.Millisecond
+	// askTimeout bounds a question: a round trip between regions and settleTime.
+	askTimeout = 250 * time.Millisecond
 	// ownRate is the operations a second on each host from which a rate is split
 	// over the hosts. Sessions are not spread evenly, and with less the chance
 	// arrivals of some seconds are large beside a host's part.
 	ownRate = 8
-	// downFor is how long a treasurer that did not answer is passed over.
-	downFor = 1500 * time.Millisecond
+	// downFor is how long a treasurer that did not answer is passed over. It
+	// doubles while that goes on, up to maxDownFor.
+	downFor    = 1500 * time.Millisecond
+	maxDownFor = 6 * time.Second
+	// settleTime bounds the wait for a part that is on its way: a round trip
+	// between regions, and one more for the host that gives it up.
+	settleTime = 150 * time.Millisecond
 	// maxAsked is the number of treasurers that one operation asks.
 	maxAsked = 4
 	// minDry and maxDry bound the time for which a treasurer's refusal is
@@ -61,6 +66,9 @@
 type Admitter struct {
 	// Local spends this host's tokens.
 	Local func(o keeper.Organisation, maxWait time.Duration) spender.Admission
+	// Settling returns a channel that is closed by the next news of this host's
+	// tokens when they are on their way, or nil; nil means never.
+	Settling func(organisation string) <-chan struct{}
 	// Organisation returns an organisation of the configuration in force.
 	Organisation func(name string) (keeper.Organisation, bool)
 	Forwarder    *forwarder.Forwarder
@@ -72,7 +80,10 @@
 	Log        *logger.Logger
 
 	mu   sync.Mutex
-	down map[string]time.Time
+	// down holds until when a treasurer is passed over that did not answer, and
+	// downFor the last such time.
+	down    map[string]time.Time
+	downFor map[string]time.Duration
 	// dry holds until when a treasurer is not asked for an organisation.
 	dry map[dryKey]time.Time
 }
@@ -80,18 +91,19 @@
 // Admit spends one operation of an organisation.
 func (a *Admitter) Admit(o keeper.Organisation, maxWait time.Duration) spender.Admission {
 	if o.Rate >= ownRate*float64(a.Hosts()) {
-		return a.Local(o, maxWait)
+		return a.spend(o, maxWait)
 	}
+	begin := time.Now()
 	asked, spentLocally := 0, false
 	var refused spender.Admission
 	for _, t := range a.Treasurers(o.Name) {
-		if asked >= maxAsked {
+		if asked >= maxAsked || asked > 0 && time.Since(begin) > max(maxWait, askTimeout) {
 			break
 		}
 		if a.isPassedOver(t.Host, o.Name) {
 			continue
 		}
-		admission, known := a.askOne(t, o, maxWait)
+		admission, known := a.askOne(t, o, max(0, maxWait-time.Since(begin)))
 		if !known {
 			continue
 		}
@@ -108,8 +120,10 @@
 	if spentLocally {
 		return refused
 	}
-	// The base of this host is of its own.
-	if admission := a.Local(o, maxWait); admission.Admitted || asked == 0 {
+	if asked == 0 {
+		return a.spend(o, maxWait)
+	}
+	if admission := a.Local(o, maxWait); admission.Admitted {
 		return admission
 	}
 	return refused
@@ -119,16 +133,40 @@
 // not decide.
 func (a *Admitter) askOne(t Treasurer, o keeper.Organisation, maxWait time.Duration) (admission spender.Admission, known bool) {
 	if t.Address == "" {
-		return a.Local(o, maxWait), true
+		return a.spend(o, maxWait), true
 	}
 	admission, known, err := a.ask(t, o.Name, maxWait)
 	if err != nil {
 		a.markDown(t, err)
 		return admission, false
 	}
+	a.mu.Lock()
+	delete(a.downFor, t.Host)
+	a.mu.Unlock()
 	return admission, known
 }
 
+// spend spends a token of this host. It waits for a moment for tokens that are on
+// their way.
+func (a *Admitter) spend(o keeper.Organisation, maxWait time.Duration) spender.Admission {
+	admission := a.Local(o, maxWait)
+	if admission.Admitted || a.Settling == nil {
+		return admission
+	}
+	settling := a.Settling(o.Name)
+	if settling == nil {
+		return admission
+	}
+	timer := time.NewTimer(min(maxWait, settleTime))
+	defer timer.Stop()
+	select {
+	case <-settling:
+		return a.Local(o, maxWait)
+	case <-timer.C:
+		return admission
+	}
+}
+
 // dryKey names an organisation's tokens on a treasurer.
 type dryKey struct{ host, organisation string }
 
@@ -154,11 +192,14 @@
 func (a *Admitter) markDown(t Treasurer, err error) {
 	a.mu.Lock()
 	if a.down == nil {
-		a.down = map[string]time.Time{}
+		a.down, a.downFor = map[string]time.Time{}, map[string]time.Duration{}
 	}
 	now := time.Now()
 	news := !now.Before(a.down[t.Host])
-	a.down[t.Host] = now.Add(downFor)
+	if news {
+		a.downFor[t.Host] = min(max(2*a.downFor[t.Host], downFor), maxDownFor)
+		a.down[t.Host] = now.Add(a.downFor[t.Host])
+	}
 	a.mu.Unlock()
 	if news {
 		a.Log.Warn(logger.EventTreasurerLost, zap.String("treasurer", t.Host), zap.Error(err))
@@ -205,7 +246,7 @@
 		defer func() { _ = stream.Close() }()
 		answer := &messenger.AdmissionAnswer{}
 		if o, ok := a.Organisation(request.GetOrganisation()); ok {
-			d := a.Local(o, time.Duration(request.GetMaxWaitMs())*time.Millisecond)
+			d := a.spend(o, time.Duration(request.GetMaxWaitMs())*time.Millisecond)
 			answer = &messenger.AdmissionAnswer{
 				Known: true, Admitted: d.Admitted, WaitUs: uint32(d.Wait.Microseconds()), RetryAfterMs: uint32(d.RetryAfter.Milliseconds()),
 				Share: d.Share, Level: d.Level,
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -99,3 +99,18 @@
 	qt.Assert(t, rich.asked.Load(), qt.Equals, int64(2))
 	qt.Assert(t, local.tokens.Load() <= 0, qt.IsTrue)
 }
+
+// An operation waits for tokens that are on their way, and not for others.
+func TestOperationWaitsForItsFirstTokens(t *testing.T) {
+	local := &treasurer{}
+	a := newAsker(t, local)
+	news := make(chan struct{})
+	a.Settling = func(string) <-chan struct{} {
+		local.tokens.Store(1)
+		close(news)
+		return news
+	}
+	qt.Assert(t, a.Admit(organisation, time.Minute).Admitted, qt.IsTrue)
+	a.Settling = func(string) <-chan struct{} { return nil }
+	qt.Assert(t, a.Admit(organisation, time.Minute).Admitted, qt.IsFalse)
+}
--- a/internal/attender/attender.go
+++ b/internal/attender/attender.go
@@ -40,17 +40,21 @@
 	// silenceLimit is how long a control host may stay silent before another
 	// one is tried: two reports without an answer.
 	silenceLimit = 1800 * time.Millisecond
+	// positionsInterval is the time between reports of positions alone. They
+	// serve where an upstream cannot be asked for its own.
+	positionsInterval = 4 * time.Second
 	// searchPause is the wait after a round of control hosts without a leader.
 	searchPause = 100 * time.Millisecond
 	// followPause is the wait before the host is asked that was named as
 	// leading.
 	followPause = 10 * time.Millisecond
-	// dialLimit bounds the attempt to reach one control host: four round trips
-	// between regions. It doubles with each round in which none is reached, up to
-	// maxDialLimit, for links that are full.
-	dialLimit    = 250 * time.Millisecond
+	// dialLimit bounds the attempt to reach one control host: two round trips
+	// between regions. An opening packet that was lost is sent again after a
+	// second only. The limit doubles with each round in which none is reached,
+	// up to maxDialLimit, for links that are full.
+	dialLimit    = 125 * time.Millisecond
 	maxDialLimit = time.Second
-	maxMissed    = 2
+	maxMissed    = 3
 )
 
 // Attender attends the leading control host. Exported fields are set before
@@ -89,6 +93,8 @@
 	missed int
 	// told holds the last report's sights.
 	told map[string]Sight
+	// toldPositions is when all changed positions were told.
+	toldPositions time.Time
 	// sequence is the last report's, sent when the unanswered reports were
 	// sent.
 	sequence uint64
@@ -273,6 +279,10 @@
 		Sequence: a.sequence, Host: a.Host, Incarnation: a.Incarnation, DataCentre: a.DataCentre, PeerAddress: a.PeerAddress, Hosts: view.Hosts, Version: view.Configuration.Version, Lost: a.lost,
 		Leaving: a.leaving.Load(), Shares: a.Shares.Report(), Sights: a.news(),
 	}
+	if r.Leaving {
+		// Others take the host's part over, so that it asks for none.
+		r.Shares.Demands = nil
+	}
 	if err := stream.MsgSend(&r, linker.JSON{}); err != nil {
 		return fmt.Errorf("attender: report: %w", err)
 	}
@@ -284,14 +294,22 @@
 	if a.Sights == nil {
 		return nil
 	}
+	now := a.Now()
+	positions := now.Sub(a.toldPositions) >= positionsInterval
+	if positions {
+		a.toldPositions = now
+	}
 	told := a.told
 	a.told = map[string]Sight{}
 	var news []Sight
 	for _, s := range a.Sights() {
-		a.told[s.Upstream] = s
-		if old, ok := told[s.Upstream]; !ok || old != s {
-			news = append(news, s)
+		old, ok := told[s.Upstream]
+		if ok && old.Reachable == s.Reachable && old.Heard == s.Heard && (!positions || old.Position == s.Position) {
+			a.told[s.Upstream] = old
+			continue
 		}
+		a.told[s.Upstream] = s
+		news = append(news, s)
 	}
 	return news
 }
--- a/internal/coordinator/attendance.go
+++ b/internal/coordinator/attendance.go
@@ -17,6 +17,11 @@
 // longer than an election, shorter than entry hosts wait for an answer.
 const holdLimit = 900 * time.Millisecond
 
+// regrantInterval is the least time between two grants of which the second only
+// takes parts for others: a round trip between regions, and the wait of the host
+// that lacks them.
+const regrantInterval = 100 * time.Millisecond
+
 // attendance is one entry host's stream to this host while it leads. Its
 // fields belong to the control goroutine.
 type attendance struct {
@@ -34,6 +39,8 @@
 	// answers is the report to answer, and due is true until it is answered.
 	answers uint64
 	due     bool
+	// granted is when the host was last granted shares.
+	granted time.Time
 	// sights are the newest by upstream, and seen when they were told.
 	sights map[string]attender.Sight
 	seen   time.Time
@@ -128,7 +135,7 @@
 	c.lead.shares.Take(a.name, r.Shares, now)
 	for _, name := range c.lead.shares.Holding(a.name, now) {
 		// What this host lacks is held by others: they are told at once.
-		if other := c.lead.hosts[name]; other != nil {
+		if other := c.lead.hosts[name]; other != nil && now.Sub(other.granted) >= regrantInterval {
 			other.due = true
 			other.wake()
 		}
@@ -204,6 +211,7 @@
 		u.Answers = a.answers
 		if c.elector.HasLease(now) && c.state.Hosts[a.name] {
 			u.Grant, u.Extras = c.lead.shares.Grant(a.name, now)
+			a.granted = now
 			u.Lease = shareLease
 		}
 	}
--- a/internal/coordinator/attendance_test.go
+++ b/internal/coordinator/attendance_test.go
@@ -123,3 +123,22 @@
 	qt.Assert(t, a.dials.Load() <= most, qt.IsTrue, qt.Commentf("%d questions, at most %d expected", a.dials.Load(), most))
 	waitFor(t, "the operators' address", func() bool { return spare.LeaderOperatorAddress(context.Background()) != "" })
 }
+
+// TestLeavingHostGivesItsPartUp has a host with all of a rate begin to stop.
+func TestLeavingHostGivesItsPartUp(t *testing.T) {
+	f := newControlFleet(t)
+	f.configure(7)
+	leader := f.hosts[f.leader()]
+	o := keeper.Organisation{Name: "a", Rate: 100, Burst: 100}
+	a := attend(t, "entry-1", leader.address)
+	waitFor(t, "a part of the rate", func() bool {
+		a.Shares.Admit(o, 0)
+		return a.Shares.Report().Extras["a"] > 0
+	})
+	a.Leave()
+	waitFor(t, "the end of the part", func() bool {
+		held := make(chan bool, 1)
+		return len(a.Shares.Report().Extras) == 0 && leader.do(func() { held <- leader.lead.shares.Holds("entry-1", "a") }) && !<-held
+	})
+	qt.Assert(t, a.Shares.Report().Demands["a"] > 0, qt.IsTrue, qt.Commentf("its callers still ask"))
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -39,6 +39,9 @@
 	// with round trips of 60 ms and syncs of some milliseconds.
 	heartbeat       = 110 * time.Millisecond
 	electionTimeout = 450 * time.Millisecond
+	// leaderLease outlives the answers to two heartbeats; a voter that restarts
+	// waits for it.
+	leaderLease = 300 * time.Millisecond
 	// electionStagger is the time of two rounds between regions, 60 ms each, with
 	// their syncs.
 	electionStagger = 150 * time.Millisecond
--- a/internal/coordinator/links.go
+++ b/internal/coordinator/links.go
@@ -32,8 +32,8 @@
 	redialPause = 50 * time.Millisecond
 	// linkDialLimit bounds the attempt to connect to another voter. A lost
 	// opening packet is sent again by the system after a second only, and
-	// elections wait for these links: four round trips between regions.
-	linkDialLimit = 250 * time.Millisecond
+	// elections wait for these links: more than two round trips between regions.
+	linkDialLimit = 150 * time.Millisecond
 	// dialLimit bounds the attempt to reach a seed.
 	dialLimit = 700 * time.Millisecond
 )
--- a/internal/coordinator/opener.go
+++ b/internal/coordinator/opener.go
@@ -51,7 +51,7 @@
 	c.links = newLinks(c)
 	c.learnStored(loaded.Entries)
 	c.elector, err = elector.New(elector.Config{
-		ID: c.id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Drift: drift, Jitter: jitter, Stagger: electionStagger,
+		ID: c.id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Lease: leaderLease, Drift: drift, Jitter: jitter, Stagger: electionStagger,
 	}, loaded.Hard, loaded.Snapshot, loaded.Entries, c.Now())
 	return err
 }
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -135,7 +135,7 @@
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.lender = &lender.Lender{Local: e.set, Forwarder: e.forwarder, Owners: e.owners.of, Log: e.Log}
 	e.admitter = &admitter.Admitter{
-		Local: shares.Admit, Organisation: e.organisation, Forwarder: e.forwarder, Hosts: e.hosts, Treasurers: e.owners.treasurersOf, Log: e.Log,
+		Local: shares.Admit, Settling: shares.Settling, Organisation: e.organisation, Forwarder: e.forwarder, Hosts: e.hosts, Treasurers: e.owners.treasurersOf, Log: e.Log,
 	}
 	e.attender = &attender.Attender{
 		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre, PeerAddress: e.Settings.PeerAddress,
@@ -144,7 +144,7 @@
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: e.admitter.Admit, Settling: shares.Settling, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: e.admitter.Admit, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	e.sampler = &sampler.Sampler{
--- a/internal/transactor/board.go
+++ b/internal/transactor/board.go
@@ -43,6 +43,40 @@
 	mu        sync.Mutex
 	upstreams map[string]*sight
 	floors    map[string]*tracker.Floors
+	// leads are the upstreams that took what only a primary takes although the
+	// view names another one, by service.
+	leads map[string]lead
+}
+
+// lead is an upstream that led while a view was the newest.
+type lead struct {
+	upstream string
+	revision uint64
+}
+
+// Leader returns the upstream to ask as the primary of a service: the one that
+// the view names, or one that has shown since that it leads.
+func (b *Board) Leader(service string, view *keeper.View) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if l, ok := b.leads[service]; ok && l.revision == view.Revision {
+		return l.upstream
+	}
+	return view.Primaries[service]
+}
+
+// Led notes that an upstream took what only a primary takes.
+func (b *Board) Led(service, id string, view *keeper.View) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if view.Primaries[service] == id {
+		delete(b.leads, service)
+		return
+	}
+	if b.leads == nil {
+		b.leads = map[string]lead{}
+	}
+	b.leads[service] = lead{id, view.Revision}
 }
 
 // Update takes the upstreams of a view.
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -84,9 +84,6 @@
 	}
 	maxWait := min(route.TargetLatency/tokenWaitPart, maxTokenWait)
 	a := s.server.Admit(o, maxWait)
-	if !a.Admitted && s.settle(ctx, maxWait) {
-		a = s.server.Admit(o, maxWait)
-	}
 	if !a.Admitted {
 		detail := fmt.Sprintf("organisation %s, rate %g, burst %g, share %.3f, tokens %.2f", o.Name, o.Rate, o.Burst, a.Share, a.Level)
 		refusal := refuser.New(refuser.ReasonRateExceeded, detail)
@@ -103,27 +100,6 @@
 	return nil
 }
 
-// settle waits for news of the host's part of the rates, if the host has just
-// started, and reports whether there was any.
-func (s *session) settle(ctx context.Context, maxWait time.Duration) bool {
-	if s.server.Settling == nil {
-		return false
-	}
-	settling := s.server.Settling()
-	if settling == nil {
-		return false
-	}
-	timer := time.NewTimer(maxWait)
-	defer timer.Stop()
-	select {
-	case <-settling:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // handleInside carries a statement of an open transaction out.
 func (s *session) handleInside(ctx context.Context, r *request) Reply {
 	st := r.statement
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -17,14 +17,28 @@
 
 // primary returns the upstream to ask as the primary of the route's service, or
 // false when none answers. An upstream that is being promoted is asked when the
-// one that led refused or does not answer.
-func (r *request) primary(view *keeper.View, refusedBy string) (keeper.Upstream, bool) {
+// one that led refused or does not answer. When the one that led was replaced and
+// the host was not told by which, it asks the others: one that does not lead
+// refuses too, and nothing runs.
+func (r *request) primary(view *keeper.View, refusedBy map[string]bool) (keeper.Upstream, bool) {
 	server := r.session.server
-	u, ok := view.Upstreams[view.Primaries[r.route.Service]]
-	if candidate := view.Candidate(r.route.Service); candidate != "" && (!ok || u.ID == refusedBy || server.isSuspect(u)) {
-		u, ok = view.Upstreams[candidate], true
+	u, ok := view.Upstreams[server.Board.Leader(r.route.Service, view)]
+	if ok && !refusedBy[u.ID] && !server.isSuspect(u) {
+		return u, true
 	}
-	return u, ok && !server.isSuspect(u)
+	if candidate := view.Candidate(r.route.Service); candidate != "" && !refusedBy[candidate] {
+		u = view.Upstreams[candidate]
+		return u, !server.isSuspect(u)
+	}
+	if !ok || !refusedBy[u.ID] {
+		return u, false
+	}
+	for _, other := range view.ByService(r.route.Service) {
+		if !refusedBy[other.ID] && !server.isSuspect(other) {
+			return other, true
+		}
+	}
+	return u, false
 }
 
 // withPrimary runs f with a lease of a connection to the primary until it need
@@ -32,12 +46,13 @@
 func (r *request) withPrimary(ctx context.Context, f func(l *connector.Lease) outcome) outcome {
 	server := r.session.server
 	var last error
-	refusedBy := ""
+	refusedBy := map[string]bool{}
 	for r.remaining() > 0 {
 		view, changed := server.View()
 		u, ok := r.primary(view, refusedBy)
 		if !ok {
 			last = errors.New("the primary does not answer")
+			clear(refusedBy)
 			if !r.pause(ctx, changed, primaryPause) {
 				break
 			}
@@ -50,6 +65,9 @@
 		if !out.kept {
 			l.End()
 		}
+		if out.refusal == nil {
+			server.Board.Led(r.route.Service, u.ID, view)
+		}
 		if !out.again {
 			return out
 		}
@@ -60,7 +78,7 @@
 			out.again = false
 			return out
 		case refuser.ReasonPrimaryReplaced:
-			refusedBy = u.ID
+			refusedBy[u.ID] = true
 		}
 		server.Log.Info(logger.EventRequestRetried, r.fields(out)...)
 		if !r.pause(ctx, changed, retryPause) {
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -67,9 +67,6 @@
 	// Refresh makes sure that the board has a sample of a service's primary that
 	// is no older than maxAge; nil means that each request asks the primary.
 	Refresh func(ctx context.Context, service string, maxAge time.Duration) error
-	// Settling returns a channel that is closed when the host learns more of
-	// its part of the rates, or nil when it knows it.
-	Settling func() <-chan struct{}
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	// DistanceTo classes an upstream's data centre.
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -56,6 +56,10 @@
 	Heartbeat time.Duration
 	// ElectionTimeout is the least time without a leader before an election.
 	ElectionTimeout time.Duration
+	// Lease is the time from an answered message for which a leader counts on its
+	// lease, and a voter that restarted waits for it to end. It is at most
+	// ElectionTimeout, which zero means.
+	Lease time.Duration
 	// Drift bounds how much faster one clock runs than another, as a part of
 	// elapsed time.
 	Drift float64
@@ -118,6 +122,9 @@
 	if cfg.ID == "" || cfg.Heartbeat <= 0 || cfg.ElectionTimeout <= cfg.Heartbeat || cfg.Jitter == nil {
 		return nil, errors.New("elector: config needs an id, a jitter and an election timeout above the heartbeat")
 	}
+	if cfg.Lease <= 0 || cfg.Lease > cfg.ElectionTimeout {
+		cfg.Lease = cfg.ElectionTimeout
+	}
 	e := &Elector{cfg: cfg, hard: hard, role: RoleFollower, membership: cfg.Initial.clone()}
 	e.log.restore(snapshot)
 	if snapshot.Index > 0 {
@@ -135,7 +142,8 @@
 	if hard.Term > 0 {
 		// A leader's lease may rest on what this host heard before it
 		// restarted.
-		e.heard = now
+		e.heard = now.Add(cfg.Lease - cfg.ElectionTimeout)
+		e.deadline = e.deadline.Add(cfg.Lease - cfg.ElectionTimeout)
 	}
 	if hard.Leader == cfg.ID {
 		// No other host may lead before this one's last lease has ended, so the
--- a/pkg/elector/explore_test.go
+++ b/pkg/elector/explore_test.go
@@ -53,13 +53,15 @@
 	plant   plant
 	// pace is the number of messages that one step delivers. With a low one
 	// messages pile up and arrive late.
-	pace    int
-	cut     map[string]bool
-	leaders map[uint64]string
-	agreed  map[uint64]string
-	trace   []string
-	failure string
-	counter int
+	pace int
+	// lease and stagger are settings of all hosts.
+	lease, stagger time.Duration
+	cut            map[string]bool
+	leaders        map[uint64]string
+	agreed         map[uint64]string
+	trace          []string
+	failure        string
+	counter        int
 }
 
 func (s *schedule) note(format string, args ...any) {
@@ -84,6 +86,9 @@
 		cut: map[string]bool{}, leaders: map[uint64]string{}, agreed: map[uint64]string{},
 	}
 	s.pace = 1 + s.rnd.IntN(6)
+	settings := rand.New(rand.NewPCG(seed, 8))
+	s.lease = election - time.Duration(settings.IntN(4))*election/5
+	s.stagger = time.Duration(settings.IntN(2)) * election / 2
 	n := 3 + 2*s.rnd.IntN(2)
 	for i := range n + 1 {
 		id := fmt.Sprintf("c%d", i)
@@ -98,7 +103,7 @@
 
 func (s *schedule) config(m *member, initial Membership) Config {
 	return Config{
-		ID: m.id, Heartbeat: heartbeat, ElectionTimeout: election, Drift: drift, Initial: initial,
+		ID: m.id, Heartbeat: heartbeat, ElectionTimeout: election, Drift: drift, Initial: initial, Lease: s.lease, Stagger: s.stagger,
 		Jitter: func(d time.Duration) time.Duration { return time.Duration(s.rnd.Int64N(int64(d))) },
 	}
 }
--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -234,7 +234,7 @@
 }
 
 // extendLease counts the lease from the sending of the newest round to which a
-// quorum has answered: these voters elect nobody else for ElectionTimeout.
+// quorum has answered: these voters elect nobody else for Lease.
 func (e *Elector) extendLease() {
 	answered := 0
 	rounds := make([]uint64, 0, len(e.membership.Voters))
@@ -255,7 +255,7 @@
 	if !ok {
 		return
 	}
-	span := time.Duration(float64(e.cfg.ElectionTimeout) * (1 - e.cfg.Drift))
+	span := time.Duration(float64(e.cfg.Lease) * (1 - e.cfg.Drift))
 	if until := sent.Add(span); until.After(e.leaseUntil) {
 		e.leaseUntil = until
 	}
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -140,6 +140,12 @@
 	}
 }
 
+// Holds reports whether a host may hold a part of an organisation's lent part.
+func (s *Sharer) Holds(id, organisation string) bool {
+	h := s.hosts[id]
+	return h != nil && h.bound[organisation] > 0
+}
+
 // shrinkPart is the part of a grant below which a host should learn of its
 // smaller one at once.
 const shrinkPart = 0.8
--- a/pkg/spender/spender.go
+++ b/pkg/spender/spender.go
@@ -33,7 +33,13 @@
 	// host was down makes up for it.
 	youth = 5 * time.Second
 	// starvedInterval is the least time between two calls of Starved.
-	starvedInterval = 150 * time.Millisecond
+	starvedInterval = 200 * time.Millisecond
+	// grantsCease is the time without a grant after which none is expected: two
+	// reports.
+	grantsCease = 2 * time.Second
+	// maxRetryAfter bounds the time after which a refused operation should come
+	// back: with the next report the host may get a larger part.
+	maxRetryAfter = time.Second
 	// keptPart is the part of an extra below which a smaller one counts as given
 	// up.
 	keptPart = 0.8
@@ -45,7 +51,7 @@
 type Spender struct {
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
-	// Starved is called, at most every 150 ms, when an operation finds no
+	// Starved is called, at most every 200 ms, when an operation finds no
 	// token; nil means nobody is told. It must not block.
 	Starved func()
 
@@ -57,6 +63,8 @@
 	changed chan struct{}
 	hosts   int
 	grant   uint64
+	// granted is when the newest grant was taken.
+	granted time.Time
 	extras  map[string]float64
 	until   time.Time
 	buckets map[string]*bucket
@@ -104,7 +112,7 @@
 	for name, part := range s.extras {
 		gaveUp = gaveUp || extras[name] < keptPart*part
 	}
-	s.grant, s.extras, s.until = number, extras, until
+	s.grant, s.granted, s.extras, s.until = number, now, extras, until
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -112,13 +120,15 @@
 	return gaveUp
 }
 
-// Settling returns a channel that is closed by the next grant while the host
-// has just started: until then it does not know its part of the rates. It
-// returns nil later.
-func (s *Spender) Settling() <-chan struct{} {
+// Settling returns a channel that is closed by the next grant while the host's
+// part of an organisation's rate is probably on its way: the host has just
+// started, or it has none and control hosts answer. It returns nil otherwise.
+func (s *Spender) Settling(organisation string) <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isYoung(s.Now()) {
+	now := s.Now()
+	expected := s.extras[organisation] == 0 && !s.granted.IsZero() && now.Sub(s.granted) < grantsCease
+	if !expected && !s.isYoung(now) {
 		return nil
 	}
 	if s.changed == nil {
@@ -183,12 +193,12 @@
 		s.Starved()
 	}
 	if rate <= 0 {
-		a.RetryAfter = time.Second
+		a.RetryAfter = maxRetryAfter
 		return a
 	}
 	lack := time.Duration((1 - b.level) / rate * float64(time.Second))
 	if lack > maxWait {
-		a.RetryAfter = lack
+		a.RetryAfter = min(lack, maxRetryAfter)
 		return a
 	}
 	b.level--
--- a/pkg/spender/spender_test.go
+++ b/pkg/spender/spender_test.go
@@ -87,3 +87,24 @@
 	admitted(s, o, 50)
 	qt.Assert(t, asked, qt.Equals, 2)
 }
+
+func TestSettlingEndsWhenNoGrantIsExpected(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	s := &Spender{Now: c.Now}
+	s.SetHosts(10)
+	qt.Assert(t, s.Settling("a"), qt.Not(qt.IsNil), qt.Commentf("the host has just started"))
+	c.advance(youth)
+	qt.Assert(t, s.Settling("a"), qt.IsNil, qt.Commentf("no control host answers"))
+	s.Grant(1, map[string]float64{"b": 0.2}, c.now.Add(10*time.Second))
+	qt.Assert(t, s.Settling("b"), qt.IsNil, qt.Commentf("the host has its part"))
+	news := s.Settling("a")
+	qt.Assert(t, news, qt.Not(qt.IsNil))
+	s.Grant(2, map[string]float64{"a": 0.2}, c.now.Add(10*time.Second))
+	select {
+	case <-news:
+	default:
+		t.Fatal("a grant wakes nobody")
+	}
+	c.advance(grantsCease)
+	qt.Assert(t, s.Settling("c"), qt.IsNil, qt.Commentf("grants have ceased"))
+}
