--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -32,6 +32,9 @@
 	program string
 	dir     string
 	ports   [5]int
+	// machines is the number of addresses, cloud where the platform is called.
+	machines int
+	cloud    string
 }
 
 // The ports of all machines, by use.
@@ -43,8 +46,10 @@
 	portReady
 )
 
-func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, dir: t.TempDir()}
+func newFleet(t *testing.T) *fleet { return newFleetOf(t, 5) }
+
+func newFleetOf(t *testing.T, machines int) *fleet {
+	f := &fleet{t: t, dir: t.TempDir(), machines: machines, cloud: "127.0.0.1:1"}
 	f.program = filepath.Join(f.dir, "host")
 	out, err := exec.Command("go", "build", "-o", f.program, ".").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
@@ -62,7 +67,7 @@
 
 func (f *fleet) free(base int) bool {
 	for i := range len(f.ports) {
-		for host := 2; host <= 6; host++ {
+		for host := 2; host < 2+f.machines; host++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", host, base+i))
 			if err != nil {
 				return false
@@ -103,16 +108,16 @@
 [bounds]
 grace_s = 4
 [cloud]
-address = "127.0.0.1:1"
+address = "%s"
 `, m.ip, m.ip, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, m.ip),
-		f.address(m.ip, portCaller), f.address(m.ip, portReady), f.address(m.ip, portControl))
+		f.address(m.ip, portCaller), f.address(m.ip, portReady), f.address(m.ip, portControl), f.cloud)
 	qt.Assert(f.t, os.WriteFile(m.settings, []byte(text), 0o600), qt.IsNil)
 }
 
 func (f *fleet) start(role, ip string) *machine {
 	m := &machine{ip: ip, settings: filepath.Join(f.dir, ip+".toml"), log: filepath.Join(f.dir, ip+".log")}
 	f.write(m, "127.0.0.2", "127.0.0.3", "127.0.0.4")
-	log, err := os.Create(m.log)
+	log, err := os.OpenFile(m.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	qt.Assert(f.t, err, qt.IsNil)
 	m.cmd = exec.Command(f.program, role)
 	m.cmd.Env = []string{"SHALLOTSTAGE_CONFIG=" + m.settings}
--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -79,7 +79,7 @@
 	Treasurers func(organisation string) []Treasurer
 	Log        *logger.Logger
 
-	mu   sync.Mutex
+	mu sync.Mutex
 	// down holds until when a treasurer is passed over that did not answer, and
 	// downFor the last such time.
 	down    map[string]time.Time
