Let a stopping host keep the rates that it spends itself; spread owners in one pass

Change: it gives up only what others spend for its callers. placer.Spread selects the best instead of sorting: 58.8 to 3.1 ms for 633 upstreams and 103 hosts, the test of the same owners holds.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -90,7 +90,7 @@
 
 // Admit spends one operation of an organisation.
 func (a *Admitter) Admit(o keeper.Organisation, maxWait time.Duration) spender.Admission {
-	if o.Rate >= ownRate*float64(a.Hosts()) {
+	if !a.hasTreasurers(o) {
 		return a.spend(o, maxWait)
 	}
 	begin := time.Now()
@@ -129,6 +129,18 @@
 	return refused
 }
 
+// hasTreasurers reports whether an organisation's rate is too small to be split
+// over all hosts.
+func (a *Admitter) hasTreasurers(o keeper.Organisation) bool {
+	return o.Rate < ownRate*float64(a.Hosts())
+}
+
+// Yields reports whether other hosts spend an organisation's tokens.
+func (a *Admitter) Yields(organisation string) bool {
+	o, ok := a.Organisation(organisation)
+	return ok && a.hasTreasurers(o)
+}
+
 // askOne asks one treasurer, which may be this host. known is false when it did
 // not decide.
 func (a *Admitter) askOne(t Treasurer, o keeper.Organisation, maxWait time.Duration) (admission spender.Admission, known bool) {
--- a/internal/attender/attender.go
+++ b/internal/attender/attender.go
@@ -72,6 +72,9 @@
 	Now func() time.Time
 	// Shares is the host's spender.
 	Shares *spender.Spender
+	// Yields reports whether other hosts spend an organisation's tokens once this
+	// one is about to end; nil means that none do.
+	Yields func(organisation string) bool
 	// Sights returns what the host sees of upstreams.
 	Sights func() []Sight
 	// Taken is called in Run's goroutine with each new view.
@@ -279,9 +282,9 @@
 		Sequence: a.sequence, Host: a.Host, Incarnation: a.Incarnation, DataCentre: a.DataCentre, PeerAddress: a.PeerAddress, Hosts: view.Hosts, Version: view.Configuration.Version, Lost: a.lost,
 		Leaving: a.leaving.Load(), Shares: a.Shares.Report(), Sights: a.news(),
 	}
-	if r.Leaving {
-		// Others take the host's part over, so that it asks for none.
-		r.Shares.Demands = nil
+	if r.Leaving && a.Yields != nil {
+		// Others spend for the callers that this host still has.
+		maps.DeleteFunc(r.Shares.Demands, func(organisation string, _ float64) bool { return a.Yields(organisation) })
 	}
 	if err := stream.MsgSend(&r, linker.JSON{}); err != nil {
 		return fmt.Errorf("attender: report: %w", err)
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -139,7 +139,7 @@
 	}
 	e.attender = &attender.Attender{
 		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre, PeerAddress: e.Settings.PeerAddress,
-		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Sights: e.sights, Taken: e.take, Log: e.Log,
+		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Yields: e.admitter.Yields, Sights: e.sights, Taken: e.take, Log: e.Log,
 	}
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
--- a/pkg/placer/spread.go
+++ b/pkg/placer/spread.go
@@ -1,8 +1,6 @@
 package placer
 
-import (
-	"sort"
-)
+import "sort"
 
 // Spread ranks hosts as owners of things, the best first, at most ranks of them
 // for each. It is rendezvous hashing with a bound: no host is the best owner of
@@ -15,30 +13,53 @@
 	ordered := append([]string(nil), things...)
 	sort.Strings(ordered)
 	most := (len(ordered) + len(hosts) - 1) / len(hosts)
-	load := map[string]int{}
+	load := make([]int, len(hosts))
+	left := make([]candidate, 0, len(hosts))
 	owners := make(map[string][]string, len(ordered))
 	for _, thing := range ordered {
-		ranked := rank(thing, hosts)
-		// Hosts that own less than the bound come first, the others after them.
-		sort.SliceStable(ranked, func(i, j int) bool { return load[ranked[i]] < most && load[ranked[j]] >= most })
-		load[ranked[0]]++
-		owners[thing] = ranked[:min(ranks, len(ranked))]
+		left = left[:0]
+		for i, h := range hosts {
+			left = append(left, candidate{scored{h, score(thing, h)}, i, load[i] >= most})
+		}
+		ranked := make([]string, 0, min(ranks, len(hosts)))
+		for len(ranked) < cap(ranked) {
+			best := bestOf(left)
+			if len(ranked) == 0 {
+				load[left[best].index]++
+			}
+			ranked = append(ranked, left[best].host)
+			left[best] = left[len(left)-1]
+			left = left[:len(left)-1]
+		}
+		owners[thing] = ranked
 	}
 	return owners
 }
 
-// rank returns hosts by their score for a thing, the best first.
-func rank(thing string, hosts []string) []string {
-	candidates := make([]scored, 0, len(hosts))
-	for _, h := range hosts {
-		candidates = append(candidates, scored{h, score(thing, h)})
-	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].before(candidates[j]) })
-	ranked := make([]string, 0, len(hosts))
-	for _, c := range candidates {
-		ranked = append(ranked, c.host)
+// candidate is a host that may own a thing.
+type candidate struct {
+	scored
+	index int
+	// full is true when the host owns as many things as it may.
+	full bool
+}
+
+// bestOf returns the index of the best candidate: one that is not full, with the
+// highest score.
+func bestOf(candidates []candidate) int {
+	best := 0
+	for i, c := range candidates {
+		if c.full != candidates[best].full {
+			if candidates[best].full {
+				best = i
+			}
+			continue
+		}
+		if c.before(candidates[best].scored) {
+			best = i
+		}
 	}
-	return ranked
+	return best
 }
 
 // Pick returns which of n owners of a thing a host uses, so that the hosts are
--- a/pkg/placer/spread_test.go
+++ b/pkg/placer/spread_test.go
@@ -56,3 +56,11 @@
 	// What the host owned moves, and what the bound then displaces.
 	qt.Assert(t, moved <= 10*loads(before)["host-50"], qt.IsTrue, qt.Commentf("%d of 633 moved, the host owned %d", moved, loads(before)["host-50"]))
 }
+
+// BenchmarkSpread spreads a data centre's upstreams at the size to design for.
+func BenchmarkSpread(b *testing.B) {
+	things, hosts := names("upstream", 633), names("host", 103)
+	for b.Loop() {
+		Spread(things, hosts, 2)
+	}
+}
