--- a/internal/attender/packed_test.go
+++ b/internal/attender/packed_test.go
@@ -1,6 +1,8 @@
 package attender
 
 import (
+	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 
@@ -24,3 +26,20 @@
 		qt.Assert(t, bad.Unpack(&m), qt.Not(qt.IsNil), qt.Commentf("%s", what))
 	}
 }
+
+// What goes to every host is packed to a quarter at most, at the sizes of today
+// and of the size to design for. The log gives the sizes for docs/CAPACITY.md.
+func TestPackedSizes(t *testing.T) {
+	for _, n := range []int{87, 930} {
+		peers := map[string]keeper.Peer{}
+		for i := range n {
+			peers[fmt.Sprintf("entry-saskatoon-a-%d", i)] = keeper.Peer{Address: fmt.Sprintf("10.%d.%d.%d:7560", i%6, i*7%13, i*37%251), DataCentre: fmt.Sprintf("saskatoon-%d", i%6)}
+		}
+		plain, err := json.Marshal(peers)
+		qt.Assert(t, err, qt.IsNil)
+		p, err := Pack(peers)
+		qt.Assert(t, err, qt.IsNil)
+		t.Logf("%d peers: %d bytes, packed %d", n, len(plain), len(p))
+		qt.Assert(t, 4*len(p) <= len(plain), qt.IsTrue)
+	}
+}
