Refuse what cannot be served sooner on a host that is cut off

Change: a request waits for an upstream for half of its objective, a tenth on a host that control does not reach; questions to treasurers end after 250 ms together.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -97,7 +97,8 @@
 	asked, spentLocally := 0, false
 	var refused spender.Admission
 	for _, t := range a.Treasurers(o.Name) {
-		if asked >= maxAsked || asked > 0 && time.Since(begin) > max(maxWait, askTimeout) {
+		if asked >= maxAsked || time.Since(begin) >= askTimeout {
+			// What cannot be decided soon is refused at once.
 			break
 		}
 		if a.isPassedOver(t.Host, o.Name) {
--- a/internal/attender/attender.go
+++ b/internal/attender/attender.go
@@ -81,7 +81,9 @@
 	Taken func(*keeper.View)
 	Log   *logger.Logger
 
-	state    atomic.Pointer[state]
+	state atomic.Pointer[state]
+	// heard is when the leading control host was last heard, in nanoseconds.
+	heard    atomic.Int64
 	poke     chan struct{}
 	pokeOnce sync.Once
 	leaving  atomic.Bool
@@ -127,6 +129,12 @@
 	return a.state.Load()
 }
 
+// IsConnected reports whether the leading control host was heard of late, so that
+// news would reach this host.
+func (a *Attender) IsConnected() bool {
+	return a.Now().UnixNano()-a.heard.Load() < int64(silenceLimit)
+}
+
 // Poke sends a report at once.
 func (a *Attender) Poke() {
 	select {
@@ -236,6 +244,7 @@
 				a.leader = u.Leader
 				return errNotLeading
 			}
+			a.heard.Store(a.Now().UnixNano())
 			if !connected {
 				connected, a.named, a.lost = true, address, ""
 				a.Log.Info(logger.EventControlConnected, zap.String("control_host", address))
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -144,7 +144,7 @@
 	e.board.SightsChanged = e.attender.Poke
 	shares.Starved = e.attender.Poke
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Admit: e.admitter.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.lender.Lease, Reaches: e.lender.Reaches, Board: e.board, View: e.attender.View, Connected: e.attender.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
 		Place: e.Settings.Place, Log: e.Log, Observe: e.meter.observe,
 	}
 	e.sampler = &sampler.Sampler{
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -36,7 +36,7 @@
 	}
 	r := &request{
 		session: s, statement: st, route: route, organisation: organisation.Name, arrived: arrived,
-		deadline: s.server.deadline(timeout), version: view.Configuration.Version,
+		deadline: s.server.deadline(timeout), begun: time.Now(), version: view.Configuration.Version,
 	}
 	if refusal := r.resolve(); refusal != nil {
 		return s.refuse(st, view, refusal)
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -53,7 +53,7 @@
 		if !ok {
 			last = errors.New("the primary does not answer")
 			clear(refusedBy)
-			if !r.pause(ctx, changed, primaryPause) {
+			if !r.canHold() || !r.pause(ctx, changed, primaryPause) {
 				break
 			}
 			continue
@@ -146,7 +146,7 @@
 		deadline = time.Now().Add(defaultTimeout)
 	}
 	r := &request{
-		session: &session{server: s}, route: keeper.Route{Service: service}, arrived: s.Now(), deadline: deadline.Add(answerReserve),
+		session: &session{server: s}, route: keeper.Route{Service: service}, arrived: s.Now(), begun: time.Now(), deadline: deadline.Add(answerReserve),
 	}
 	if out := r.sample(ctx); out.refusal != nil {
 		return out.refusal
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -68,7 +68,7 @@
 		}
 		if i < 0 {
 			clear(excluded)
-			if !r.pause(ctx, changed, laggingPause) {
+			if !r.canHold() || !r.pause(ctx, changed, laggingPause) {
 				break
 			}
 			continue
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -42,9 +42,11 @@
 	// suspensions.
 	arrived  time.Time
 	deadline time.Time
-	version  uint64
-	reads    bool
-	writes   bool
+	// begun is when the request began, by the process's clock.
+	begun   time.Time
+	version uint64
+	reads   bool
+	writes  bool
 	// probes is true for a question for the primary's position.
 	probes bool
 	// shape is set for VerbExecute.
@@ -226,6 +228,28 @@
 	return time.Now().Add(time.Until(r.deadline) / 2)
 }
 
+const (
+	// holdPart is the part of the latency objective for which a request waits for
+	// an upstream while none can be asked: longer than most promotions take.
+	holdPart = 2
+	// cutOffHoldPart is that part on a host that no news would reach. Another host
+	// may serve the caller.
+	cutOffHoldPart = 10
+)
+
+// canHold reports whether the request may go on waiting for an upstream that can
+// be asked.
+func (r *request) canHold() bool {
+	objective, part := r.route.TargetLatency, time.Duration(holdPart)
+	if objective <= 0 {
+		objective = defaultTimeout
+	}
+	if connected := r.session.server.Connected; connected != nil && !connected() {
+		part = cutOffHoldPart
+	}
+	return time.Since(r.begun) < objective/part
+}
+
 // pause waits for news of the view, at most for a time. It returns false when
 // the statement's time is over.
 func (r *request) pause(ctx context.Context, changed <-chan struct{}, d time.Duration) bool {
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -61,6 +61,9 @@
 	// View returns what is agreed on, and a channel that is closed when there
 	// is something newer.
 	View func() (*keeper.View, <-chan struct{})
+	// Connected reports whether news of upstreams would reach this host; nil means
+	// that it would.
+	Connected func() bool
 	// Admit spends a token of an organisation's rate, for which the operation
 	// may wait for a time.
 	Admit func(o keeper.Organisation, maxWait time.Duration) spender.Admission
