Open one connection between two hosts for all that wait for it

Each waiting session dialled the same hosts on its own, dozens at once on a fifth of a core, and a treasurer that missed one answer was passed over for 1.5 s.

Ruled out: the election (40.84 s), configuration and peers (5 KB packed a host).

Change: the forwarder opens one connection for all; a treasurer is passed over for 0.3 s at first, doubling to 6 s. TestOneConnectionIsOpenedForAll: 50 dials before, 1 after.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -43,7 +43,7 @@
 	ownRate = 8
 	// downFor is how long a treasurer that did not answer is passed over. It
 	// doubles while that goes on, up to maxDownFor.
-	downFor    = 1500 * time.Millisecond
+	downFor    = 300 * time.Millisecond
 	maxDownFor = 6 * time.Second
 	// settleTime bounds the wait for a part that is on its way: a round trip
 	// between regions, and one more for the host that gives it up.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -31,6 +31,9 @@
 	maxHeaderBytes = 2 << 20
 	// openTimeout bounds the opening of a stream, its answer included.
 	openTimeout = 2 * time.Second
+	// dialTimeout bounds the opening of a connection: several round trips between
+	// regions. A lost opening packet is sent again after a second only.
+	dialTimeout = 500 * time.Millisecond
 	// forgottenLife is how long the streams of a connection that is replaced may
 	// go on.
 	forgottenLife = 10 * time.Second
@@ -53,8 +56,9 @@
 	// Dial opens a connection to another host.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	mu    sync.Mutex
-	links map[string]*yamux.Session
+	mu       sync.Mutex
+	links    map[string]*yamux.Session
+	openings map[string]*opening
 }
 
 func config() *yamux.Config {
@@ -125,35 +129,68 @@
 	return stream.SetDeadline(time.Time{})
 }
 
-// link returns the connection to an address, a new one when there is none.
+// opening is a connection that is being opened for all that wait for it.
+type opening struct {
+	done chan struct{}
+	link *yamux.Session
+	err  error
+}
+
+// link returns the connection to an address, a new one when there is none. One is
+// opened for all that ask meanwhile: a host that starts has many callers at once.
 func (f *Forwarder) link(ctx context.Context, address string) (*yamux.Session, error) {
 	f.mu.Lock()
-	old := f.links[address]
+	if link := f.links[address]; link != nil && !link.IsClosed() {
+		f.mu.Unlock()
+		return link, nil
+	}
+	o := f.openings[address]
+	if o == nil {
+		if f.openings == nil {
+			f.openings = map[string]*opening{}
+		}
+		o = &opening{done: make(chan struct{})}
+		f.openings[address] = o
+		go f.open(context.WithoutCancel(ctx), address, o)
+	}
 	f.mu.Unlock()
-	if old != nil && !old.IsClosed() {
-		return old, nil
+	select {
+	case <-o.done:
+		return o.link, o.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("forwarder: connect to %s: %w", address, ctx.Err())
+	}
+}
+
+// open opens a connection and keeps it.
+func (f *Forwarder) open(ctx context.Context, address string, o *opening) {
+	defer close(o.done)
+	o.link, o.err = f.connect(ctx, address)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.openings, address)
+	if o.err != nil {
+		return
 	}
+	if f.links == nil {
+		f.links = map[string]*yamux.Session{}
+	}
+	f.links[address] = o.link
+}
+
+func (f *Forwarder) connect(ctx context.Context, address string) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	conn, err := f.Dial(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: connect to %s: %w", address, err)
 	}
-	fresh, err := yamux.Client(conn, config())
+	link, err := yamux.Client(conn, config())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("forwarder: start multiplexer: %w", err)
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if other := f.links[address]; other != nil && !other.IsClosed() {
-		// Another session opened a connection meanwhile.
-		_ = fresh.Close()
-		return other, nil
-	}
-	if f.links == nil {
-		f.links = map[string]*yamux.Session{}
-	}
-	f.links[address] = fresh
-	return fresh, nil
+	return link, nil
 }
 
 // Addresses returns the hosts to which a connection stands.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -155,3 +156,42 @@
 		b.ReportMetric(float64(held)/sessions, "B/session")
 	}
 }
+
+// A host that starts has many callers that want the same other host at once.
+func TestOneConnectionIsOpenedForAll(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := &Forwarder{}
+	go server.Serve(ctx, l, func([]byte) func(context.Context, net.Conn) {
+		return func(_ context.Context, conn net.Conn) { _ = conn.Close() }
+	})
+	var dials atomic.Int64
+	release := make(chan struct{})
+	f := &Forwarder{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		dials.Add(1)
+		<-release
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}}
+	defer f.Close()
+	const callers = 50
+	results := make(chan error, callers)
+	for range callers {
+		go func() {
+			conn, err := f.Open(ctx, l.Addr().String(), []byte("h"))
+			if err == nil {
+				_ = conn.Close()
+			}
+			results <- err
+		}()
+	}
+	for dials.Load() == 0 {
+		runtime.Gosched()
+	}
+	close(release)
+	for range callers {
+		qt.Assert(t, <-results, qt.IsNil)
+	}
+	qt.Assert(t, dials.Load(), qt.Equals, int64(1))
+}
