--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -39,9 +39,10 @@
 	// openTimeout bounds the opening of a stream to an owner: several round
 	// trips between regions.
 	openTimeout = 300 * time.Millisecond
-	// answerGrace is what a host waits beyond the time it gave an owner, for
-	// the answer's way.
-	answerGrace = 40 * time.Millisecond
+	// answerGrace is what a host waits beyond the time it gave an owner: the
+	// owner counts from the arrival of the work, and its answer takes as long,
+	// together a round trip between regions and some queueing.
+	answerGrace = 100 * time.Millisecond
 	// idleLimit ends a stream whose holder says nothing: longer than a
 	// transaction may pause.
 	idleLimit = 30 * time.Second
