--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -27,6 +27,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shallotstage/shallotstage/internal/avoider"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/messenger"
@@ -41,10 +42,6 @@
 	// over the hosts. Sessions are not spread evenly, and with less the chance
 	// arrivals of some seconds are large beside a host's part.
 	ownRate = 8
-	// downFor is how long a treasurer that did not answer is passed over. It
-	// doubles while that goes on, up to maxDownFor.
-	downFor    = 300 * time.Millisecond
-	maxDownFor = 6 * time.Second
 	// settleTime bounds the wait for a part that is on its way: a round trip
 	// between regions, and one more for the host that gives it up.
 	settleTime = 150 * time.Millisecond
@@ -62,6 +59,13 @@
 	Address string
 }
 
+// FirstAvoided and MostAvoided are the times for which a treasurer that does not
+// answer is passed over: a few questions, and the time of a short partition.
+const (
+	FirstAvoided = 300 * time.Millisecond
+	MostAvoided  = 6 * time.Second
+)
+
 // Admitter admits operations. All fields are set before use.
 type Admitter struct {
 	// Local spends this host's tokens.
@@ -79,11 +83,10 @@
 	Treasurers func(organisation string) []Treasurer
 	Log        *logger.Logger
 
+	// Avoider holds the treasurers that did not answer.
+	Avoider avoider.Avoider
+
 	mu sync.Mutex
-	// down holds until when a treasurer is passed over that did not answer, and
-	// downFor the last such time.
-	down    map[string]time.Time
-	downFor map[string]time.Duration
 	// dry holds until when a treasurer is not asked for an organisation.
 	dry map[dryKey]time.Time
 }
@@ -153,9 +156,7 @@
 		a.markDown(t, err)
 		return admission, false
 	}
-	a.mu.Lock()
-	delete(a.downFor, t.Host)
-	a.mu.Unlock()
+	a.Avoider.Answered(t.Host)
 	return admission, known
 }
 
@@ -186,10 +187,12 @@
 // isPassedOver reports whether a treasurer did not answer of late, or had no
 // token for the organisation.
 func (a *Admitter) isPassedOver(host, organisation string) bool {
+	if a.Avoider.Avoids(host) {
+		return true
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	now := time.Now()
-	return now.Before(a.down[host]) || now.Before(a.dry[dryKey{host, organisation}])
+	return time.Now().Before(a.dry[dryKey{host, organisation}])
 }
 
 // markDry passes a treasurer over that has no token for an organisation.
@@ -203,18 +206,7 @@
 }
 
 func (a *Admitter) markDown(t Treasurer, err error) {
-	a.mu.Lock()
-	if a.down == nil {
-		a.down, a.downFor = map[string]time.Time{}, map[string]time.Duration{}
-	}
-	now := time.Now()
-	news := !now.Before(a.down[t.Host])
-	if news {
-		a.downFor[t.Host] = min(max(2*a.downFor[t.Host], downFor), maxDownFor)
-		a.down[t.Host] = now.Add(a.downFor[t.Host])
-	}
-	a.mu.Unlock()
-	if news {
+	if a.Avoider.Avoid(t.Host) {
 		a.Log.Warn(logger.EventTreasurerLost, zap.String("treasurer", t.Host), zap.Error(err))
 	}
 }
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/shallotstage/shallotstage/internal/avoider"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
@@ -49,7 +50,7 @@
 	}}
 	t.Cleanup(f.Close)
 	return &Admitter{
-		Local: local.admit, Forwarder: f, Hosts: func() int { return 100 },
+		Local: local.admit, Forwarder: f, Avoider: avoider.Avoider{First: FirstAvoided}, Hosts: func() int { return 100 },
 		Treasurers: func(string) []Treasurer { return treasurers },
 	}
 }
--- a/internal/hoster/entry.go
+++ b/internal/hoster/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/admitter"
 	"github.com/shallotstage/shallotstage/internal/attender"
+	"github.com/shallotstage/shallotstage/internal/avoider"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/internal/lender"
@@ -40,6 +41,9 @@
 	// reservedDescriptors are left for files and the process's own
 	// connections.
 	reservedDescriptors = 400
+	// avoidedFor is how long an owner or keeper that did not answer is passed
+	// over: the hosts that lend are told anew within that time.
+	avoidedFor = 1500 * time.Millisecond
 	// heardWithin is how recent an answer makes an upstream count as heard.
 	heardWithin = 1500 * time.Millisecond
 )
@@ -133,9 +137,10 @@
 	e.set = &connector.Set{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
 	e.owners = &owners{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, place: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.lender = &lender.Lender{Local: e.set, Forwarder: e.forwarder, Owners: e.owners.of, Log: e.Log}
+	e.lender = &lender.Lender{Local: e.set, Forwarder: e.forwarder, Owners: e.owners.of, Log: e.Log, Avoider: avoider.Avoider{First: avoidedFor}}
 	e.admitter = &admitter.Admitter{
 		Local: shares.Admit, Settling: shares.Settling, Organisation: e.organisation, Forwarder: e.forwarder, Hosts: e.hosts, Treasurers: e.owners.treasurersOf, Log: e.Log,
+		Avoider: avoider.Avoider{First: admitter.FirstAvoided, Most: admitter.MostAvoided},
 	}
 	e.attender = &attender.Attender{
 		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre, PeerAddress: e.Settings.PeerAddress,
@@ -149,7 +154,7 @@
 	}
 	e.sampler = &sampler.Sampler{
 		Forwarder: e.forwarder, Keepers: e.owners.keepersOf, Owner: e.primaryOwner, Ask: e.server.Sample, Latest: e.board.Latest, Sampled: e.board.Sampled,
-		Now: timer.Now, Log: e.Log,
+		Now: timer.Now, Log: e.Log, Avoider: avoider.Avoider{First: avoidedFor},
 	}
 	e.server.Refresh = e.sampler.Refresh
 	if e.Settings.Descriptors > 0 {
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -19,13 +19,13 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shallotstage/shallotstage/internal/avoider"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/internal/logger"
@@ -34,8 +34,6 @@
 )
 
 const (
-	// downFor is how long an owner that could not be reached is passed over.
-	downFor = 1500 * time.Millisecond
 	// openTimeout bounds the opening of a stream to an owner: several round
 	// trips between regions.
 	openTimeout = 300 * time.Millisecond
@@ -65,11 +63,9 @@
 	// owner without an address is this host.
 	Owners func(u keeper.Upstream) []Owner
 	Log    *logger.Logger
-
-	mu sync.Mutex
-	// down holds until when an owner is passed over, by host, or by host and
-	// upstream when only that upstream is out of its reach.
-	down map[string]time.Time
+	// Avoider holds the owners that are passed over, by host, or by host and
+	// upstream when only that upstream is out of an owner's reach.
+	Avoider avoider.Avoider
 }
 
 // Lease returns a lease of a connection to an upstream.
@@ -90,17 +86,14 @@
 // owner returns the best other host to borrow from; false means that this host
 // uses a connection of its own.
 func (l *Lender) owner(u keeper.Upstream) (Owner, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
 	for _, o := range l.Owners(u) {
-		if now.Before(l.down[key(o, u)]) {
+		if l.Avoider.Avoids(key(o, u)) {
 			continue
 		}
 		if o.Address == "" {
 			return Owner{}, false
 		}
-		if !now.Before(l.down[o.Host]) {
+		if !l.Avoider.Avoids(o.Host) {
 			return o, true
 		}
 	}
@@ -110,22 +103,9 @@
 // key names an upstream as an owner reaches it.
 func key(o Owner, u keeper.Upstream) string { return o.Host + " " + u.ID }
 
-// pass passes an owner over for a while, and reports whether it was not yet.
-func (l *Lender) pass(name string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.down == nil {
-		l.down = map[string]time.Time{}
-	}
-	now := time.Now()
-	news := !now.Before(l.down[name])
-	l.down[name] = now.Add(downFor)
-	return news
-}
-
 // markDown passes an owner over that does not answer.
 func (l *Lender) markDown(o Owner, err error) {
-	news := l.pass(o.Host)
+	news := l.Avoider.Avoid(o.Host)
 	l.Forwarder.Forget(o.Address)
 	if news {
 		l.Log.Warn(logger.EventOwnerLost, zap.String("owner", o.Host), zap.Error(err))
@@ -200,7 +180,7 @@
 	}
 	answers, err := decodeResult(b.upstream.ID, &result)
 	var connect *connector.ConnectError
-	if errors.As(err, &connect) && connect.Failure == connector.FailureNone && b.lender.pass(key(b.owner, b.upstream)) {
+	if errors.As(err, &connect) && connect.Failure == connector.FailureNone && b.lender.Avoider.Avoid(key(b.owner, b.upstream)) {
 		b.lender.Log.Warn(logger.EventOwnerLost, zap.String("owner", b.owner.Host), zap.String("upstream", b.upstream.ID), zap.Error(err))
 	}
 	return answers, err
--- a/internal/sampler/sampler.go
+++ b/internal/sampler/sampler.go
@@ -27,18 +27,15 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/shallotstage/shallotstage/internal/avoider"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/messenger"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
-const (
-	// fetchTimeout bounds one question: several round trips between regions.
-	fetchTimeout = 300 * time.Millisecond
-	// downFor is how long a host that did not answer is passed over.
-	downFor = 1500 * time.Millisecond
-)
+// fetchTimeout bounds one question: several round trips between regions.
+const fetchTimeout = 300 * time.Millisecond
 
 // ErrNoSample means that nobody told a recent position.
 var ErrNoSample = errors.New("sampler: no recent position of the primary")
@@ -68,10 +65,11 @@
 	// Now is a clock that counts suspensions.
 	Now func() time.Time
 	Log *logger.Logger
+	// Avoider holds the hosts that did not answer.
+	Avoider avoider.Avoider
 
 	mu      sync.Mutex
 	flights map[flightKey]*flight
-	down    map[string]time.Time
 }
 
 // flightKey tells questions apart: those that ask the primary directly must not
@@ -159,7 +157,7 @@
 			if k.Address == "" {
 				return s.refresh(ctx, key.service, maxAge, stageKeeper)
 			}
-			if s.isDown(k.Host) {
+			if s.Avoider.Avoids(k.Host) {
 				continue
 			}
 			err := s.ask(ctx, k, key.service, maxAge, false)
@@ -169,7 +167,7 @@
 			s.markDown(k, err)
 		}
 	case stageKeeper:
-		if owner := s.Owner(key.service); owner.Address != "" && !s.isDown(owner.Host) {
+		if owner := s.Owner(key.service); owner.Address != "" && !s.Avoider.Avoids(owner.Host) {
 			err := s.ask(ctx, owner, key.service, maxAge, true)
 			if err == nil {
 				return nil
@@ -242,18 +240,8 @@
 	}
 }
 
-func (s *Sampler) isDown(host string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.Now().Before(s.down[host])
-}
-
 func (s *Sampler) markDown(k Keeper, err error) {
-	s.mu.Lock()
-	if s.down == nil {
-		s.down = map[string]time.Time{}
+	if s.Avoider.Avoid(k.Host) {
+		s.Log.Warn(logger.EventSampleFailed, zap.String("keeper", k.Host), zap.Error(err))
 	}
-	s.down[k.Host] = s.Now().Add(downFor)
-	s.mu.Unlock()
-	s.Log.Warn(logger.EventSampleFailed, zap.String("keeper", k.Host), zap.Error(err))
 }
--- a/internal/sampler/sampler_test.go
+++ b/internal/sampler/sampler_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/shallotstage/shallotstage/internal/avoider"
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
@@ -53,9 +54,9 @@
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}}
 	h.Sampler = &Sampler{
-		Forwarder: f,
-		Keepers:   func(string) []Keeper { return nil },
-		Owner:     func(string) Keeper { return Keeper{} },
+		Forwarder: f, Avoider: avoider.Avoider{First: time.Second},
+		Keepers: func(string) []Keeper { return nil },
+		Owner:   func(string) Keeper { return Keeper{} },
 		Ask: func(context.Context, string) error {
 			h.asked.Add(1)
 			at := h.Now()
