Test what crosses between owner and borrower, and questions for a position

Cause: the lender had no test of its own: what a failure at the owner says of a statement must arrive as it was.

--- /dev/null
+++ b/internal/lender/translate_test.go
@@ -0,0 +1,84 @@
+package lender
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
+)
+
+func TestWorkArrivesAsItWasSent(t *testing.T) {
+	limits := connector.Limits{Deadline: time.Now().Add(time.Minute), Reserve: 50 * time.Millisecond, MaxWait: 300 * time.Millisecond, Priority: 2}
+	batch := connector.Batch{
+		Values: map[string]string{"a": "1", "b": ""}, Prepare: connector.Preparation{Name: "p1", Text: "p1 READ q"}, Last: true, Reads: true, Probe: true,
+		Requests: []connector.Request{
+			{Verb: connector.VerbBegin, ReadOnly: true, Floor: tracker.Position{Term: 3, Offset: 17}},
+			{Verb: connector.VerbForward, ID: "x1", Text: "READ \xff\x00 item"},
+			{Verb: connector.VerbRollback},
+		},
+	}
+	body, err := proto.Marshal(encodeWork(limits, batch))
+	qt.Assert(t, err, qt.IsNil)
+	var work messenger.LentWork
+	qt.Assert(t, proto.Unmarshal(body, &work), qt.IsNil)
+	gotLimits, got := decodeWork(&work)
+	qt.Assert(t, got, qt.DeepEquals, batch)
+	qt.Assert(t, gotLimits.Reserve, qt.Equals, limits.Reserve)
+	qt.Assert(t, gotLimits.MaxWait, qt.Equals, limits.MaxWait)
+	qt.Assert(t, gotLimits.Priority, qt.Equals, limits.Priority)
+	// The time is told as what is left of it, rounded down.
+	qt.Assert(t, time.Until(gotLimits.Deadline) > 50*time.Second, qt.IsTrue)
+	qt.Assert(t, time.Until(gotLimits.Deadline) <= time.Minute, qt.IsTrue)
+	late := encodeWork(connector.Limits{Deadline: time.Now().Add(-time.Second)}, connector.Batch{})
+	qt.Assert(t, late.GetTimeMs(), qt.Equals, uint32(0))
+}
+
+// The borrower must know of each failure whether the statement may have run.
+func TestFailuresArriveWithWhatTheySayOfTheStatement(t *testing.T) {
+	answers := []connector.Answer{{Body: []byte("ROW x"), State: connector.StateTransaction, Position: tracker.Position{Term: 2, Offset: 5}, Completed: true, Rows: 1}}
+	tests := []struct {
+		name string
+		err  error
+		sent bool
+	}{
+		{"none", nil, false},
+		{"full queue", &connector.RunError{Err: &connector.QueueError{Upstream: "u", Expected: 400 * time.Millisecond}}, false},
+		{"no connection", &connector.RunError{Err: &connector.ConnectError{Upstream: "u", Failure: connector.FailureTooMany, Err: errors.New("full")}}, false},
+		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
+		{"sent", &connector.RunError{Sent: true, Err: errors.New("no answer")}, true},
+		{"of an unknown kind", errors.New("unknown"), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			body, err := proto.Marshal(encodeResult(answers, test.err))
+			qt.Assert(t, err, qt.IsNil)
+			var result messenger.LentResult
+			qt.Assert(t, proto.Unmarshal(body, &result), qt.IsNil)
+			got, err := decodeResult("u", &result)
+			qt.Assert(t, got, qt.DeepEquals, answers)
+			qt.Assert(t, err == nil, qt.Equals, test.err == nil)
+			if err == nil {
+				return
+			}
+			var run *connector.RunError
+			qt.Assert(t, errors.As(err, &run), qt.IsTrue)
+			qt.Assert(t, run.Sent, qt.Equals, test.sent)
+			var full, wantFull *connector.QueueError
+			qt.Assert(t, errors.As(err, &full), qt.Equals, errors.As(test.err, &wantFull))
+			if full != nil {
+				qt.Assert(t, full.Expected, qt.Equals, wantFull.Expected)
+			}
+			var connect, wantConnect *connector.ConnectError
+			qt.Assert(t, errors.As(err, &connect), qt.Equals, errors.As(test.err, &wantConnect))
+			if connect != nil {
+				qt.Assert(t, connect.Failure, qt.Equals, wantConnect.Failure)
+			}
+		})
+	}
+}
