--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -44,9 +44,6 @@
 	// the patience grows with an upstream that became slow, but not with one
 	// that loses answers.
 	missedFactor = 2
-	// maxPace bounds what one pause counts for: an upstream may stand still for
-	// a moment.
-	maxPace = 250 * time.Millisecond
 	// ahead is the number of statements sent beyond the slots, which cover the
 	// way to the upstream.
 	ahead = 1
@@ -75,11 +72,6 @@
 	waiters list.List
 	running int
 	service time.Duration
-	// granted is when a waiter last ran, and pace the mean time between two of
-	// them while others waited. It includes what the time of a statement does
-	// not, such as handshakes.
-	granted time.Time
-	pace    time.Duration
 }
 
 // Len returns the number of waiters.
@@ -130,19 +122,7 @@
 	if service == 0 {
 		service = defaultService
 	}
-	return time.Duration(before) * max(service/time.Duration(q.Slots), q.pace)
-}
-
-// ran notes that a waiter was taken to run.
-func (q *Queue) ran(now time.Time) {
-	switch {
-	case q.waiters.Len() == 0:
-		q.granted, q.pace = time.Time{}, 0
-		return
-	case !q.granted.IsZero():
-		q.pace += time.Duration(serviceWeight * float64(min(now.Sub(q.granted), maxPace)-q.pace))
-	}
-	q.granted = now
+	return time.Duration(before) * service / time.Duration(q.Slots)
 }
 
 // Push adds a waiter behind all that go before it.
@@ -172,16 +152,6 @@
 	if !q.HasSlot() {
 		return nil
 	}
-	w := q.choose(now, fit)
-	if w != nil {
-		q.Remove(w)
-		q.ran(now)
-	}
-	return w
-}
-
-// choose returns the waiter that runs next.
-func (q *Queue) choose(now time.Time, fit func(w *Waiter) Fit) *Waiter {
 	var chosen *Waiter
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
 		w := e.Value.(*Waiter)
@@ -190,14 +160,19 @@
 		}
 		switch f := fit(w); {
 		case w.Holds || f == FitIdle:
+			q.Remove(w)
 			return w
 		case f == FitNone:
 			continue
 		case now.Sub(w.Since) >= patience && chosen == nil:
+			q.Remove(w)
 			return w
 		case chosen == nil:
 			chosen = w
 		}
 	}
+	if chosen != nil {
+		q.Remove(chosen)
+	}
 	return chosen
 }
