--- a/cmd/shallotstage-host/soak_test.go
+++ b/cmd/shallotstage-host/soak_test.go
@@ -204,8 +204,11 @@
 	}
 	stop := make(chan struct{})
 	var wait sync.WaitGroup
-	defer wait.Wait()
-	defer close(stop)
+	end := sync.OnceFunc(func() {
+		close(stop)
+		wait.Wait()
+	})
+	defer end()
 	s.waitFor("the first configuration", func() bool {
 		s.configure()
 		return s.acknowledged.Load() > 0
@@ -245,9 +248,8 @@
 	begin := time.Now()
 	s.waitFor("service after the faults", all)
 	took := time.Since(begin)
+	end()
 	s.check()
-	s.ledger.mu.Lock()
-	defer s.ledger.mu.Unlock()
 	t.Logf("seed %d: %d writes kept, answers %v, %d promotions, served all %s after the last fault", *soakSeed, len(s.ledger.kept), s.ledger.answers, s.group.promoted, took)
 	qt.Assert(t, s.ledger.broken, qt.HasLen, 0)
 	qt.Assert(t, took < recovery, qt.IsTrue, qt.Commentf("%s", took))
