Let entry hosts act at primaries only under a lease, and demote replaced ones

Cause: on platforms that do not fence, a replaced primary goes on until it is demoted. Ruled out: asking the platform for a promotion early and racing its duration, which no setting states; checking STATUS behind each read (a slot each). Change: fencer.Gate (a host's work at primaries), leases granted with reports, promotions that wait until every host that may hold a lease has followed the decision or its lease has ended, DEMOTE until an upstream announces itself as a replica, planned changes that hold new work and let the candidate catch up.

--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -15,7 +15,7 @@
 		Settings: launcher.EntryHostSettings{
 			Host: s.Node, Place: transactor.Location{DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions},
 			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress(), PeerAddress: s.PeerAddress(),
-			Grace: s.Grace, Descriptors: s.Descriptors,
+			Grace: s.Grace, PrimaryLease: s.PrimaryLease, Descriptors: s.Descriptors,
 		},
 		Seeds: watcher.seedPeers, CallerCodec: platform.CallerCodec(), UpstreamCodec: platform.UpstreamCodec(),
 		ReadyHandler: platform.ReadyHandler, Log: log,
@@ -29,7 +29,7 @@
 		Settings: coordinator.Settings{
 			Node: s.Node, DataDir: s.DataDir, PeerAddress: s.PeerAddress(), OperatorAddress: s.OperatorAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
-			Voters: 2*s.Tolerance + 1,
+			Voters: 2*s.Tolerance + 1, PrimaryLease: s.PrimaryLease,
 		},
 		MetricsAddress: s.MetricsAddress(),
 		Seeds:          watcher.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
--- a/internal/connector/codec.go
+++ b/internal/connector/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
@@ -20,6 +21,9 @@
 	VerbSet      Verb = "set"
 	VerbPrepare  Verb = "prepare"
 	VerbStatus   Verb = "status"
+	// VerbDemote makes a primary of an earlier term than Request.Term a replica. It
+	// is answered like VerbStatus.
+	VerbDemote Verb = "demote"
 )
 
 // Request is one request to an upstream.
@@ -34,6 +38,8 @@
 	ReadOnly bool
 	// Floor is the minimum position of the upstream's log; zero means any.
 	Floor tracker.Position
+	// Term is set for VerbDemote.
+	Term uint64
 }
 
 // Failure is the reason why an upstream did not execute a request.
@@ -82,6 +88,8 @@
 	// ReceivedPosition is the position up to which the upstream has received
 	// the log.
 	ReceivedPosition tracker.Position
+	// Lag is how far a replica is behind its primary.
+	Lag time.Duration
 }
 
 // Answer is the complete answer to one request.
@@ -95,7 +103,7 @@
 	Failure   Failure
 	// Detail is the upstream's message for a failure.
 	Detail string
-	// ReplicationStatus is set in the answer to VerbStatus.
+	// ReplicationStatus is set in the answer to VerbStatus and VerbDemote.
 	ReplicationStatus *ReplicationStatus
 	State             TransactionState
 	// Position is the upstream's log position; zero means unknown.
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -30,6 +30,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
@@ -79,13 +80,21 @@
 	Delegates func(organisation string) bool
 	// UpstreamStatuses returns the status of the upstreams as seen by this host.
 	UpstreamStatuses func() []UpstreamStatus
+	// ReleasedIndex returns the log index up to which this host has followed a
+	// topology with the given index; nil means all of it.
+	ReleasedIndex func(index uint64) uint64
+	// OnLeaseEnded is called in Run's goroutine when the lease on primaries has ended
+	// and before the next one is used; nil disables it.
+	OnLeaseEnded func()
 	// OnViewChange is called in Run's goroutine with each new view.
 	OnViewChange func(*keeper.View)
 	Log          *logger.Logger
 
 	viewState atomic.Pointer[viewState]
 	// lastUpdate is when the last update from the leader arrived, in nanoseconds.
-	lastUpdate        atomic.Int64
+	lastUpdate atomic.Int64
+	// leaseUntil is when the lease on primaries ends, in nanoseconds.
+	leaseUntil        atomic.Int64
 	reportRequest     chan struct{}
 	reportRequestOnce sync.Once
 	shuttingDown      atomic.Bool
@@ -109,6 +118,8 @@
 	// unanswered report was sent.
 	sequence uint64
 	sentAt   map[uint64]time.Time
+	// holder is the lease on primaries.
+	holder fencer.Holder
 }
 
 type viewState struct {
@@ -140,6 +151,9 @@
 	return c.Now().UnixNano()-c.lastUpdate.Load() < int64(silenceTimeout)
 }
 
+// HoldsLease reports whether this host holds the lease on primaries.
+func (c *Client) HoldsLease() bool { return c.Now().UnixNano() < c.leaseUntil.Load() }
+
 // ReportNow triggers a report at once.
 func (c *Client) ReportNow() {
 	select {
@@ -290,9 +304,16 @@
 // sendReport sends a report.
 func (c *Client) sendReport(stream drpc.Stream) error {
 	c.sequence++
-	c.sentAt[c.sequence] = c.Now()
+	now := c.Now()
+	c.sentAt[c.sequence] = now
+	c.holder.RecordReport(c.sequence, now)
 	view := c.current().view
+	index := view.Index
+	if c.ReleasedIndex != nil {
+		index = c.ReleasedIndex(index)
+	}
 	r := Report{
+		Index: index, HoldsLease: c.holder.Valid(now),
 		Sequence: c.sequence, Host: c.Host, Incarnation: c.Incarnation, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Hosts: view.Hosts, Version: view.Configuration.Version, LostLeader: c.lostLeader,
 		ShuttingDown: c.shuttingDown.Load(), Shares: c.Shares.Report(), UpstreamStatuses: c.changedStatuses(),
 	}
@@ -353,6 +374,10 @@
 		if err := u.Topology.Decode(&t); err != nil {
 			return err
 		}
+		if t.Index < next.Index {
+			return fmt.Errorf("controlclient: topology of index %d is older than %d", t.Index, next.Index)
+		}
+		next.Index = t.Index
 		next.Upstreams, next.Primaries, next.Promotions, next.Members = t.Upstreams, t.Primaries, t.Promotions, t.Members
 		next.Revision = t.Revision
 		changed = true
@@ -377,9 +402,13 @@
 		// Other hosts wait for the share that this host has released.
 		c.ReportNow()
 	}
+	if u.PrimaryLease > 0 {
+		c.holder.Renew(u.ReportSequence, u.PrimaryLease)
+	}
 	// A later update may answer the same report again.
 	maps.DeleteFunc(c.sentAt, func(n uint64, _ time.Time) bool { return n < u.ReportSequence })
 	if !changed {
+		c.publishLease()
 		return nil
 	}
 	c.Shares.SetHostCount(next.Hosts)
@@ -389,5 +418,36 @@
 	}
 	c.viewState.Store(&viewState{view: &next, changed: make(chan struct{})})
 	close(old.changed)
+	if latestPromotion(next.Promotions) > latestPromotion(old.view.Promotions) {
+		// The leader waits for this before a primary is replaced.
+		c.ReportNow()
+	}
+	c.publishLease()
 	return nil
 }
+
+// latestPromotion returns the token of the latest promotion.
+func latestPromotion(promotions map[string]keeper.Promotion) uint64 {
+	latest := uint64(0)
+	for _, p := range promotions {
+		latest = max(latest, p.Token)
+	}
+	return latest
+}
+
+// publishLease makes a renewed lease visible. A topology that came with it has been
+// applied before.
+func (c *Client) publishLease() {
+	until, now := c.holder.ExpiresAt(), c.Now()
+	if until.IsZero() || !c.holder.Valid(now) {
+		return
+	}
+	without := now.UnixNano() - c.leaseUntil.Load()
+	if without > 0 && c.OnLeaseEnded != nil {
+		c.OnLeaseEnded()
+	}
+	c.leaseUntil.Store(until.UnixNano())
+	if without > 0 {
+		c.Log.Info(logger.EventPrimaryLeaseGained, zap.Duration("without", time.Duration(without)))
+	}
+}
--- a/internal/controlclient/messages.go
+++ b/internal/controlclient/messages.go
@@ -27,6 +27,12 @@
 	Hosts int `json:"hosts,omitempty"`
 	// Version is the version of the configuration in use.
 	Version uint64 `json:"version"`
+	// Index is the log index up to which this host has followed the topology: it
+	// acknowledges no answer of an upstream that was replaced as primary up to then.
+	Index uint64 `json:"index,omitempty"`
+	// HoldsLease is true if this host may hold a lease on primaries that an earlier
+	// stream gave it.
+	HoldsLease bool `json:"holds_lease,omitempty"`
 	// LostLeader is the leader that the entry host has lost contact with.
 	LostLeader string `json:"lost,omitempty"`
 	// ShuttingDown is true while the process is shutting down.
@@ -70,11 +76,16 @@
 	GrantNumber uint64             `json:"grant,omitempty"`
 	Extras      map[string]float64 `json:"extras,omitempty"`
 	Lease       time.Duration      `json:"lease,omitempty"`
+	// PrimaryLease is how long the host may act at primaries, from the time when the
+	// answered report was sent. Zero means no change.
+	PrimaryLease time.Duration `json:"primary_lease,omitempty"`
 }
 
 // Topology is the agreed state of upstreams and control hosts.
 type Topology struct {
-	Revision   uint64                      `json:"revision"`
+	Revision uint64 `json:"revision"`
+	// Index is the log index up to which the topology includes all commands.
+	Index      uint64                      `json:"index"`
 	Upstreams  map[string]keeper.Upstream  `json:"upstreams"`
 	Primaries  map[string]string           `json:"primaries"`
 	Promotions map[string]keeper.Promotion `json:"promotions"`
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,6 +86,9 @@
 	Founders  []string
 	// Voters is the number of voters up to which the fleet adds members.
 	Voters int
+	// PrimaryLease is true if nothing but the leases of entry hosts keeps a replaced
+	// primary from committing.
+	PrimaryLease bool
 }
 
 // PromotionRequest is a request to the platform to promote an upstream.
@@ -125,7 +128,10 @@
 	Promote func(ctx context.Context, r PromotionRequest) (PromotionOutcome, error)
 	// QueryStatus requests the replication status of an upstream.
 	QueryStatus func(ctx context.Context, u keeper.Upstream) (connector.ReplicationStatus, error)
-	Log         *logger.Logger
+	// Demote makes a primary of an earlier term than term a replica, and returns its
+	// status after that.
+	Demote func(ctx context.Context, u keeper.Upstream, term uint64) (connector.ReplicationStatus, error)
+	Log    *logger.Logger
 
 	id      string
 	tasks   chan func()
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -42,6 +42,8 @@
 	// answered.
 	reportSequence uint64
 	answerDue      bool
+	// index is the log index that the host follows.
+	index uint64
 	// grantedAt is when the host was last granted shares of rates.
 	grantedAt time.Time
 	// statuses are the latest by upstream, and reportedAt is when the last report
@@ -124,6 +126,9 @@
 				c.leadership.shares.RemoveHost(a.name)
 			}
 		}
+		if !r.HoldsLease {
+			c.leadership.leases.Release(a.name)
+		}
 		c.leadership.hosts[a.name] = a
 		c.Log.Info(logger.EventHostJoined, zap.String("host", a.name), zap.Uint64("incarnation", a.incarnation), zap.Uint64("version", r.Version))
 	}
@@ -131,6 +136,9 @@
 	if !c.state.Hosts[a.name] || c.state.Peers[a.name] != host {
 		c.proposeHostChange(keeper.Command{Kind: keeper.CommandHostJoined, Host: a.name, Peer: host})
 	}
+	a.index = r.Index
+	c.leadership.leases.RecordVersion(a.name, r.Index)
+	c.advancePromotions(now)
 	a.reportedAt, a.answerDue, a.reportSequence = now, true, r.Sequence
 	for _, s := range r.UpstreamStatuses {
 		a.statuses[s.Upstream] = s
@@ -212,6 +220,7 @@
 			a.hasPeers = true
 		}
 	}
+	answers := a.answerDue
 	if a.answerDue {
 		a.answerDue = false
 		u.ReportSequence = a.reportSequence
@@ -236,9 +245,29 @@
 			a.revision = c.revision()
 		}
 	}
+	if answers && a.revision == c.revision() && c.mayLease(a) {
+		// The host applies the topology before it uses the lease.
+		c.leadership.leases.Grant(a.name, a.index, now)
+		u.PrimaryLease = primaryLease
+	}
 	return u
 }
 
+// mayLease reports whether a host gets or keeps its lease to act at primaries. The
+// next leader must know the host, and the host must have followed every change of
+// primary under way: it might still act at a former primary.
+func (c *Coordinator) mayLease(a *hostStream) bool {
+	if !c.state.Hosts[a.name] || c.leadership.pendingHosts[a.name] {
+		return false
+	}
+	for service, p := range c.state.Promotions {
+		if a.index < p.Token && c.unfinishedPromotion(service) != "" {
+			return false
+		}
+	}
+	return true
+}
+
 // revision is never zero: zero means that an entry host has no topology yet.
 func (c *Coordinator) revision() uint64 { return c.state.Revision() + 1 }
 
@@ -246,6 +275,6 @@
 // hosts.
 func (c *Coordinator) topology() controlclient.Topology {
 	return controlclient.Topology{
-		Revision: c.revision(), Upstreams: c.state.Upstreams, Primaries: c.state.Primaries, Promotions: c.state.Promotions, Members: c.state.Members,
+		Revision: c.revision(), Index: c.applied, Upstreams: c.state.Upstreams, Primaries: c.state.Primaries, Promotions: c.state.Promotions, Members: c.state.Members,
 	}
 }
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -2,12 +2,14 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/elector"
+	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/sharer"
 )
@@ -44,7 +46,13 @@
 	membersSeen map[string]time.Time
 	members     map[string]keeper.Member
 	shares      sharer.Sharer
-	services    map[string]*serviceState
+	// leases are the entry hosts' leases to act at primaries. Their version is the
+	// log index that a host follows.
+	leases fencer.Granter
+	// knowsLeaseHolders is true once the hosts that may hold a lease of an earlier
+	// leader are known.
+	knowsLeaseHolders bool
+	services          map[string]*serviceState
 	// decidedAt is when the leader last evaluated its decisions.
 	decidedAt time.Time
 	// published holds the versions of the state last published to the hosts.
@@ -125,6 +133,8 @@
 	c.leadership.membersSeen = map[string]time.Time{}
 	c.leadership.members = map[string]keeper.Member{}
 	c.leadership.services = map[string]*serviceState{}
+	c.leadership.leases = fencer.Granter{TTL: primaryLease, MaxClockDrift: maxClockDrift}
+	c.leadership.leases.Reset(now)
 	c.leadership.shares = sharer.Sharer{StartedAt: now, LeaseDuration: shareLease, PendingHosts: maps.Clone(c.state.Hosts)}
 }
 
@@ -134,6 +144,11 @@
 		return
 	}
 	c.leadership.decidedAt = now
+	if !c.leadership.knowsLeaseHolders {
+		// With the leader's own lease, all entries of earlier leaders are applied.
+		c.leadership.leases.SetKnownHolders(slices.Collect(maps.Keys(c.state.Hosts)))
+		c.leadership.knowsLeaseHolders = true
+	}
 	c.updateMembership(now)
 	c.checkPrimaries(now)
 	c.removeSilentHosts(now)
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -20,6 +20,8 @@
 	statusTTL = 2500 * time.Millisecond
 	// statusQueryTimeout bounds the queries for the positions of upstreams.
 	statusQueryTimeout = 300 * time.Millisecond
+	// requeryInterval is the wait before candidates are queried again.
+	requeryInterval = 400 * time.Millisecond
 	// platformCallTimeout bounds one call to the platform, and platformRetryDelay
 	// is the wait before the next call for the same promotion.
 	platformCallTimeout = 700 * time.Millisecond
@@ -31,19 +33,37 @@
 type serviceState struct {
 	// primaryLostAt is when the service lost its primary; zero while it has one.
 	primaryLostAt time.Time
+	// drainingSince is when the primary was first seen draining; zero while it is
+	// not.
+	drainingSince time.Time
 	// promotion is the one in progress, or nil.
 	promotion *promotion
-	// querying is true while the positions of candidates are queried.
-	querying bool
+	// querying is true while the positions of candidates are queried, and
+	// nextQueryAt is when they are queried again if that gave no decision.
+	querying    bool
+	nextQueryAt time.Time
+	// demoting is true while a replaced primary is being told, and nextDemotionAt is
+	// when one is told again.
+	demoting       bool
+	nextDemotionAt time.Time
 }
 
 // promotion is a decision for which the platform has been asked, or will be.
 type promotion struct {
-	candidate  string
-	token      uint64
-	startedAt  time.Time
-	answeredAt time.Time
-	rejected   bool
+	candidate string
+	// former is the primary that is replaced, or empty.
+	former    string
+	token     uint64
+	planned   bool
+	startedAt time.Time
+	// releasedAt is when no host acted at the former primary any more, and
+	// requestedAt when the platform was first asked; both are zero before.
+	releasedAt  time.Time
+	requestedAt time.Time
+	answeredAt  time.Time
+	rejected    bool
+	// blockLoggedAt is when a wait for hosts was last logged.
+	blockLoggedAt time.Time
 }
 
 // checkPrimaries checks the primaries of all services.
@@ -63,6 +83,9 @@
 // upstreamHealth combines the statuses of an upstream that hosts reported.
 func (c *Coordinator) upstreamHealth(u keeper.Upstream, now time.Time) failoverplanner.UpstreamHealth {
 	s := failoverplanner.UpstreamHealth{Upstream: u, SinceAnnouncement: now.Sub(c.announcementTime(u.ID))}
+	if c.PrimaryLease {
+		_, s.Superseded = c.state.Superseded[u.ID]
+	}
 	for _, h := range c.leadership.hosts {
 		status, ok := h.statuses[u.ID]
 		if !ok || now.Sub(h.reportedAt) > statusTTL {
@@ -102,14 +125,23 @@
 	} else if g.primaryLostAt.IsZero() {
 		g.primaryLostAt = now
 	}
+	g.updateDraining(c.state.Upstreams[primary].Lifecycle == keeper.LifecycleDraining, now)
 	if g.promotion != nil && g.promotion.candidate == primary {
 		c.Log.Info(logger.EventPromotionDone, zap.String("service", service), zap.String("primary", primary), zap.Uint64("token", g.promotion.token), zap.Duration("took", now.Sub(g.promotion.startedAt)))
 		g.promotion = nil
 	}
-	if g.querying {
+	c.advance(service, g, now)
+	c.demoteReplaced(service, g, upstreams[primary].Position.Term, now)
+	if g.querying || now.Before(g.nextQueryAt) {
 		return
 	}
 	e := failoverplanner.Evidence{Service: service, Primary: primary, Upstreams: upstreams, LeaderFor: now.Sub(c.leadership.startedAt), Promotion: g.promotion.evidence(now)}
+	if c.PrimaryLease {
+		e.Unfinished = c.unfinishedPromotion(service)
+	}
+	if !g.drainingSince.IsZero() {
+		e.DrainingFor = now.Sub(g.drainingSince)
+	}
 	if !g.primaryLostAt.IsZero() {
 		e.WithoutPrimaryFor = now.Sub(g.primaryLostAt)
 	}
@@ -120,12 +152,27 @@
 	}
 }
 
+// unfinishedPromotion returns the candidate of the latest agreed promotion of a
+// service if that has not come into effect, or an empty string.
+func (c *Coordinator) unfinishedPromotion(service string) string {
+	view := keeper.View{Upstreams: c.state.Upstreams, Primaries: c.state.Primaries, Promotions: c.state.Promotions}
+	return view.PromotionCandidate(service)
+}
+
+func (g *serviceState) updateDraining(draining bool, now time.Time) {
+	if !draining {
+		g.drainingSince = time.Time{}
+	} else if g.drainingSince.IsZero() {
+		g.drainingSince = now
+	}
+}
+
 // evidence describes the promotion for package failoverplanner.
 func (o *promotion) evidence(now time.Time) *failoverplanner.Promotion {
 	if o == nil {
 		return nil
 	}
-	out := &failoverplanner.Promotion{Candidate: o.candidate, Age: now.Sub(o.startedAt), Rejected: o.rejected}
+	out := &failoverplanner.Promotion{Candidate: o.candidate, Age: now.Sub(o.startedAt), Rejected: o.rejected, Requested: !o.requestedAt.IsZero()}
 	if !o.answeredAt.IsZero() {
 		out.SinceAccepted = max(1, now.Sub(o.answeredAt))
 	}
@@ -168,7 +215,7 @@
 	g := c.leadership.services[e.Service]
 	for id, status := range statuses {
 		s := e.Upstreams[id]
-		s.Position = status.ReceivedPosition
+		s.Position, s.Lag = status.ReceivedPosition, status.Lag
 		// An upstream that answers now is running, whatever hosts reported
 		// before.
 		s.SinceAnnouncement = 0
@@ -184,22 +231,22 @@
 	}
 	d := failoverplanner.Decide(e)
 	if d.Candidate == "" {
-		g.querying = false
+		g.querying, g.nextQueryAt = false, c.Now().Add(requeryInterval)
 		return
 	}
-	fields := []zap.Field{zap.String("service", e.Service), zap.String("candidate", d.Candidate), zap.String("primary", e.Primary), zap.String("reason", reason)}
+	fields := []zap.Field{zap.String("service", e.Service), zap.String("candidate", d.Candidate), zap.String("primary", e.Primary), zap.String("reason", reason), zap.Bool("planned", d.Planned)}
 	for id, s := range e.Upstreams {
 		fields = append(fields, zap.Stringer("position_"+id, s.Position))
 	}
 	c.Log.Info(logger.EventPromotionOrdered, fields...)
-	command := keeper.Command{Kind: keeper.CommandPromote, Service: e.Service, Candidate: d.Candidate, Requester: c.Node, Reason: reason}
+	command := keeper.Command{Kind: keeper.CommandPromote, Service: e.Service, Candidate: d.Candidate, Requester: c.Node, Reason: reason, Planned: d.Planned}
 	c.propose(command, func(out keeper.Outcome, err error) {
 		g.querying = false
 		if err != nil {
 			return
 		}
-		g.promotion = &promotion{candidate: d.Candidate, token: out.Token, startedAt: c.Now()}
-		go c.requestPromotion(term, g, *g.promotion, e.Service)
+		g.promotion = &promotion{candidate: d.Candidate, former: e.Primary, token: out.Token, planned: d.Planned, startedAt: c.Now()}
+		c.advance(e.Service, g, c.Now())
 	})
 }
 
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -39,6 +39,9 @@
 		QueryStatus: func(ctx context.Context, u keeper.Upstream) (connector.ReplicationStatus, error) {
 			return dialer.QueryStatus(ctx, u, c.Settings.Node)
 		},
+		Demote: func(ctx context.Context, u keeper.Upstream, term uint64) (connector.ReplicationStatus, error) {
+			return dialer.Demote(ctx, u, c.Settings.Node, term)
+		},
 		Log: c.Log,
 	}
 	if err := co.Open(); err != nil {
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -28,6 +28,7 @@
 	"github.com/shallotstage/shallotstage/internal/sampler"
 	"github.com/shallotstage/shallotstage/internal/timer"
 	"github.com/shallotstage/shallotstage/internal/transactor"
+	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
@@ -45,6 +46,13 @@
 	// skipped. The list of hosts that lend connections is updated within that
 	// time.
 	peerBackoff = 1500 * time.Millisecond
+	// handOverTimeout is how long work that began at a primary may go on after a
+	// planned change of primary was agreed; most transactions end within it.
+	handOverTimeout = 400 * time.Millisecond
+	// holdTimeout is how long new work waits for a planned change of primary while
+	// the former primary could still take it: the release by all hosts, the
+	// candidate's catching up and a promotion together.
+	holdTimeout = 2500 * time.Millisecond
 	// maxAnswerAge is the age of an upstream's last answer up to which the
 	// upstream is reported as answering.
 	maxAnswerAge = 1500 * time.Millisecond
@@ -61,6 +69,9 @@
 	PeerAddress string
 	// Grace is the time limit of a graceful shutdown.
 	Grace time.Duration
+	// PrimaryLease is true if nothing but the hosts' leases keeps a replaced primary
+	// from committing.
+	PrimaryLease bool
 	// Descriptors is the limit of open files and connections; zero means no
 	// limit.
 	Descriptors int64
@@ -84,6 +95,7 @@
 	assignments   *assignments
 	forwarder     *forwarder.Forwarder
 	broker        *broker.Broker
+	gate          *transactor.PrimaryGate
 	admitter      *admitter.Admitter
 	sampler       *sampler.Sampler
 	server        *transactor.Server
@@ -148,10 +160,18 @@
 		Host: e.Settings.Host, Incarnation: uint64(time.Now().UnixNano()), DataCentre: e.Settings.Place.DataCentre, PeerAddress: e.Settings.PeerAddress,
 		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Delegates: e.admitter.Delegates, UpstreamStatuses: e.upstreamStatuses, OnViewChange: e.applyView, Log: e.Log,
 	}
+	e.gate = &transactor.PrimaryGate{
+		Gate: fencer.Gate{Exclusive: e.Settings.PrimaryLease, HandOverTimeout: handOverTimeout, HoldTimeout: holdTimeout}, Now: timer.Now, Released: e.controlClient.ReportNow,
+	}
+	if e.Settings.PrimaryLease {
+		e.gate.HoldsLease = e.controlClient.HoldsLease
+	}
+	e.controlClient.OnLeaseEnded = e.gate.LeaseEnded
+	e.controlClient.ReleasedIndex = e.gate.ReleasedIndex
 	e.upstreams.StatusChanged = e.controlClient.ReportNow
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
 		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
 	}
 	e.sampler = &sampler.Sampler{
@@ -208,6 +228,7 @@
 
 // applyView updates the components for a new view.
 func (e *EntryHost) applyView(view *keeper.View) {
+	e.gate.SetTopology(view)
 	e.upstreams.Update(view.Upstreams)
 	e.assignments.update(view)
 	e.set.Update(view.Upstreams, func(u keeper.Upstream) connector.PoolLimits { return e.assignments.poolLimits(view, u) })
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -37,6 +37,8 @@
 	EventOwnerLost                = Event{1310, "owner_lost"}
 	EventTokenHostLost            = Event{1311, "treasurer_lost"}
 	EventSampleFailed             = Event{1312, "sample_failed"}
+	EventPrimaryLeaseGained       = Event{1313, "primary_lease_gained"}
+	EventPrimaryDemoted           = Event{1418, "primary_demoted"}
 	EventListenerFailed           = Event{1008, "part_failed"}
 	EventControlMembersPlanned    = Event{1416, "control_members_planned"}
 	EventReplicationStatusUnknown = Event{1417, "upstream_standing_unknown"}
@@ -77,5 +79,6 @@
 		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
+		EventPrimaryLeaseGained, EventPrimaryDemoted,
 	}
 }
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -22,6 +22,10 @@
 // upstreams: one that is not the primary refuses too, and nothing is executed.
 func (r *request) choosePrimary(view *keeper.View, refusedBy map[string]bool) (keeper.Upstream, bool) {
 	server := r.session.server
+	if candidate := view.PromotionCandidate(r.route.Service); candidate != "" && server.Gate.holds(r.route.Service) {
+		u := view.Upstreams[candidate]
+		return u, !refusedBy[candidate] && !server.isSuspect(u)
+	}
 	u, ok := view.Upstreams[server.Upstreams.Primary(r.route.Service, view)]
 	if ok && !refusedBy[u.ID] && !server.isSuspect(u) {
 		return u, true
@@ -30,7 +34,7 @@
 		u = view.Upstreams[candidate]
 		return u, !server.isSuspect(u)
 	}
-	if !ok || !refusedBy[u.ID] {
+	if !ok || !refusedBy[u.ID] || server.Gate.isExclusive() {
 		return u, false
 	}
 	for _, other := range view.ByService(r.route.Service) {
@@ -58,9 +62,20 @@
 			}
 			continue
 		}
+		l, use, ok := server.Gate.guard(r.route.Service, r.lease(u))
+		if !ok {
+			last = errors.New("this host may not act at the primary: no lease, or a change of primary is under way")
+			if !r.canWait() || !r.pause(ctx, changed, primaryPause) {
+				break
+			}
+			continue
+		}
 		r.attempts++
-		l := r.lease(u)
+		r.use = use
 		out := f(l)
+		if out.refusal == nil && !use.mayAcknowledge() {
+			out = r.unacknowledged(u.ID)
+		}
 		out.upstream, out.primary = u.ID, true
 		if !out.keepLease {
 			l.Release()
@@ -90,6 +105,19 @@
 	return outcome{refusal: refusal, primary: true}
 }
 
+// unacknowledged returns the outcome of a statement that an upstream completed when
+// it may have been replaced as the primary. A read is repeated; a write may have
+// been lost.
+func (r *request) unacknowledged(upstream string) outcome {
+	verdict := refuser.MayHaveRun
+	if !r.writes || r.session.tx != nil {
+		// A transaction that was opened with this statement is rolled back.
+		verdict = refuser.NotRun
+	}
+	refusal := refuser.New(refuser.ReasonPrimaryReplaced, "upstream "+upstream+" may have been replaced when its answer came").WithVerdict(verdict)
+	return outcome{refusal: refusal, upstream: upstream, retryable: verdict == refuser.NotRun}
+}
+
 // minRetryAfter is the shortest retry delay for a request that found an
 // upstream's queue full. It is the duration of several statements.
 const minRetryAfter = 250 * time.Millisecond
@@ -119,7 +147,7 @@
 
 // recordCommit stores the position of a commit of the session.
 func (r *request) recordCommit(sentAt time.Time, a connector.Answer) {
-	if a.Position.IsZero() {
+	if a.Position.IsZero() || !r.use.mayAcknowledge() {
 		return
 	}
 	r.session.lastCommit = a.Position
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -55,6 +55,8 @@
 	// preparedStmt is set for VerbExecute.
 	preparedStmt preparedStatement
 	attempts     int
+	// use is the work at the primary in the current attempt; nil at replicas.
+	use *primaryUse
 }
 
 // outcome is the result of a request or of one attempt.
@@ -184,7 +186,7 @@
 // recordSample stores a position whose answer proves that the upstream was the
 // primary.
 func (r *request) recordSample(sentAt time.Time, q connector.Request, a connector.Answer) {
-	if q.Verb == connector.VerbBegin && !q.ReadOnly {
+	if q.Verb == connector.VerbBegin && !q.ReadOnly && r.use.mayAcknowledge() {
 		r.session.server.Upstreams.AddSample(r.route.Service, sentAt, a.Position)
 	}
 }
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -60,6 +60,8 @@
 	// upstream; nil means that none does.
 	ReachableViaPeer func(u keeper.Upstream) bool
 	Upstreams        *UpstreamTracker
+	// Gate keeps work from primaries that are being replaced; nil lets all pass.
+	Gate *PrimaryGate
 	// View returns the current view, and a channel that is closed when there is
 	// a newer one.
 	View func() (*keeper.View, <-chan struct{})
--- a/internal/transactor/transaction.go
+++ b/internal/transactor/transaction.go
@@ -20,6 +20,8 @@
 	// lease is nil until the first statement is executed.
 	lease   *connector.Lease
 	primary bool
+	// use is the work at the primary; nil for a transaction on a replica.
+	use *primaryUse
 	// wrote is true once a write was sent.
 	wrote bool
 	// failure is the reason why the transaction cannot continue, or nil.
@@ -40,6 +42,9 @@
 	if t.lease == nil {
 		return t.runFirst(ctx, r)
 	}
+	if out := t.abandonReplaced(r); out != nil {
+		return *out
+	}
 	t.wrote = t.wrote || r.writes
 	a, failed := t.runRetryingBusy(ctx, r)
 	if failed != nil {
@@ -78,7 +83,7 @@
 		})
 	}
 	if out.refusal != nil {
-		t.wrote = false
+		t.lease, t.primary, t.use, t.wrote = nil, false, nil, false
 	}
 	return out
 }
@@ -94,7 +99,7 @@
 		out.retryable = true
 		return out
 	}
-	t.lease, t.primary, t.wrote = l, !begin.ReadOnly, r.writes
+	t.lease, t.primary, t.use, t.wrote = l, !begin.ReadOnly, r.use, r.writes
 	return outcome{answer: a, keepLease: true}
 }
 
@@ -117,8 +122,14 @@
 		}
 	}
 	defer t.rollBack()
+	if out := t.abandonReplaced(r); out != nil {
+		return *out
+	}
 	sentAt := r.session.server.Now()
 	a, failed := t.runRetryingBusy(ctx, r)
+	if failed == nil && !t.use.mayAcknowledge() {
+		return t.unacknowledged(r)
+	}
 	if failed == nil {
 		if t.wrote {
 			r.recordCommit(sentAt, a)
@@ -131,6 +142,31 @@
 	return *failed
 }
 
+// abandonReplaced rolls the transaction back and returns the outcome if its primary
+// may have been replaced. It returns nil otherwise.
+func (t *transaction) abandonReplaced(r *request) *outcome {
+	r.use = t.use
+	if t.use.mayAcknowledge() {
+		return nil
+	}
+	upstream := t.lease.Upstream
+	t.rollBack()
+	return &outcome{refusal: refuser.New(refuser.ReasonTransactionLost, "upstream "+upstream+" is no longer the primary"), upstream: upstream}
+}
+
+// unacknowledged returns the outcome of a commit that the upstream completed when it
+// may have been replaced as the primary.
+func (t *transaction) unacknowledged(r *request) outcome {
+	out := r.unacknowledged(t.lease.Upstream)
+	out.retryable = false
+	if t.wrote {
+		out.refusal = out.refusal.WithVerdict(refuser.MayHaveRun)
+		return out
+	}
+	out.refusal = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+t.lease.Upstream, out.refusal)
+	return out
+}
+
 // rollBack rolls the transaction back and releases its connection.
 func (t *transaction) rollBack() {
 	if t.lease != nil {
--- a/pkg/failoverplanner/failoverplanner.go
+++ b/pkg/failoverplanner/failoverplanner.go
@@ -35,6 +35,12 @@
 	// unansweredPromotionTimeout is the age at which a promotion without an
 	// answer from the platform is abandoned.
 	unansweredPromotionTimeout = 14 * time.Second
+	// maxHandOverLag is the lag of a candidate above which a planned change of
+	// primary waits, as callers' writes are held until the candidate has caught up.
+	// maxLagWait bounds that wait: the primary stops some seconds after it announced
+	// its end.
+	maxHandOverLag = 250 * time.Millisecond
+	maxLagWait     = 2500 * time.Millisecond
 	// failedCandidateTimeout is the age at which a promotion is abandoned if its
 	// candidate has failed.
 	failedCandidateTimeout = 700 * time.Millisecond
@@ -50,6 +56,11 @@
 	SinceAnnouncement time.Duration
 	// Position is the highest log position that it is known to have reached.
 	Position tracker.Position
+	// Superseded is true for a replaced primary that has not announced itself as a
+	// replica since. It might accept work that is meant for the next primary.
+	Superseded bool
+	// Lag is how far it is behind its primary; zero if that is unknown.
+	Lag time.Duration
 }
 
 // hasFailed reports whether most of the reporting hosts cannot connect to the
@@ -66,6 +77,9 @@
 type Promotion struct {
 	Candidate string
 	Age       time.Duration
+	// Requested is true once the platform has been asked. Before that, hosts may
+	// still act at the former primary.
+	Requested bool
 	// SinceAccepted is the time since the platform accepted the promotion; zero
 	// means that it has not.
 	SinceAccepted time.Duration
@@ -83,6 +97,11 @@
 	// Promotion is the latest promotion, or nil when it is completed or
 	// abandoned.
 	Promotion *Promotion
+	// Unfinished is the candidate of the latest agreed promotion if that has not come
+	// into effect and hosts keep off the former primary until one does.
+	Unfinished string
+	// DrainingFor is how long the primary has been known to be draining.
+	DrainingFor time.Duration
 	// LeaderFor is how long this control host has been the leader.
 	LeaderFor time.Duration
 	// WithoutPrimaryFor is how long the service has been without a primary;
@@ -94,6 +113,8 @@
 type Decision struct {
 	Candidate string
 	Reason    string
+	// Planned is true if the present primary still serves and hands over.
+	Planned bool
 }
 
 // Decide returns whether to replace a service's primary, and by which upstream.
@@ -109,7 +130,17 @@
 	if candidate == "" {
 		return Decision{}
 	}
-	return Decision{Candidate: candidate, Reason: reason}
+	planned := e.isPlanned()
+	if planned && e.Upstreams[candidate].Lag > maxHandOverLag && e.DrainingFor < maxLagWait {
+		return Decision{}
+	}
+	return Decision{Candidate: candidate, Reason: reason, Planned: planned}
+}
+
+// isPlanned reports whether the present primary can hand over.
+func (e Evidence) isPlanned() bool {
+	primary, ok := e.Upstreams[e.Primary]
+	return ok && !primary.hasFailed() && e.Unfinished == ""
 }
 
 // isPending reports whether a promotion may still come into effect.
@@ -127,7 +158,7 @@
 	if o.SinceAccepted > 0 {
 		return o.SinceAccepted < acceptedPromotionTimeout
 	}
-	return o.Age < unansweredPromotionTimeout
+	return !o.Requested || o.Age < unansweredPromotionTimeout
 }
 
 // failoverReason returns why the service needs another primary, or an empty
@@ -135,6 +166,8 @@
 func (e Evidence) failoverReason() string {
 	primary, ok := e.Upstreams[e.Primary]
 	switch {
+	case e.Unfinished != "":
+		return "the promotion of " + e.Unfinished + " has not come into effect"
 	case e.Primary == "" || !ok:
 		if e.LeaderFor < noPrimaryDelay || e.WithoutPrimaryFor < noPrimaryDelay {
 			return ""
@@ -150,20 +183,33 @@
 }
 
 // selectCandidate returns the healthy upstream with the highest log position, or
-// an empty string.
+// an empty string. It prefers the candidate of an unfinished promotion, as the
+// platform may still carry that out.
 func (e Evidence) selectCandidate() string {
+	if e.isEligible(e.Unfinished) && (e.Promotion == nil || !e.Promotion.Rejected) {
+		return e.Unfinished
+	}
 	best := ""
 	for id, s := range e.Upstreams {
-		if id == e.Primary || s.Upstream.Lifecycle != keeper.LifecycleReady || s.hasFailed() || s.SinceAnnouncement > announcementTimeout {
+		if id == e.Primary || !e.isEligible(id) {
 			continue
 		}
 		if best == "" || e.isBetterCandidate(s, e.Upstreams[best]) {
 			best = id
 		}
 	}
+	if best == "" && e.Unfinished != "" && e.isEligible(e.Primary) {
+		return e.Primary
+	}
 	return best
 }
 
+// isEligible reports whether an upstream can become the primary.
+func (e Evidence) isEligible(id string) bool {
+	s, ok := e.Upstreams[id]
+	return ok && !s.Superseded && s.Upstream.Lifecycle == keeper.LifecycleReady && !s.hasFailed() && s.SinceAnnouncement <= announcementTimeout
+}
+
 func (e Evidence) isBetterCandidate(a, b UpstreamHealth) bool {
 	if a.Position != b.Position {
 		return b.Position.Less(a.Position)
--- a/pkg/fencer/granter.go
+++ b/pkg/fencer/granter.go
@@ -38,6 +38,32 @@
 	g.earlierLeasesExpireAt = now.Add(g.maxDuration())
 }
 
+// SetKnownHolders ends the wait for all leases granted by earlier leaders: only the
+// named holders may have one. InForce then waits for those that have not reported.
+func (g *Granter) SetKnownHolders(holders []string) {
+	for _, holder := range holders {
+		if g.leases[holder] == nil {
+			g.leases[holder] = &lease{expiresAt: g.earlierLeasesExpireAt}
+		}
+	}
+	g.earlierLeasesExpireAt = time.Time{}
+}
+
+// RecordVersion records that a holder acts on version, or a later one, from now on.
+// It extends no lease.
+func (g *Granter) RecordVersion(holder string, version uint64) {
+	l := g.leases[holder]
+	if l == nil {
+		l = &lease{expiresAt: g.earlierLeasesExpireAt}
+		g.leases[holder] = l
+	}
+	l.version = max(l.version, version)
+}
+
+// Release records that a holder has no lease. It must not have been granted one since
+// it said so.
+func (g *Granter) Release(holder string) { g.leases[holder] = &lease{} }
+
 // Grant grants or renews the lease of a holder that has applied version. A holder
 // is one incarnation of a host: the lease of an earlier incarnation stays valid
 // until it expires.
--- a/pkg/fencer/holder.go
+++ b/pkg/fencer/holder.go
@@ -6,6 +6,10 @@
 // in the configuration. A change is in force everywhere when every host that may
 // still hold a lease has reported its version.
 //
+// A Gate is a holder's record of its work at primaries. It tells when the host has
+// let go of a primary that hands over, and whether an answer may still be
+// acknowledged.
+//
 // Holder and granter never compare clock readings. The holder's lease period
 // starts before it sends its report, the granter's after it receives the report,
 // and the granter adds a bound on clock drift.
@@ -17,6 +21,11 @@
 //	h.Renew(7, ttl)                   // the host receives the answer
 //	if h.Valid(now) { ... }
 //
+//	if use, ok := g.Begin("ledger", "i-1", now); ok { // a statement is sent
+//		ok = h.Valid(now) && g.MayAcknowledge(use) // it was answered
+//		g.End(use)
+//	}
+//
 // The types are not safe for concurrent use.
 package fencer
 
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -30,6 +30,8 @@
 	Candidate string `json:"candidate,omitempty"`
 	Requester string `json:"holder,omitempty"`
 	Reason    string `json:"reason,omitempty"`
+	// Planned is set for CommandPromote if the current primary still serves.
+	Planned bool `json:"planned,omitempty"`
 	// Host is set for CommandHostJoined and CommandHostLeft, Peer for the former.
 	Host string `json:"host,omitempty"`
 	Peer Peer   `json:"peer,omitzero"`
@@ -62,4 +64,8 @@
 	// of the decision.
 	Token  uint64 `json:"token"`
 	Reason string `json:"reason"`
+	// Planned is true if the current primary still serves and hands over.
+	Planned bool `json:"planned,omitempty"`
+	// Done is true once the candidate has announced itself as the primary.
+	Done bool `json:"done,omitempty"`
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -40,6 +40,10 @@
 	Primaries map[string]string `json:"primaries"`
 	// Promotions are keyed by service.
 	Promotions map[string]Promotion `json:"promotions"`
+	// Superseded holds, by ID, the upstreams that a promotion replaced as primary
+	// and that have not announced themselves as replicas since. The value is their
+	// service.
+	Superseded map[string]string `json:"superseded,omitempty"`
 	// Members are keyed by ID.
 	Members map[string]Member `json:"members"`
 	// Hosts are the names of entry hosts that may hold shares of the
@@ -70,7 +74,7 @@
 func New(decode DecodeFunc) *State {
 	return &State{
 		Upstreams: map[string]Upstream{}, Removed: map[string]Upstream{}, Primaries: map[string]string{},
-		Promotions: map[string]Promotion{}, Members: map[string]Member{}, Hosts: map[string]bool{}, Peers: map[string]Peer{}, decode: decode,
+		Promotions: map[string]Promotion{}, Superseded: map[string]string{}, Members: map[string]Member{}, Hosts: map[string]bool{}, Peers: map[string]Peer{}, decode: decode,
 	}
 }
 
@@ -130,7 +134,7 @@
 		}
 		return s.recordChange(s.remove(*c.Upstream))
 	case CommandPromote:
-		s.Promotions[c.Service] = Promotion{Service: c.Service, Candidate: c.Candidate, Requester: c.Requester, Token: index, Reason: c.Reason}
+		s.Promotions[c.Service] = Promotion{Service: c.Service, Candidate: c.Candidate, Requester: c.Requester, Token: index, Reason: c.Reason, Planned: c.Planned}
 		s.revision++
 		return Outcome{Changed: true, Token: index}
 	case CommandSetMember:
@@ -212,15 +216,34 @@
 // updatePrimary updates the primary of a service after an announcement of u.
 func (s *State) updatePrimary(old, u Upstream, sameIncarnation bool) {
 	current := s.Primaries[u.Service]
-	switch {
-	case u.Role == RolePrimary && (!sameIncarnation || old.Role != RolePrimary || current == ""):
-		if current != u.ID && !sameIncarnation && s.isPromoted(u.Service, current) {
-			// The former primary restarted and does not know of the promotion yet.
-			return
+	if u.Role == RoleReplica {
+		delete(s.Superseded, u.ID)
+		if current == u.ID {
+			delete(s.Primaries, u.Service)
 		}
-		s.Primaries[u.Service] = u.ID
-	case u.Role == RoleReplica && current == u.ID:
-		delete(s.Primaries, u.Service)
+		return
+	}
+	if u.Role != RolePrimary || (sameIncarnation && old.Role == RolePrimary && current != "") {
+		return
+	}
+	promotion := s.Promotions[u.Service]
+	isCandidate := promotion.Candidate == u.ID
+	if _, superseded := s.Superseded[u.ID]; superseded && !isCandidate {
+		// A replaced primary does not know of the promotion yet.
+		return
+	}
+	if current != u.ID && !sameIncarnation && s.isPromoted(u.Service, current) {
+		// The former primary restarted and does not know of the promotion yet.
+		return
+	}
+	if current != "" && current != u.ID {
+		s.Superseded[current] = u.Service
+	}
+	delete(s.Superseded, u.ID)
+	s.Primaries[u.Service] = u.ID
+	if isCandidate {
+		promotion.Done = true
+		s.Promotions[u.Service] = promotion
 	}
 }
 
@@ -244,6 +267,7 @@
 
 func (s *State) removeUpstream(u Upstream) {
 	delete(s.Upstreams, u.ID)
+	delete(s.Superseded, u.ID)
 	if s.Primaries[u.Service] == u.ID {
 		delete(s.Primaries, u.Service)
 	}
--- a/pkg/keeper/view.go
+++ b/pkg/keeper/view.go
@@ -19,6 +19,10 @@
 	Peers map[string]Peer
 	// Revision is the version of Upstreams, Primaries, Promotions and Members.
 	Revision uint64
+	// Index is the log index up to which Upstreams, Primaries, Promotions and
+	// Members include all commands. Unlike Revision, it is the same on all control
+	// hosts.
+	Index uint64
 
 	byService map[string][]Upstream
 }
@@ -41,12 +45,19 @@
 // ByService returns the upstreams of a service in unspecified order.
 func (v *View) ByService(service string) []Upstream { return v.byService[service] }
 
+// Promotion returns the promotion of a service that has not come into effect yet,
+// or false.
+func (v *View) Promotion(service string) (Promotion, bool) {
+	p := v.Promotions[service]
+	if _, ok := v.Upstreams[p.Candidate]; !ok || p.Done || v.Primaries[service] == p.Candidate {
+		return Promotion{}, false
+	}
+	return p, true
+}
+
 // PromotionCandidate returns the ID of the upstream that is being promoted to
 // primary of a service, or an empty string.
 func (v *View) PromotionCandidate(service string) string {
-	p := v.Promotions[service]
-	if _, ok := v.Upstreams[p.Candidate]; !ok || v.Primaries[service] == p.Candidate {
-		return ""
-	}
+	p, _ := v.Promotion(service)
 	return p.Candidate
 }
