--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -42,13 +42,21 @@
 	founders          []string
 	hosts             map[string]*controlHost
 	promotionRequests chan PromotionRequest
+	// primaryLease is the setting of the same name.
+	primaryLease bool
+	// upstreams answers queries for the status of upstreams; nil means that none
+	// answers.
+	upstreams *scriptedUpstreams
 }
 
 // fleetSize is the number of founding control hosts.
 const fleetSize = 3
 
-func newControlFleet(t *testing.T) *controlFleet {
-	f := &controlFleet{t: t, hosts: map[string]*controlHost{}, promotionRequests: make(chan PromotionRequest, 100)}
+func newControlFleet(t *testing.T) *controlFleet { return newControlFleetWith(t, &controlFleet{}) }
+
+// newControlFleetWith starts a fleet with the settings of f.
+func newControlFleetWith(t *testing.T, f *controlFleet) *controlFleet {
+	f.t, f.hosts, f.promotionRequests = t, map[string]*controlHost{}, make(chan PromotionRequest, 100)
 	var listeners []net.Listener
 	for range fleetSize {
 		l := listen(t, "127.0.0.1:0")
@@ -88,7 +96,7 @@
 	h.Coordinator = &Coordinator{
 		Settings: Settings{
 			Node: node, DataDir: dir, PeerAddress: address, OperatorAddress: "operator-of-" + node, DataCentre: "a", Region: "r",
-			Bootstrap: bootstrap, Founders: f.founders, Voters: 3,
+			Bootstrap: bootstrap, Founders: f.founders, Voters: 3, PrimaryLease: f.primaryLease,
 		},
 		Seeds: func() []string { return f.founders }, Decode: decodeVersion, Now: time.Now, Dial: linker.Linker{}.Dial,
 		Promote: func(_ context.Context, o PromotionRequest) (PromotionOutcome, error) {
@@ -99,6 +107,9 @@
 			return connector.ReplicationStatus{}, errors.New("no upstream status in this test")
 		},
 	}
+	if f.upstreams != nil {
+		h.QueryStatus, h.Demote = f.upstreams.queryStatus, f.upstreams.demote
+	}
 	qt.Assert(f.t, h.Open(), qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
@@ -270,17 +281,20 @@
 	qt.Assert(t, f.readDocument(), qt.Equals, "6")
 }
 
+// announce records an announcement of an upstream of the service s.
+func (f *controlFleet) announce(id string, lifecycle keeper.Lifecycle, role keeper.Role, sequence uint64) {
+	waitFor(f.t, "the announcement of "+id, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		u := keeper.Upstream{ID: id, Service: "s", Address: id + ":1", Lifecycle: lifecycle, Role: role, Sequence: sequence}
+		return f.hosts[f.leader()].RecordAnnouncement(ctx, u) == nil
+	})
+}
+
 func TestPrimaryThatEndsIsReplacedUnderRisingTokens(t *testing.T) {
 	f := newControlFleet(t)
 	f.configure(1)
-	observe := func(id string, lifecycle keeper.Lifecycle, role keeper.Role, sequence uint64) {
-		waitFor(t, "the announcement of "+id, func() bool {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			defer cancel()
-			u := keeper.Upstream{ID: id, Service: "s", Address: id + ":1", Lifecycle: lifecycle, Role: role, Sequence: sequence}
-			return f.hosts[f.leader()].RecordAnnouncement(ctx, u) == nil
-		})
-	}
+	observe := f.announce
 	observe("p", keeper.LifecycleReady, keeper.RolePrimary, 1)
 	observe("r1", keeper.LifecycleReady, keeper.RoleReplica, 1)
 	observe("r2", keeper.LifecycleReady, keeper.RoleReplica, 1)
--- a/internal/coordinator/host_stream_test.go
+++ b/internal/coordinator/host_stream_test.go
@@ -27,10 +27,16 @@
 
 // startEntryHost starts an entry host that knows one control host.
 func startEntryHost(t *testing.T, name, seed string) *testEntryHost {
+	return startEntryHostWith(t, name, []string{seed}, func(*testEntryHost) {})
+}
+
+// startEntryHostWith starts an entry host that knows some control hosts, after adjust
+// has changed it.
+func startEntryHostWith(t *testing.T, name string, seeds []string, adjust func(e *testEntryHost)) *testEntryHost {
 	e := &testEntryHost{}
 	e.Client = &controlclient.Client{
 		Host: name, Incarnation: 1, DataCentre: "a", PeerAddress: name + ":1",
-		Seeds: func() []string { return []string{seed} },
+		Seeds: func() []string { return seeds },
 		Dial: func(ctx context.Context, address string) (*drpcconn.Conn, error) {
 			e.dials.Add(1)
 			return linker.Linker{}.Dial(ctx, address)
@@ -42,6 +48,7 @@
 			}
 		},
 	}
+	adjust(e)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -64,6 +64,15 @@
 		{"replaced primary announces itself again", []Command{
 			announce("a", "x:1", 5, 1, RolePrimary), announce("b", "y:1", 5, 1, RoleReplica), announce("b", "y:1", 5, 2, RolePrimary), announce("a", "x:1", 5, 2, RolePrimary),
 		}, []string{"a", "b"}, "b"},
+		{"replaced primary stays when its successor is gone", []Command{
+			announce("a", "x:1", 5, 1, RolePrimary), announce("b", "y:1", 5, 1, RoleReplica), {Kind: CommandPromote, Service: "s", Candidate: "b"},
+			announce("b", "y:1", 5, 2, RolePrimary), remove("b", 0), announce("a", "x:1", 5, 2, RolePrimary),
+		}, []string{"a"}, ""},
+		{"replaced primary is demoted and promoted again", []Command{
+			announce("a", "x:1", 5, 1, RolePrimary), announce("b", "y:1", 5, 1, RoleReplica), {Kind: CommandPromote, Service: "s", Candidate: "b"},
+			announce("b", "y:1", 5, 2, RolePrimary), announce("a", "x:1", 5, 2, RoleReplica), {Kind: CommandPromote, Service: "s", Candidate: "a"},
+			announce("a", "x:1", 5, 3, RolePrimary),
+		}, []string{"a", "b"}, "a"},
 		{"replaced primary restarts", []Command{
 			announce("a", "x:1", 5, 1, RolePrimary), announce("b", "y:1", 5, 1, RoleReplica), {Kind: CommandPromote, Service: "s", Candidate: "b"},
 			announce("b", "y:1", 5, 2, RolePrimary), announce("a", "x:1", 7, 1, RolePrimary),
@@ -138,3 +147,23 @@
 	qt.Assert(t, s.Apply(Command{Kind: CommandHostLeft, Host: "entry-1"}, 4).Changed, qt.IsTrue)
 	qt.Assert(t, s.Peers, qt.HasLen, 0)
 }
+
+func TestPromotionIsUnfinishedUntilTheCandidateAnnouncesItself(t *testing.T) {
+	s := New(decode)
+	apply := func(c Command, index uint64) *View {
+		qt.Assert(t, s.Apply(c, index).Err, qt.IsNil)
+		return &View{Upstreams: s.Upstreams, Primaries: s.Primaries, Promotions: s.Promotions}
+	}
+	apply(announce("a", "x:1", 5, 1, RolePrimary), 1)
+	apply(announce("b", "y:1", 5, 1, RoleReplica), 2)
+	v := apply(Command{Kind: CommandPromote, Service: "s", Candidate: "b", Planned: true}, 3)
+	p, ok := v.Promotion("s")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, p, qt.Equals, Promotion{Service: "s", Candidate: "b", Token: 3, Planned: true})
+	v = apply(announce("b", "y:1", 5, 2, RolePrimary), 4)
+	qt.Assert(t, v.PromotionCandidate("s"), qt.Equals, "")
+	qt.Assert(t, s.Superseded, qt.DeepEquals, map[string]string{"a": "s"})
+	// The new primary restarts as a replica: the promotion is not under way again.
+	v = apply(announce("b", "y:1", 9, 1, RoleReplica), 5)
+	qt.Assert(t, v.PromotionCandidate("s"), qt.Equals, "")
+}
