Handle hang-ups until the process ends

Cause: on SIGTERM the context of the settings' watcher ended, and with it the handling of SIGHUP. Settings that changed during a shutdown then ended the process by the signal's default action: callers whose requests were taken got no answer, and no line told of the end. Ruled out: unaccepted connections, sessions counted late, an unflushed last line. Change: hang-ups are caught before the settings are read and until the process ends. A host gets its first lease when its membership is agreed, not with its next report, a second later (found by the test of this change).

--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -252,6 +252,58 @@
 	qt.Assert(t, state.ExitCode(), qt.Equals, 0)
 }
 
+// A hang-up tells of changed settings. While a process shuts down it must not end it:
+// callers whose requests were taken would get no answer.
+func TestHangUpDuringAShutdownCutsNobody(t *testing.T) {
+	f := newFleet(t)
+	for _, ip := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
+		f.start("control", ip)
+	}
+	entry := f.start("entry", "127.0.0.5")
+	control := "http://" + f.address("127.0.0.3", portControl)
+	configuration := `{"version":3,"routes":[{"name":"r","host":"db","path_prefix":"/","type":"primary","timeout_ms":2000,"service":"s"}],
+"services":[{"name":"s","max_conns":20}],"tenants":[{"name":"t","api_keys":["k"],"rate_per_s":1000,"burst":1000}]}`
+	f.waitFor("the configuration's acknowledgement", func() bool { return call("PUT", control+"/config", configuration) == 200 })
+	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","db_role":"primary","seq":1,"born":5}`, startFakeUpstream(t))
+	f.waitFor("the heartbeat's acknowledgement", func() bool { return call("PUT", control+"/instances/i-1", heartbeat) == 200 })
+	f.waitFor("readiness", func() bool { return call("GET", "http://"+f.address(entry.ip, portReady)+"/ready", "") == 200 })
+	conn, err := net.Dial("tcp", f.address(entry.ip, portCaller))
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+	r := bufio.NewReader(conn)
+	query := func(text, want string) {
+		_, err := fmt.Fprintf(conn, "%s\r\n", text)
+		qt.Assert(t, err, qt.IsNil)
+		for {
+			line, err := r.ReadString('\n')
+			qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", text))
+			if strings.HasPrefix(line, "READY") {
+				qt.Assert(t, strings.TrimSpace(line), qt.Equals, want)
+				return
+			}
+		}
+	}
+	query("STARTUP db k", "READY I -")
+	query("QUERY a1 BEGIN", "READY T -")
+	query("QUERY a2 READ x", "READY T 1.7")
+	qt.Assert(t, entry.cmd.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	f.waitFor("the shutdown", func() bool {
+		body, err := os.ReadFile(entry.log)
+		return err == nil && strings.Contains(string(body), `"process_draining"`)
+	})
+	qt.Assert(t, entry.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	f.waitFor("the settings to be read again", func() bool {
+		body, err := os.ReadFile(entry.log)
+		return err == nil && strings.Contains(string(body), `"settings_read"`)
+	})
+	query("QUERY a3 READ x", "READY T 1.7")
+	query("QUERY a4 ROLLBACK", "READY I -")
+	state, err := entry.cmd.Process.Wait()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, state.ExitCode(), qt.Equals, 0)
+}
+
 func TestBadSettings(t *testing.T) {
 	f := newFleet(t)
 	path := filepath.Join(f.dir, "bad.toml")
--- a/cmd/shallotstage-host/run.go
+++ b/cmd/shallotstage-host/run.go
@@ -43,6 +43,10 @@
 		p.WriteHelp(os.Stderr)
 		return exitUsage
 	}
+	// Hang-ups are handled from the first moment until the process ends: the default
+	// action would end it while callers wait for their answers.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := platform.ReadSettings(args.Config)
 	if err == nil && args.Lines < 0 {
 		err = fmt.Errorf("--log-lines is %d, want 0 or more", args.Lines)
@@ -67,7 +71,7 @@
 	log = log.With(zap.String("node", settings.Node))
 	watcher := &settingsWatcher{path: args.Config, log: log}
 	watcher.current.Store(&settings)
-	go watcher.watch(ctx)
+	go watcher.watch(hangups)
 	if args.Entry != nil {
 		err = newEntryHost(watcher, log).Run(ctx)
 	} else {
@@ -98,19 +102,15 @@
 // platformAddress returns the current address of the platform's API.
 func (w *settingsWatcher) platformAddress() string { return w.current.Load().PlatformAddress }
 
-// watch reloads the settings on SIGHUP and when polling finds a changed file.
-func (w *settingsWatcher) watch(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+// watch reloads the settings on a hang-up and when polling finds a changed file, until
+// the process ends.
+func (w *settingsWatcher) watch(hangups <-chan os.Signal) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	last := fileVersion(w.path)
 	for {
 		signalled := false
 		select {
-		case <-ctx.Done():
-			return
 		case <-hangups:
 			signalled = true
 		case <-ticker.C:
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -175,7 +175,14 @@
 		return
 	}
 	c.leadership.pendingHosts[name] = true
-	c.propose(command, func(keeper.Outcome, error) { delete(c.leadership.pendingHosts, name) })
+	c.propose(command, func(keeper.Outcome, error) {
+		delete(c.leadership.pendingHosts, name)
+		if h := c.leadership.hosts[name]; h != nil {
+			// The host gets its shares and its lease only now.
+			h.answerDue = true
+			h.notify()
+		}
+	})
 }
 
 // publish notifies the host streams when the published state has changed.
