Give logins that run out of time longer, and say what a fleet lacks

Cause: seven tests of internal/demonstrator ended with 'fleet is not ready' on a busy machine. The message now names what is missing: owners had 0 reachable upstreams of 3. Ruled out: elections and leases (all hosts had theirs), the number of fleets alone (one fleet beside the same load passes). Connections that callers opened before a host stops accepting are accepted and not reset.

--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -234,22 +234,26 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		if f.isReady() {
+		missing := f.missing()
+		if missing == "" {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("demonstrator: fleet is not ready: %w", ctx.Err())
+			return fmt.Errorf("demonstrator: fleet is not ready: %w (%s)", ctx.Err(), missing)
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
 
-func (f *Fleet) isReady() bool {
+// missing says what the first host that is not ready lacks, or returns an empty string.
+func (f *Fleet) missing() string {
 	for _, e := range f.Entries {
-		if !e.Ready(f.Layout.Groups, len(f.Layout.DataCentres)) {
-			return false
+		if missing := e.Missing(f.Layout.Groups, len(f.Layout.DataCentres)); missing != "" {
+			return e.Host.ID + ": " + missing
 		}
 	}
-	return true
+	return ""
 }
+
+func (f *Fleet) isReady() bool { return f.missing() == "" }
--- a/internal/pooler/connector.go
+++ b/internal/pooler/connector.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -48,7 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return Open(ctx, cfg)
+	accepted := recordAccepted(cfg)
+	conn, err := Open(ctx, cfg)
+	return conn, loginError(u, err, accepted)
 }
 
 // OpenMonitor opens a connection that serves health probes.
@@ -57,5 +60,30 @@
 	if err != nil {
 		return nil, err
 	}
-	return pgconn.ConnectConfig(ctx, cfg)
+	accepted := recordAccepted(cfg)
+	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	return conn, loginError(u, err, accepted)
+}
+
+// recordAccepted sets the result once the upstream has accepted the connection.
+func recordAccepted(cfg *pgconn.Config) *atomic.Bool {
+	var accepted atomic.Bool
+	dial := cfg.DialFunc
+	cfg.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err == nil {
+			accepted.Store(true)
+		}
+		return conn, err
+	}
+	return &accepted
+}
+
+// loginError returns err as a HandshakeError if the upstream had accepted the
+// connection.
+func loginError(u configurer.Upstream, err error, accepted *atomic.Bool) error {
+	if err == nil || !accepted.Load() {
+		return err
+	}
+	return &HandshakeError{Upstream: u.ID, Err: err}
 }
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -53,6 +53,8 @@
 	wake     chan struct{}
 	// freed is closed and replaced when a connection becomes idle or is closed.
 	freed chan struct{}
+	// loginTimeout is the timeout of spare connections; only Run's goroutine uses it.
+	loginTimeout LoginTimeout
 }
 
 type holder struct {
@@ -320,9 +322,10 @@
 	if !needed {
 		return
 	}
-	connectCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	connectCtx, cancel := context.WithTimeout(ctx, p.loginTimeout.Next(checkTimeout))
 	defer cancel()
 	c, err := p.connect(connectCtx)
+	p.loginTimeout.Record(err)
 	if err != nil {
 		return
 	}
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -341,18 +341,33 @@
 // are serving. A group that the host owns counts if at least perGroup of its
 // upstreams are reachable.
 func (h *EntryHost) Ready(groups, perGroup int) bool {
+	return h.Missing(groups, perGroup) == ""
+}
+
+// Missing says what a host that is not ready still lacks, or returns an empty string.
+func (h *EntryHost) Missing(groups, perGroup int) string {
 	if !h.sub.HasLease() {
-		return false
+		return "no lease"
 	}
 	state := h.sub.State()
-	serving := 0
+	serving, missing := 0, ""
 	for _, g := range state.Groups {
-		if g.Phase != configurer.PhaseServing || h.owns(state, g.ID) && h.reachableUpstreams(state, g.ID) < perGroup {
-			continue
+		switch reachable := h.reachableUpstreams(state, g.ID); {
+		case g.Phase != configurer.PhaseServing:
+			missing = fmt.Sprintf("group %s is %s", g.ID, g.Phase)
+		case h.owns(state, g.ID) && reachable < perGroup:
+			missing = fmt.Sprintf("group %s has %d reachable upstreams of %d", g.ID, reachable, perGroup)
+		default:
+			serving++
 		}
-		serving++
 	}
-	return serving >= groups
+	if serving >= groups {
+		return ""
+	}
+	if missing == "" {
+		missing = fmt.Sprintf("%d groups of %d are known", len(state.Groups), groups)
+	}
+	return missing
 }
 
 // reachableUpstreams returns the number of a group's upstreams that are reachable
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -40,6 +40,9 @@
 	// acceptPause is the delay after a failed accept, for example when file
 	// descriptors run out.
 	acceptPause = 20 * time.Millisecond
+	// lastAcceptWait is how long connections that callers have opened are still
+	// accepted once the server stops accepting.
+	lastAcceptWait = 20 * time.Millisecond
 	// minIdleBeforeClose is how long a session must have been idle before a
 	// drain closes it, so that a request in transit is not lost.
 	minIdleBeforeClose = 300 * time.Millisecond
@@ -98,7 +101,9 @@
 	mu            sync.Mutex
 	open          map[*session]bool
 	stopAccepting context.CancelFunc
-	wait          sync.WaitGroup
+	// acceptingEnded is closed once no more sessions are accepted.
+	acceptingEnded <-chan struct{}
+	wait           sync.WaitGroup
 }
 
 // Observation describes one answered statement.
@@ -116,9 +121,12 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer func() { _ = listener.Close() }()
+	context.AfterFunc(ctx, func() { endAccepting(listener) })
+	ended := make(chan struct{})
+	defer close(ended)
 	s.mu.Lock()
-	s.stopAccepting = cancel
+	s.stopAccepting, s.acceptingEnded = cancel, ended
 	s.mu.Unlock()
 	for {
 		conn, err := listener.Accept()
@@ -142,6 +150,15 @@
 	}
 }
 
+// endAccepting makes the listener return the connections that are open already, and
+// then an error. To close it at once would reset them.
+func endAccepting(listener net.Listener) {
+	l, ok := listener.(*net.TCPListener)
+	if !ok || l.SetDeadline(time.Now().Add(lastAcceptWait)) != nil {
+		_ = listener.Close()
+	}
+}
+
 func (s *Server) start(ctx context.Context, conn net.Conn) {
 	ss := &session{server: s, conn: conn, r: bufio.NewReaderSize(conn, readBufferSize), values: map[string]string{}, prepared: map[string]preparedStatement{}}
 	ss.markIdle()
@@ -222,27 +239,30 @@
 	}
 }
 
-// isDrained reports whether no session is left and no more are accepted. The call
-// that stops accepting returns false, as a session may have been accepted since
-// the check.
+// isDrained reports whether no session is left and no more are accepted.
 func (s *Server) isDrained() bool {
 	if s.sessions.Load() > 0 {
 		return false
 	}
-	return !s.stopListening()
+	s.stopListening()
+	s.mu.Lock()
+	ended := s.acceptingEnded
+	s.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+	// A session may have been accepted since the first check.
+	return s.sessions.Load() == 0
 }
 
-// stopListening stops accepting sessions. It returns false if that was done
-// before.
-func (s *Server) stopListening() bool {
+// stopListening stops accepting sessions.
+func (s *Server) stopListening() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopAccepting == nil {
-		return false
+	if s.stopAccepting != nil {
+		s.stopAccepting()
+		s.stopAccepting = nil
 	}
-	s.stopAccepting()
-	s.stopAccepting = nil
-	return true
 }
 
 func (s *Server) closeIdle(all bool) {
--- a/internal/watcher/monitor.go
+++ b/internal/watcher/monitor.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
+	"github.com/shallotstage/shallotstage/internal/pooler"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -25,7 +26,8 @@
 	Connect func(ctx context.Context) (*pgconn.PgConn, error)
 	// Interval is the delay between probes while no caller waits for a position.
 	Interval time.Duration
-	// Timeout limits a probe and the opening of a connection.
+	// Timeout limits a probe and the opening of a connection; logins that run out of
+	// time get longer.
 	Timeout time.Duration
 	// IsPrimary reports whether the upstream is the primary of its group under a
 	// valid lease. It is called after each successful probe.
@@ -36,6 +38,8 @@
 	// OnConnectError, if set, is called each time that opening a connection
 	// fails.
 	OnConnectError func()
+
+	loginTimeout pooler.LoginTimeout
 }
 
 // Run probes until ctx ends.
@@ -56,9 +60,11 @@
 }
 
 func (m *Monitor) connect(ctx context.Context) (*pgconn.PgConn, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, m.loginTimeout.Next(m.Timeout))
 	defer cancel()
-	return m.Connect(ctx)
+	conn, err := m.Connect(ctx)
+	m.loginTimeout.Record(err)
+	return conn, err
 }
 
 // probeLoop probes until the connection fails or ctx ends.
