Decide on a change of primary late, and lease for longer

Ruled out: a lease a service (the leader would still have to wait for it); relaying leases between hosts (they are cut off from those that have contact). Change: no decision for a failed primary while a host that may act there is silent, since the platform would not be asked before its lease has ended; a planned change waits for silent hosts for 2.5 s. Leases last 10 s: waits are bounded by the silence itself, and hosts that are cut off go on for longer.

--- a/internal/coordinator/hand_over.go
+++ b/internal/coordinator/hand_over.go
@@ -15,7 +15,7 @@
 	// primaryLease is how long an entry host may act at primaries after it reported.
 	// It outlasts the election of another leader, and bounds the wait for a host that
 	// is cut off.
-	primaryLease = 3 * time.Second
+	primaryLease = 10 * time.Second
 	// handOverTimeout bounds the wait for hosts to let go of a primary that the
 	// platform itself keeps from committing once it is replaced.
 	handOverTimeout = time.Second
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -137,7 +137,7 @@
 	}
 	e := failoverplanner.Evidence{Service: service, Primary: primary, Upstreams: upstreams, LeaderFor: now.Sub(c.leadership.startedAt), Promotion: g.promotion.evidence(now)}
 	if c.PrimaryLease {
-		e.Unfinished = c.unfinishedPromotion(service)
+		e.Unfinished, e.SilentHolders = c.unfinishedPromotion(service), c.silentHolders(now)
 	}
 	if !g.drainingSince.IsZero() {
 		e.DrainingFor = now.Sub(g.drainingSince)
@@ -159,6 +159,22 @@
 	return view.PromotionCandidate(service)
 }
 
+// hostSilence is the time without a report after which a host's evidence is missing:
+// more than a report interval.
+const hostSilence = 1500 * time.Millisecond
+
+// silentHolders returns the number of hosts that may hold a lease and have not reported
+// lately.
+func (c *Coordinator) silentHolders(now time.Time) int {
+	n := 0
+	for _, name := range c.leadership.leases.Holders(now) {
+		if h := c.leadership.hosts[name]; h == nil || now.Sub(h.reportedAt) > hostSilence {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *serviceState) updateDraining(draining bool, now time.Time) {
 	if !draining {
 		g.drainingSince = time.Time{}
--- a/pkg/failoverplanner/failoverplanner.go
+++ b/pkg/failoverplanner/failoverplanner.go
@@ -37,10 +37,10 @@
 	unansweredPromotionTimeout = 14 * time.Second
 	// maxHandOverLag is the lag of a candidate above which a planned change of
 	// primary waits, as callers' writes are held until the candidate has caught up.
-	// maxLagWait bounds that wait: the primary stops some seconds after it announced
-	// its end.
-	maxHandOverLag = 250 * time.Millisecond
-	maxLagWait     = 2500 * time.Millisecond
+	// maxHandOverDelay bounds that wait, and the one for hosts that are silent: the
+	// primary stops some seconds after it announced its end.
+	maxHandOverLag   = 250 * time.Millisecond
+	maxHandOverDelay = 2500 * time.Millisecond
 	// failedCandidateTimeout is the age at which a promotion is abandoned if its
 	// candidate has failed.
 	failedCandidateTimeout = 700 * time.Millisecond
@@ -102,6 +102,9 @@
 	Unfinished string
 	// DrainingFor is how long the primary has been known to be draining.
 	DrainingFor time.Duration
+	// SilentHolders is the number of hosts that have not reported lately and may act
+	// at the primary until their leases end. Their evidence is missing.
+	SilentHolders int
 	// LeaderFor is how long this control host has been the leader.
 	LeaderFor time.Duration
 	// WithoutPrimaryFor is how long the service has been without a primary;
@@ -131,7 +134,8 @@
 		return Decision{}
 	}
 	planned := e.isPlanned()
-	if planned && e.Upstreams[candidate].Lag > maxHandOverLag && e.DrainingFor < maxLagWait {
+	mustWait := e.SilentHolders > 0 || e.Upstreams[candidate].Lag > maxHandOverLag
+	if planned && mustWait && e.DrainingFor < maxHandOverDelay {
 		return Decision{}
 	}
 	return Decision{Candidate: candidate, Reason: reason, Planned: planned}
@@ -175,6 +179,10 @@
 		return fmt.Sprintf("no primary for %s", e.WithoutPrimaryFor.Round(time.Millisecond))
 	case primary.Upstream.Lifecycle == keeper.LifecycleDraining:
 		return "primary " + e.Primary + " announced its end"
+	case primary.hasFailed() && e.SilentHolders > 0:
+		// The platform would not be asked before these leases have ended. Until then
+		// the hosts may report that they reach the primary.
+		return ""
 	case primary.hasFailed():
 		return fmt.Sprintf("primary %s: %d hosts cannot connect, %d were answered, last announced %s ago",
 			e.Primary, primary.UnreachableHosts, primary.ReachableHosts, primary.SinceAnnouncement.Round(time.Millisecond))
--- a/pkg/failoverplanner/failoverplanner_test.go
+++ b/pkg/failoverplanner/failoverplanner_test.go
@@ -39,6 +39,35 @@
 		{"one host cannot connect, announcements missing", func(_ *Evidence, p, _, _ *UpstreamHealth) {
 			p.UnreachableHosts, p.ReachableHosts, p.SinceAnnouncement = 1, 0, 4*time.Second
 		}, "b"},
+		{"most hosts cannot connect, others may still act there", func(e *Evidence, p, _, _ *UpstreamHealth) {
+			p.UnreachableHosts, p.ReachableHosts, e.SilentHolders = 3, 0, 1
+		}, ""},
+		{"primary draining, a host is silent", func(e *Evidence, p, _, _ *UpstreamHealth) {
+			p.Upstream.Lifecycle, e.SilentHolders, e.DrainingFor = keeper.LifecycleDraining, 1, 2*time.Second
+		}, ""},
+		{"primary has been draining for long, a host is silent", func(e *Evidence, p, _, _ *UpstreamHealth) {
+			p.Upstream.Lifecycle, e.SilentHolders, e.DrainingFor = keeper.LifecycleDraining, 1, 3*time.Second
+		}, "b"},
+		{"primary draining, candidates are far behind", func(e *Evidence, p, a, b *UpstreamHealth) {
+			p.Upstream.Lifecycle, e.DrainingFor, a.Lag, b.Lag = keeper.LifecycleDraining, time.Second, time.Second, time.Second
+		}, ""},
+		{"primary has been draining for long, candidates are far behind", func(e *Evidence, p, a, b *UpstreamHealth) {
+			p.Upstream.Lifecycle, e.DrainingFor, a.Lag, b.Lag = keeper.LifecycleDraining, 3*time.Second, time.Second, time.Second
+		}, "b"},
+		{"unfinished promotion of an earlier leader", func(e *Evidence, _, _, _ *UpstreamHealth) { e.Unfinished = "a" }, "a"},
+		{"unfinished promotion was rejected", func(e *Evidence, _, _, _ *UpstreamHealth) {
+			e.Unfinished, e.Promotion = "a", &Promotion{Candidate: "a", Age: time.Second, Requested: true, Rejected: true}
+		}, "b"},
+		{"unfinished promotion waits for hosts", func(e *Evidence, _, _, _ *UpstreamHealth) {
+			e.Unfinished, e.Promotion = "a", &Promotion{Candidate: "a", Age: time.Minute}
+		}, ""},
+		{"unfinished promotion, no other upstream is left", func(e *Evidence, _, a, b *UpstreamHealth) {
+			e.Unfinished = "a"
+			a.UnreachableHosts, a.ReachableHosts, b.Superseded = 5, 0, true
+		}, "p"},
+		{"candidate was replaced as primary and not demoted", func(_ *Evidence, p, _, b *UpstreamHealth) {
+			p.UnreachableHosts, p.ReachableHosts, b.Superseded = 5, 0, true
+		}, "a"},
 		{"announcements missing", func(_ *Evidence, p, _, _ *UpstreamHealth) { p.SinceAnnouncement = time.Minute }, ""},
 		{"primary draining", func(_ *Evidence, p, _, _ *UpstreamHealth) { p.Upstream.Lifecycle = keeper.LifecycleDraining }, "b"},
 		{"primary draining, best candidate failed", func(_ *Evidence, p, _, b *UpstreamHealth) {
--- a/pkg/fencer/granter.go
+++ b/pkg/fencer/granter.go
@@ -112,6 +112,18 @@
 	return behind
 }
 
+// Holders returns the holders with a valid lease.
+func (g *Granter) Holders(now time.Time) []string {
+	var holders []string
+	for holder, l := range g.leases {
+		if now.Before(l.expiresAt) {
+			holders = append(holders, holder)
+		}
+	}
+	sort.Strings(holders)
+	return holders
+}
+
 // ValidLeaseCount returns the number of holders with a valid lease.
 func (g *Granter) ValidLeaseCount(now time.Time) int {
 	n := 0
