Soak: replaced primaries that go on, planned changes, hang-ups and garbage

Cause: the soak's platform ended a replaced primary itself, so the lease was not under test, and planned changes, settings that change during a shutdown and malformed messages were not played. Change: a replaced primary keeps a log of its own until it is demoted; four more kinds of fault; logs are searched for panics.

--- a/cmd/shallotstage-host/soak_test.go
+++ b/cmd/shallotstage-host/soak_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -116,7 +118,7 @@
 func (s *soak) injectFault() {
 	entry, control := s.entries[s.rnd.IntN(len(s.entries))], s.controls[s.rnd.IntN(soakControls)]
 	pause := time.Duration(200+s.rnd.IntN(1300)) * time.Millisecond
-	switch kind := s.rnd.IntN(10); kind {
+	switch kind := s.rnd.IntN(14); kind {
 	case 0, 1:
 		s.kill(entry, syscall.SIGKILL)
 		s.restart("entry", entry)
@@ -142,12 +144,60 @@
 		u.crash(s.t)
 		time.Sleep(2 * pause)
 		u.resume(s.t)
+	case 8:
+		// The primary announces its end and goes on serving.
+		u := s.group.currentPrimary()
+		u.setDraining(true)
+		time.Sleep(2 * pause)
+		u.setDraining(false)
+	case 9:
+		_ = entry.cmd.Process.Signal(syscall.SIGTERM)
+		time.Sleep(pause / 4)
+		s.kill(entry, syscall.SIGHUP)
+		s.restart("entry", entry)
+	case 10:
+		s.sendGarbage(entry, portPeer, portMetrics, portCaller, portReady)
+		s.sendGarbage(control, portPeer, portMetrics, portControl)
 	default:
 		s.configure()
 		s.checkConfiguration()
 	}
 }
 
+// sendGarbage sends random bytes, and a message that is cut off, to ports of a host.
+func (s *soak) sendGarbage(p *hostProcess, ports ...int) {
+	for _, port := range ports {
+		for _, size := range []int{1, 40, 5000} {
+			body := make([]byte, size)
+			for i := range body {
+				body[i] = byte(s.rnd.IntN(256))
+			}
+			conn, err := net.DialTimeout("tcp", s.address(p.ip, port), time.Second)
+			if err != nil {
+				continue
+			}
+			_ = conn.SetDeadline(time.Now().Add(time.Second))
+			_, _ = conn.Write(body)
+			_ = conn.Close()
+		}
+	}
+}
+
+// checkLogs checks that no process ended by an error of its own.
+func (s *soak) checkLogs() {
+	for _, p := range append(append([]*hostProcess(nil), s.controls...), s.entries...) {
+		body, err := os.ReadFile(p.log)
+		if err != nil {
+			s.history.addViolation("no log of %s: %v", p.ip, err)
+		}
+		for _, sign := range []string{"panic:", "fatal error:"} {
+			if i := strings.Index(string(body), sign); i >= 0 {
+				s.history.addViolation("%s: %.300s", p.ip, body[i:])
+			}
+		}
+	}
+}
+
 func (s *soak) kill(p *hostProcess, signal syscall.Signal) {
 	_ = p.cmd.Process.Signal(signal)
 	_, _ = p.cmd.Process.Wait()
@@ -183,16 +233,18 @@
 }
 
 // TestSoak runs a fleet of processes under random faults: single hosts are killed,
-// stopped or suspended, all control hosts are killed at once, primaries crash, and
-// configurations are submitted twice. It checks the answers to callers and
+// stopped or suspended, all control hosts are killed at once, primaries crash or
+// announce their end, settings change during shutdowns, garbage is sent to all ports,
+// and configurations are submitted twice. Replaced primaries go on until they are told. It checks the answers to callers and
 // operators, and that all callers are served again after the faults.
 //
 //	go test ./cmd/shallotstage-host -run Soak -args -soak 10m -soak-entries 24 -soak-seed 7
 func TestSoak(t *testing.T) {
 	s := &soak{
-		fleet: newFleetOfSize(t, soakControls+*soakEntries), rnd: rand.New(rand.NewPCG(*soakSeed, 5)), group: newFakeGroup(t, soakUpstreams),
+		fleet: newFleetOfSize(t, soakControls+*soakEntries), rnd: rand.New(rand.NewPCG(*soakSeed, 5)),
 		history: &history{committed: map[string]bool{}, rejected: map[string]bool{}, answers: map[string]int{}},
 	}
+	s.group = newFakeGroup(t, soakUpstreams, s.history)
 	platform := httptest.NewServer(http.HandlerFunc(s.group.promote))
 	defer platform.Close()
 	s.platformAddress = strings.TrimPrefix(platform.URL, "http://")
@@ -253,7 +305,9 @@
 	took := time.Since(begin)
 	end()
 	s.check()
-	t.Logf("seed %d: %d writes committed, answers %v, %d promotions, all callers served %s after the last fault", *soakSeed, len(s.history.committed), s.history.answers, s.group.promotions, took)
+	s.checkLogs()
+	t.Logf("seed %d: %d writes committed, answers %v, %d promotions, %d commits at replaced primaries, %d demotions, all callers served %s after the last fault",
+		*soakSeed, len(s.history.committed), s.history.answers, s.group.promotions, s.group.strayCommits, s.group.demotions, took)
 	qt.Assert(t, s.history.violations, qt.HasLen, 0)
 	qt.Assert(t, took < recoveryLimit, qt.IsTrue, qt.Commentf("%s", took))
 }
--- a/cmd/shallotstage-host/soak_upstreams_test.go
+++ b/cmd/shallotstage-host/soak_upstreams_test.go
@@ -23,8 +23,10 @@
 	at              time.Time
 }
 
-// fakeGroup is a fake replicated group. All upstreams receive every commit at once
-// and show it after replicaLag, so a promotion never loses a commit.
+// fakeGroup is a fake replicated group on a platform that does not fence: a replaced
+// primary goes on, with a log of its own, until it is demoted or restarts. All
+// upstreams receive every commit of the present primary at once and show it after
+// replicaLag, so a promotion never loses a commit.
 type fakeGroup struct {
 	mu           sync.Mutex
 	term         int
@@ -34,6 +36,9 @@
 	// fencingToken is the highest token of a promotion request so far.
 	fencingToken int
 	promotions   int
+	// strayCommits and demotions count what replaced primaries were asked.
+	strayCommits, demotions int
+	history                 *history
 }
 
 // fakeUpstream is one upstream of a group.
@@ -44,10 +49,16 @@
 	listener net.Listener
 	conns    map[net.Conn]bool
 	down     bool
+	draining bool
+	// replaced is true for a primary that was replaced and not told. It has the log
+	// up to then and its own later commits, in strays.
+	replaced  bool
+	logLength int
+	strays    []commit
 }
 
-func newFakeGroup(t *testing.T, n int) *fakeGroup {
-	g := &fakeGroup{term: 1}
+func newFakeGroup(t *testing.T, n int, h *history) *fakeGroup {
+	g := &fakeGroup{term: 1, history: h}
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
@@ -91,7 +102,7 @@
 	defer u.group.mu.Unlock()
 	l, err := net.Listen("tcp", u.listener.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
-	u.listener, u.down = l, false
+	u.listener, u.down, u.replaced = l, false, false
 	go u.accept(l)
 }
 
@@ -112,11 +123,25 @@
 func (u *fakeUpstream) heartbeat(sequence int) string {
 	u.group.mu.Lock()
 	defer u.group.mu.Unlock()
-	role := "replica"
-	if u.group.primaryIndex == u.index {
+	role, state := "replica", "ready"
+	if u.leads() {
 		role = "primary"
 	}
-	return fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":8,"state":"ready","db_role":"%s","seq":%d,"born":%d}`, u.listener.Addr(), role, sequence, u.born)
+	if u.draining {
+		state = "draining"
+	}
+	return fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":8,"state":"%s","db_role":"%s","seq":%d,"born":%d}`, u.listener.Addr(), state, role, sequence, u.born)
+}
+
+// leads reports whether the upstream takes itself for the primary. The caller must
+// hold the group's lock.
+func (u *fakeUpstream) leads() bool { return u.replaced || u.group.primaryIndex == u.index }
+
+// setDraining makes the upstream announce its end, or take that back.
+func (u *fakeUpstream) setDraining(draining bool) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	u.draining = draining
 }
 
 // promote handles promotion requests in place of the platform.
@@ -125,8 +150,7 @@
 	defer g.mu.Unlock()
 	token, err := strconv.Atoi(r.Header.Get("Fencing-Token"))
 	if err != nil || token < g.fencingToken {
-		w.WriteHeader(http.StatusConflict)
-		return
+		g.history.addViolation("a promotion was requested under token %d after %d", token, g.fencingToken)
 	}
 	g.fencingToken = token
 	body := make([]byte, 1024)
@@ -139,7 +163,9 @@
 			break
 		}
 		if g.primaryIndex != u.index {
-			g.primaryIndex = u.index
+			former := g.upstreams[g.primaryIndex]
+			former.replaced, former.logLength, former.strays = !former.down, len(g.log), nil
+			g.primaryIndex, u.replaced = u.index, false
 			g.term++
 			g.promotions++
 		}
@@ -151,6 +177,9 @@
 // visibleCommits returns the number of commits that are visible on the upstream.
 // The caller must hold the group's lock.
 func (u *fakeUpstream) visibleCommits() int {
+	if u.replaced {
+		return u.logLength
+	}
 	if u.group.primaryIndex == u.index {
 		return len(u.group.log)
 	}
@@ -214,12 +243,31 @@
 	case s.inTransaction:
 		state = "T"
 	}
-	return fmt.Sprintf("READY %s %d.%d\r\n", state, u.group.term, u.visibleCommits())
+	return fmt.Sprintf("READY %s %d.%d\r\n", state, u.knownTerm(), u.visibleCommits()+len(u.strays))
+}
+
+// knownTerm returns the latest term that the upstream knows. The caller must hold the
+// group's lock.
+func (u *fakeUpstream) knownTerm() int {
+	if u.replaced {
+		return u.group.term - 1
+	}
+	return u.group.term
+}
+
+// commit adds writes to the log. The caller must hold the group's lock.
+func (u *fakeUpstream) commit(writes ...commit) {
+	if u.replaced {
+		u.group.strayCommits += len(writes)
+		u.strays = append(u.strays, writes...)
+		return
+	}
+	u.group.log = append(u.group.log, writes...)
 }
 
 // handle executes one statement. The caller must hold the group's lock.
 func (u *fakeUpstream) handle(s *fakeSession, id, text string) string {
-	isPrimary := u.group.primaryIndex == u.index
+	isPrimary := u.leads()
 	if tail, ok := strings.CutPrefix(text, "AFTER "); ok {
 		position, rest, _ := strings.Cut(tail, " ")
 		_, number, _ := strings.Cut(position, ".")
@@ -243,10 +291,10 @@
 	case "ROLLBACK", "RESET":
 		s.inTransaction, s.failed, s.writes = false, false, nil
 	case "COMMIT":
-		for _, w := range s.writes {
-			w.at = time.Now()
-			u.group.log = append(u.group.log, w)
+		for i := range s.writes {
+			s.writes[i].at = time.Now()
 		}
+		u.commit(s.writes...)
 		s.inTransaction, s.writes = false, nil
 		return "COMPLETE sig-" + id + "\r\n"
 	case "WRITE":
@@ -255,23 +303,29 @@
 		if s.inTransaction {
 			s.writes = append(s.writes, w)
 		} else {
-			u.group.log = append(u.group.log, w)
+			u.commit(w)
 		}
 		return "COMPLETE sig-" + id + "\r\n"
 	case "READ":
 		value := "-"
-		for _, w := range append(u.group.log[:u.visibleCommits():u.visibleCommits()], s.writes...) {
+		visible := append(u.group.log[:u.visibleCommits():u.visibleCommits()], u.strays...)
+		for _, w := range append(visible, s.writes...) {
 			if w.item == arguments {
 				value = w.value
 			}
 		}
 		return "ROW " + value + "\r\nCOMPLETE sig-" + id + "\r\n"
-	case "STATUS":
+	case "STATUS", "DEMOTE":
+		if term, err := strconv.Atoi(arguments); verb == "DEMOTE" && err == nil && u.replaced && term > u.knownTerm() {
+			u.group.demotions++
+			u.replaced, u.strays = false, nil
+			isPrimary = false
+		}
 		role := "replica"
 		if isPrimary {
 			role = "primary"
 		}
-		return fmt.Sprintf("ROW %s %d %d.%d 0 0 0 %d\r\nCOMPLETE -\r\n", role, u.group.term, u.group.term, len(u.group.log), len(u.conns))
+		return fmt.Sprintf("ROW %s %d %d.%d 0 0 0 %d\r\nCOMPLETE -\r\n", role, u.knownTerm(), u.knownTerm(), len(u.group.log), len(u.conns))
 	}
 	return "COMPLETE -\r\n"
 }
