Keep one malformed message or unexpected error from ending a process

Change: elector drops messages that no correct host sends; recoverer logs a panic in a statement, a stream or a call, which is answered as in doubt or closed; a connection whose answer was half read is not used again; reports without a host are refused; the forwarder goes on after a failed accept. Control state is left to end the process, which starts again from what is stored.

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -165,6 +165,15 @@
 // Run executes a batch on the connection. A rollback at the end of the batch is
 // sent together with the request before it.
 func (c *Conn) Run(deadline time.Time, b Batch) ([]Answer, error) {
+	// Until the answers are read, what the next bytes mean is uncertain.
+	reusable := false
+	defer func() { c.broken = c.broken || !reusable }()
+	answers, err := c.run(deadline, b)
+	reusable = true
+	return answers, err
+}
+
+func (c *Conn) run(deadline time.Time, b Batch) ([]Answer, error) {
 	if !b.PositionOnly {
 		if err := c.ApplyValues(deadline, b.Values); err != nil {
 			return nil, &RunError{Err: err}
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -76,6 +76,10 @@
 			if err := stream.MsgRecv(&r, linker.JSONEncoding{}); err != nil {
 				return
 			}
+			if r.Host == "" {
+				c.Log.Warn(logger.EventReportRefused, zap.String("data_centre", r.DataCentre), zap.String("address", r.PeerAddress))
+				return
+			}
 			if !c.submit(func() { c.handleReport(a, r) }) {
 				return
 			}
--- a/internal/coordinator/peer_transport.go
+++ b/internal/coordinator/peer_transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/controlclient"
 	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
@@ -183,7 +185,8 @@
 }
 
 // HandleRPC implements drpc.Handler.
-func (h handler) HandleRPC(stream drpc.Stream, rpc string) error {
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer recoverer.Recover(h.c.Log, rpc, func() { err = errors.New("coordinator: unexpected error, see the log") })
 	switch rpc {
 	case rpcExchange:
 		return h.c.exchange(stream)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -39,6 +39,8 @@
 	// replacedMuxLifetime is how long the streams of a replaced connection may
 	// continue.
 	replacedMuxLifetime = 10 * time.Second
+	// acceptPause is the delay after a failed accept.
+	acceptPause = 20 * time.Millisecond
 	// keepAliveInterval is the time between two keep-alive pings.
 	keepAliveInterval = 5 * time.Second
 )
@@ -232,9 +234,17 @@
 	defer stop()
 	for {
 		conn, err := l.Accept()
-		if err != nil {
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			// For example, file descriptors have run out.
+			select {
+			case <-time.After(acceptPause):
+			case <-ctx.Done():
+			}
+			continue
+		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -25,6 +25,7 @@
 	"github.com/shallotstage/shallotstage/internal/forwarder"
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/internal/sampler"
 	"github.com/shallotstage/shallotstage/internal/timer"
 	"github.com/shallotstage/shallotstage/internal/transactor"
@@ -209,9 +210,22 @@
 	return view.Hosts
 }
 
-// streamHandler returns the handler for a stream of another entry host, according
-// to the first byte of its header.
-func (e *EntryHost) streamHandler(header []byte) func(ctx context.Context, conn net.Conn) {
+// streamHandler returns the handler for a stream of another entry host, or nil if the
+// header is invalid.
+func (e *EntryHost) streamHandler(header []byte) (handler func(ctx context.Context, conn net.Conn)) {
+	defer recoverer.Recover(e.Log, "stream header", nil)
+	serve := e.selectHandler(header)
+	if serve == nil {
+		return nil
+	}
+	return func(ctx context.Context, conn net.Conn) {
+		defer recoverer.Recover(e.Log, "stream", func() { _ = conn.Close() })
+		serve(ctx, conn)
+	}
+}
+
+// selectHandler returns the handler for the first byte of a stream's header.
+func (e *EntryHost) selectHandler(header []byte) func(ctx context.Context, conn net.Conn) {
 	if len(header) == 0 {
 		return nil
 	}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -43,6 +43,8 @@
 	EventControlMembersPlanned    = Event{1416, "control_members_planned"}
 	EventReplicationStatusUnknown = Event{1417, "upstream_standing_unknown"}
 	EventReadinessChanged         = Event{1007, "readiness_changed"}
+	EventReportRefused            = Event{1419, "report_refused"}
+	EventPanicRecovered           = Event{1009, "panic_recovered"}
 	EventUpstreamAnnounced        = Event{1201, "upstream_announced"}
 	EventAnnouncementRefused      = Event{1202, "announcement_refused"}
 	EventUpstreamLifecycleChanged = Event{1203, "upstream_lifecycle_changed"}
@@ -79,6 +81,6 @@
 		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
-		EventPrimaryLeaseGained, EventPrimaryDemoted,
+		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused,
 	}
 }
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		r.attempts++
-		r.use = use
+		r.use, r.session.lease = use, l
 		out := f(l)
 		if out.refusal == nil && !use.mayAcknowledge() {
 			out = r.unacknowledged(u.ID)
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -113,7 +113,9 @@
 	if organisation == "" {
 		organisation = publicOrganisation
 	}
-	return r.session.server.Lease(u, organisation)
+	l := r.session.server.Lease(u, organisation)
+	r.session.lease = l
+	return l
 }
 
 // run executes requests on a lease after applying the session's values and
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -28,6 +28,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
@@ -170,12 +171,15 @@
 	s.mu.Unlock()
 	s.sessions.Add(1)
 	s.wait.Go(func() {
+		defer func() {
+			_ = conn.Close()
+			s.sessions.Add(-1)
+			s.mu.Lock()
+			delete(s.open, ss)
+			s.mu.Unlock()
+		}()
+		defer recoverer.Recover(s.Log, "session", nil)
 		ss.serve(ctx)
-		_ = conn.Close()
-		s.sessions.Add(-1)
-		s.mu.Lock()
-		delete(s.open, ss)
-		s.mu.Unlock()
 	})
 }
 
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -14,6 +14,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
@@ -57,6 +58,8 @@
 	lastCommit tracker.Position
 	// tx is the open transaction, or nil.
 	tx *transaction
+	// lease is the latest one of an upstream connection.
+	lease *connector.Lease
 
 	mu sync.Mutex
 	// idleSince is when the last reply was sent; zero while a statement is
@@ -85,8 +88,8 @@
 			return
 		}
 		begin := time.Now()
-		reply := s.handle(ctx, st)
-		ok := s.answer(reply)
+		reply, intact := s.handleRecovering(ctx, st)
+		ok := s.answer(reply) && intact
 		s.observe(st, reply, time.Since(begin))
 		if !ok || s.endsAfterReply() {
 			s.end(nil)
@@ -95,6 +98,19 @@
 	}
 }
 
+// handleRecovering executes one statement. After a panic it is answered as one that may
+// have run, its connection is closed, and the session must end.
+func (s *session) handleRecovering(ctx context.Context, st Statement) (reply Reply, intact bool) {
+	defer recoverer.Recover(s.server.Log, "statement "+st.ID, func() {
+		if s.lease != nil {
+			s.lease.Release()
+		}
+		s.tx = nil
+		reply = Reply{Refusal: refuser.New(refuser.ReasonInternalError, ""), State: connector.StateIdle}
+	})
+	return s.handle(ctx, st), true
+}
+
 // open reads the startup message and replies to it.
 func (s *session) open() bool {
 	if err := s.conn.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -7,7 +7,7 @@
 
 // Step processes a message from another control host.
 func (e *Elector) Step(m Message, now time.Time) {
-	if m.To != e.cfg.ID {
+	if m.To != e.cfg.ID || !e.isWellFormed(m) {
 		return
 	}
 	switch m.Kind {
--- a/pkg/refuser/reason.go
+++ b/pkg/refuser/reason.go
@@ -27,6 +27,7 @@
 	ReasonStatementUnknown  Reason = "statement_unknown"
 	ReasonStatementTimeout  Reason = "statement_timeout"
 	ReasonUpstreamFailed    Reason = "upstream_failed"
+	ReasonInternalError     Reason = "internal_error"
 )
 
 type response struct {
@@ -57,6 +58,7 @@
 	ReasonStatementUnknown:  {"26000", NotRun, "prepared statement does not exist", "Prepare it first.", false},
 	ReasonStatementTimeout:  {"57014", MayHaveRun, "upstream ended the statement at its time limit", "Check the outcome before repeating the request.", false},
 	ReasonUpstreamFailed:    {"08007", MayHaveRun, "upstream reports that the statement failed", "Check the outcome before repeating the request.", false},
+	ReasonInternalError:     {"XX000", MayHaveRun, "unexpected error in the proxy", "Check the outcome before repeating the request.", false},
 	ReasonShuttingDown:      {"57P01", NotRun, "host is shutting down", "Reconnect.", true},
 }
 
