Accept connections in one place

Cause: three accept loops stood side by side (callers of both protocols, streams of other hosts) and differed: two reset connections that callers had opened when a host stopped accepting, one ended for good after a failed accept. Change: internal/acceptor; sessions of both protocols and handed off ones recover from panics.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -23,6 +23,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/shallotstage/shallotstage/internal/acceptor"
 )
 
 const (
@@ -39,8 +41,6 @@
 	// replacedMuxLifetime is how long the streams of a replaced connection may
 	// continue.
 	replacedMuxLifetime = 10 * time.Second
-	// acceptPause is the delay after a failed accept.
-	acceptPause = 20 * time.Millisecond
 	// keepAliveInterval is the time between two keep-alive pings.
 	keepAliveInterval = 5 * time.Second
 )
@@ -230,27 +230,13 @@
 func (f *Forwarder) Serve(ctx context.Context, l net.Listener, accept AcceptFunc) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	defer stop()
-	for {
-		conn, err := l.Accept()
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			// For example, file descriptors have run out.
-			select {
-			case <-time.After(acceptPause):
-			case <-ctx.Done():
-			}
-			continue
-		}
+	_ = acceptor.Serve(ctx, l, nil, func(conn net.Conn) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			f.serveConn(ctx, conn, accept)
 		}()
-	}
+	})
 }
 
 // serveConn serves the streams of one connection.
--- a/internal/runner/owners.go
+++ b/internal/runner/owners.go
@@ -14,6 +14,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/internal/server"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/placer"
@@ -115,7 +116,10 @@
 	if json.Unmarshal(header, &handoff) != nil || !h.server.AcceptHandoff() {
 		return nil
 	}
-	return func(ctx context.Context, conn net.Conn) { h.server.ServeHandoff(ctx, conn, handoff) }
+	return func(ctx context.Context, conn net.Conn) {
+		defer recoverer.Recover(h.Log, "handed off session", func() { _ = conn.Close() })
+		h.server.ServeHandoff(ctx, conn, handoff)
+	}
 }
 
 // endHandoffs notifies the owners that serve sessions handed off by this host
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -25,9 +24,11 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/acceptor"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/meter"
 	"github.com/shallotstage/shallotstage/internal/pooler"
+	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/internal/watcher"
 	"github.com/shallotstage/shallotstage/pkg/burner"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
@@ -138,30 +139,22 @@
 		s.drainMu.Lock()
 		s.draining.Store(true)
 		s.drainMu.Unlock()
-		_ = l.Close()
 	})
 	defer stop()
 	sessionCtx, cancel := context.WithCancel(drainCtx)
 	defer cancel()
 	var wg sync.WaitGroup
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				break
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return err
-			}
-			s.Log.Warn(logger.EventAcceptFailed, zap.Error(err))
-			time.Sleep(acceptRetry)
-			continue
-		}
+	failed := func(err error) { s.Log.Warn(logger.EventAcceptFailed, zap.Error(err)) }
+	err := acceptor.Serve(ctx, l, failed, func(conn net.Conn) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
+			defer recoverer.Recover(s.Log, "session", func() { _ = conn.Close() })
 			s.serveConn(sessionCtx, conn)
 		}()
+	})
+	if err != nil {
+		return err
 	}
 	s.sessions.each(func(c *session) { c.revoke(refuser.New(refuser.ReasonShuttingDown, ""), revokeAfterRequest) })
 	if s.OnDrain != nil {
@@ -178,9 +171,6 @@
 	return nil
 }
 
-// acceptRetry is the delay after a failed accept.
-const acceptRetry = 10 * time.Millisecond
-
 // SessionCount returns the number of sessions that this host serves.
 func (s *Server) SessionCount() int { return s.sessions.count() }
 
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -26,6 +26,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/acceptor"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/recoverer"
@@ -38,12 +39,6 @@
 	readBufferSize = 2 << 10
 	// startupTimeout bounds the wait for a session's startup message.
 	startupTimeout = 10 * time.Second
-	// acceptPause is the delay after a failed accept, for example when file
-	// descriptors run out.
-	acceptPause = 20 * time.Millisecond
-	// lastAcceptWait is how long connections that callers have opened are still
-	// accepted once the server stops accepting.
-	lastAcceptWait = 20 * time.Millisecond
 	// minIdleBeforeClose is how long a session must have been idle before a
 	// drain closes it, so that a request in transit is not lost.
 	minIdleBeforeClose = 300 * time.Millisecond
@@ -122,42 +117,24 @@
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer func() { _ = listener.Close() }()
-	context.AfterFunc(ctx, func() { endAccepting(listener) })
 	ended := make(chan struct{})
 	defer close(ended)
 	s.mu.Lock()
 	s.stopAccepting, s.acceptingEnded = cancel, ended
 	s.mu.Unlock()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			s.Log.Warn(logger.EventAcceptFailed, zap.Error(err))
-			select {
-			case <-time.After(acceptPause):
-			case <-ctx.Done():
-			}
-			continue
-		}
+	failed := func(err error) { s.Log.Warn(logger.EventAcceptFailed, zap.Error(err)) }
+	err := acceptor.Serve(ctx, listener, failed, func(conn net.Conn) {
 		if s.MaxSessions > 0 && s.sessions.Load() >= s.MaxSessions {
-			s.Log.Warn(logger.EventAcceptFailed, zap.Error(fmt.Errorf("transactor: session limit of %d reached", s.MaxSessions)))
+			failed(fmt.Errorf("transactor: session limit of %d reached", s.MaxSessions))
 			_ = conn.Close()
-			continue
+			return
 		}
 		s.start(context.WithoutCancel(ctx), conn)
+	})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-}
-
-// endAccepting makes the listener return the connections that are open already, and
-// then an error. To close it at once would reset them.
-func endAccepting(listener net.Listener) {
-	l, ok := listener.(*net.TCPListener)
-	if !ok || l.SetDeadline(time.Now().Add(lastAcceptWait)) != nil {
-		_ = listener.Close()
-	}
+	return err
 }
 
 func (s *Server) start(ctx context.Context, conn net.Conn) {
