Check that a host still leads when its order to the platform is written

Cause: the check came before the connection was opened. A leader that was held up in between could send an order under an older token after its successor's, which a platform that does not fence carries out. Change: the body of the order is read, and with it the headers sent, only if the host still leads then.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -97,6 +97,9 @@
 	Candidate string
 	Holder    string
 	Token     uint64
+	// IsCurrent reports whether the request may still be sent. It is called once the
+	// connection is open, as opening it may have taken long.
+	IsCurrent func() bool
 }
 
 // PromotionOutcome is the outcome of a promotion request.
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -271,7 +271,10 @@
 func (c *Coordinator) requestPromotion(term uint64, g *serviceState, o promotion, service string) {
 	for c.run.Err() == nil && c.isCurrent(term, g, o.token) {
 		ctx, cancel := context.WithTimeout(c.run, platformCallTimeout)
-		result, err := c.Promote(ctx, PromotionRequest{Service: service, Candidate: o.candidate, Holder: c.Node, Token: o.token})
+		result, err := c.Promote(ctx, PromotionRequest{
+			Service: service, Candidate: o.candidate, Holder: c.Node, Token: o.token,
+			IsCurrent: func() bool { return c.isCurrent(term, g, o.token) },
+		})
 		cancel()
 		c.Log.Info(logger.EventPromotionAnswered, zap.String("service", service), zap.String("candidate", o.candidate), zap.Uint64("token", o.token), zap.String("result", string(result)), zap.Error(err))
 		if result != PromotionOutcomeUnknown {
--- a/internal/sampler/sampler.go
+++ b/internal/sampler/sampler.go
@@ -88,7 +88,7 @@
 // The values of stage.
 const (
 	stageReader     stage = "reader"
-	stageSampleHost stage = "keeper"
+	stageSampleHost stage = "sample_host"
 	stageOwner      stage = "owner"
 )
 
@@ -247,6 +247,6 @@
 
 func (s *Sampler) markUnreachable(k SampleHost, err error) {
 	if s.Backoffer.RecordFailure(k.Host) {
-		s.Log.Warn(logger.EventSampleFailed, zap.String("keeper", k.Host), zap.Error(err))
+		s.Log.Warn(logger.EventSampleFailed, zap.String("sample_host", k.Host), zap.Error(err))
 	}
 }
