Write orders to the platform by hand, after a check on the open connection

An HTTP client begins to write while the cancellation is under way. Change: the order is written on a connection of its own after the check, so nothing can be sent by a host that no longer leads.

--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -33,6 +33,6 @@
 		},
 		MetricsAddress: s.MetricsAddress(),
 		Seeds:          watcher.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
-		Promote: platform.NewPromoteFunc(watcher.platformAddress, promotionClient), Handler: platform.ControlHandler, Log: log,
+		Promote: platform.NewPromoteFunc(watcher.platformAddress, promotionDialer.DialContext), Handler: platform.ControlHandler, Log: log,
 	}
 }
--- a/cmd/shallotstage-host/run.go
+++ b/cmd/shallotstage-host/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -143,10 +142,6 @@
 	return fmt.Sprint(info.ModTime().UnixNano(), info.Size())
 }
 
-// promotionClient sends promotion requests to the platform. Keep-alives are
-// disabled, so that an unresponsive connection fails only one request.
-var promotionClient = &http.Client{Transport: &http.Transport{
-	DialContext:         (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext,
-	DisableKeepAlives:   true,
-	TLSHandshakeTimeout: time.Second,
-}}
+// promotionDialer opens a connection for each promotion request, so that an unresponsive
+// one fails only that request.
+var promotionDialer = net.Dialer{Timeout: 500 * time.Millisecond}
