Run control state of both programs on one queue

Cause: controller and coordinator each had the loop of the goroutine that owns their state. The coordinator's dropped work when its queue was full, also the results of its own queries: a service whose result was lost was never decided on again. Change: internal/tasker; results of own work wait for room, repeated messages are dropped as before.

--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -202,15 +202,14 @@
 	}
 }
 
-// TestFleetOfProcesses runs three control hosts and an entry host as processes.
-// It submits a configuration and an upstream, serves a caller, changes the seeds
-// with SIGHUP, and stops the entry host with SIGTERM.
-func TestFleetOfProcesses(t *testing.T) {
-	f := newFleet(t)
+// startServingFleet starts three control hosts and an entry host, and waits until it
+// serves callers of one upstream. ready is the URL of its readiness probe.
+func startServingFleet(t *testing.T) (f *fleet, entry *hostProcess, ready string) {
+	f = newFleet(t)
 	for _, ip := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
 		f.start("control", ip)
 	}
-	entry := f.start("entry", "127.0.0.5")
+	entry = f.start("entry", "127.0.0.5")
 	control := "http://" + f.address("127.0.0.3", portControl)
 	configuration := `{"version":3,"routes":[{"name":"r","host":"db","path_prefix":"/","type":"primary","timeout_ms":2000,"service":"s"}],
 "services":[{"name":"s","max_conns":20}],"tenants":[{"name":"t","api_keys":["k"],"rate_per_s":1000,"burst":1000}]}`
@@ -219,9 +218,16 @@
 	f.waitFor("the configuration", func() bool { return call("GET", control+"/config", "") == 200 })
 	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","db_role":"primary","seq":1,"born":5}`, startFakeUpstream(t))
 	f.waitFor("the heartbeat's acknowledgement", func() bool { return call("PUT", control+"/instances/i-1", heartbeat) == 200 })
-	ready := "http://" + f.address(entry.ip, portReady) + "/ready"
+	ready = "http://" + f.address(entry.ip, portReady) + "/ready"
 	f.waitFor("readiness", func() bool { return call("GET", ready, "") == 200 })
+	return f, entry, ready
+}
 
+// TestFleetOfProcesses runs three control hosts and an entry host as processes.
+// It submits a configuration and an upstream, serves a caller, changes the seeds
+// with SIGHUP, and stops the entry host with SIGTERM.
+func TestFleetOfProcesses(t *testing.T) {
+	f, entry, ready := startServingFleet(t)
 	conn, err := net.Dial("tcp", f.address(entry.ip, portCaller))
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
@@ -255,18 +261,7 @@
 // A hang-up tells of changed settings. While a process shuts down it must not end it:
 // callers whose requests were taken would get no answer.
 func TestHangUpDuringAShutdownCutsNobody(t *testing.T) {
-	f := newFleet(t)
-	for _, ip := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
-		f.start("control", ip)
-	}
-	entry := f.start("entry", "127.0.0.5")
-	control := "http://" + f.address("127.0.0.3", portControl)
-	configuration := `{"version":3,"routes":[{"name":"r","host":"db","path_prefix":"/","type":"primary","timeout_ms":2000,"service":"s"}],
-"services":[{"name":"s","max_conns":20}],"tenants":[{"name":"t","api_keys":["k"],"rate_per_s":1000,"burst":1000}]}`
-	f.waitFor("the configuration's acknowledgement", func() bool { return call("PUT", control+"/config", configuration) == 200 })
-	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":4,"state":"ready","db_role":"primary","seq":1,"born":5}`, startFakeUpstream(t))
-	f.waitFor("the heartbeat's acknowledgement", func() bool { return call("PUT", control+"/instances/i-1", heartbeat) == 200 })
-	f.waitFor("readiness", func() bool { return call("GET", "http://"+f.address(entry.ip, portReady)+"/ready", "") == 200 })
+	f, entry, _ := startServingFleet(t)
 	conn, err := net.Dial("tcp", f.address(entry.ip, portCaller))
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = conn.Close() }()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -9,7 +9,6 @@
 // # Usage
 //
 //	c := &controller.Controller{ID: "control-1", DataDir: dir, SendMessage: send, ...}
-//	c.Prepare()
 //	err := c.Open()
 //	err = c.Run(ctx)
 //
@@ -28,6 +27,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/storer"
+	"github.com/shallotstage/shallotstage/internal/tasker"
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/planner"
@@ -35,9 +35,6 @@
 
 const (
 	tickInterval = 20 * time.Millisecond
-	// inboxSize is the maximum number of functions queued for the control
-	// goroutine.
-	inboxSize = 4096
 	// compactEntries is the number of applied entries after which the log is
 	// replaced by a snapshot.
 	compactEntries = 1000
@@ -113,8 +110,7 @@
 	OnControlHostsChanged func(map[string]configurer.ControlHost)
 	Log                   *logger.Logger
 
-	inbox   chan func()
-	stopped chan struct{}
+	queue tasker.Queue
 
 	store        *storer.Storer
 	elector      *elector.Elector
@@ -132,55 +128,18 @@
 
 // Run takes part in consensus until ctx ends. It closes the data directory.
 func (c *Controller) Run(ctx context.Context) error {
-	defer c.Close()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case f := <-c.inbox:
-			f()
-			c.runQueued()
-		case <-ticker.C:
-			c.elector.Tick(time.Now())
-			c.tick(time.Now())
-		}
-		if err := c.processOutput(); err != nil {
-			return err
-		}
-	}
+	defer func() { _ = c.store.Close() }()
+	return c.queue.Run(ctx, tickInterval, func() {
+		c.elector.Tick(time.Now())
+		c.tick(time.Now())
+	}, c.processOutput)
 }
 
-// runQueued runs all functions in the inbox, so that their log entries are
-// written with one sync.
-func (c *Controller) runQueued() {
-	for range inboxSize {
-		select {
-		case f := <-c.inbox:
-			f()
-		default:
-			return
-		}
-	}
-}
+// Close closes the data directory if Run is never started.
+func (c *Controller) Close() { _ = c.store.Close() }
 
-// Prepare creates the inbox. It must be called before Open and before any
-// message is passed to HandleMessage.
-func (c *Controller) Prepare() {
-	c.inbox = make(chan func(), inboxSize)
-	c.stopped = make(chan struct{})
-}
-
-// Close closes the data directory. Run calls it; otherwise it is called if Run is
-// never started.
-func (c *Controller) Close() {
-	close(c.stopped)
-	_ = c.store.Close()
-}
-
-// Open opens the data directory and restores the state. It must be called after
-// Prepare and before Run.
+// Open opens the data directory and restores the state. It must be called before
+// Run.
 func (c *Controller) Open() error {
 	c.Timing = c.Timing.withDefaults()
 	store, err := storer.Open(c.DataDir, c.ID)
@@ -214,23 +173,13 @@
 }
 
 // Enqueue queues f to run in the control goroutine. It returns false if the
-// host is stopping.
-func (c *Controller) Enqueue(f func()) bool {
-	select {
-	case c.inbox <- f:
-		return true
-	case <-c.stopped:
-		return false
-	}
-}
+// host has stopped.
+func (c *Controller) Enqueue(f func()) bool { return c.queue.Do(f) }
 
 // HandleMessage queues a message received from another control host. The
-// message is dropped if the inbox is full.
+// message is dropped if the queue is full.
 func (c *Controller) HandleMessage(m elector.Message) {
-	select {
-	case c.inbox <- func() { c.elector.Step(m, time.Now()) }:
-	default:
-	}
+	c.queue.Try(func() { c.elector.Step(m, time.Now()) })
 }
 
 // processOutput stores, sends and applies the elector's output until there is
@@ -326,7 +275,7 @@
 	select {
 	case err := <-done:
 		return err
-	case <-c.stopped:
+	case <-c.queue.Stopped():
 		return ErrStopped
 	case <-ctx.Done():
 		return ctx.Err()
--- a/internal/controller/proposer.go
+++ b/internal/controller/proposer.go
@@ -56,7 +56,7 @@
 	select {
 	case a := <-answers:
 		return a.plan, a.err
-	case <-c.stopped:
+	case <-c.queue.Stopped():
 		return planner.Plan{}, ErrStopped
 	case <-ctx.Done():
 		return planner.Plan{}, fmt.Errorf("controller: wait for agreement: %w", ctx.Err())
--- a/internal/controller/status.go
+++ b/internal/controller/status.go
@@ -41,7 +41,7 @@
 	select {
 	case s := <-done:
 		return s, nil
-	case <-c.stopped:
+	case <-c.queue.Stopped():
 		return Status{}, ErrStopped
 	case <-ctx.Done():
 		return Status{}, ctx.Err()
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -29,6 +29,7 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/storer"
+	"github.com/shallotstage/shallotstage/internal/tasker"
 	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
@@ -54,8 +55,6 @@
 	fixedDelayDivisor = 8
 	// maxClockDrift bounds how much faster one clock runs than another.
 	maxClockDrift = 0.01
-	// taskQueueSize bounds the functions that wait for the control goroutine.
-	taskQueueSize = 1024
 	// compactEntries and compactBytes are the number of applied entries, and
 	// their size, after which a snapshot replaces the log.
 	compactEntries = 200
@@ -136,10 +135,9 @@
 	Demote func(ctx context.Context, u keeper.Upstream, term uint64) (connector.ReplicationStatus, error)
 	Log    *logger.Logger
 
-	id      string
-	tasks   chan func()
-	stopped chan struct{}
-	run     context.Context
+	id    string
+	queue tasker.Queue
+	run   context.Context
 
 	store   *storer.Storer
 	elector *elector.Elector
@@ -172,60 +170,20 @@
 
 // Run takes part in consensus until ctx ends. It then closes the data directory.
 func (c *Coordinator) Run(ctx context.Context) error {
-	defer func() {
-		close(c.stopped)
-		_ = c.store.Close()
-	}()
+	defer func() { _ = c.store.Close() }()
 	c.run = ctx
 	go c.announce(ctx)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case f := <-c.tasks:
-			f()
-			c.runQueuedTasks()
-		case <-ticker.C:
-			now := c.Now()
-			c.elector.Tick(now)
-			c.releaseHeldReports(now)
-			c.tick(now)
-		}
-		if err := c.drainOutput(ctx); err != nil {
-			return err
-		}
-	}
+	return c.queue.Run(ctx, tickInterval, func() {
+		now := c.Now()
+		c.elector.Tick(now)
+		c.releaseHeldReports(now)
+		c.tick(now)
+	}, func() error { return c.drainOutput(ctx) })
 }
 
-// runQueuedTasks runs all queued functions, so that one disk sync covers them.
-func (c *Coordinator) runQueuedTasks() {
-	for range taskQueueSize {
-		select {
-		case f := <-c.tasks:
-			f()
-		default:
-			return
-		}
-	}
-}
-
-// submit queues f for the control goroutine. It returns false if the host is
-// stopping or the queue is full.
-func (c *Coordinator) submit(f func()) bool {
-	select {
-	case <-c.stopped:
-		return false
-	default:
-	}
-	select {
-	case c.tasks <- f:
-		return true
-	default:
-		return false
-	}
-}
+// submit queues f for the control goroutine unless the queue is full. The senders of
+// such work repeat it.
+func (c *Coordinator) submit(f func()) bool { return c.queue.Try(f) }
 
 // drainOutput stores, sends and applies the output of the elector until there is
 // none left.
--- a/internal/coordinator/hand_over.go
+++ b/internal/coordinator/hand_over.go
@@ -89,7 +89,7 @@
 	if err != nil {
 		c.Log.Warn(logger.EventPromotionBlocked, zap.String("service", service), zap.String("candidate", o.candidate), zap.Uint64("token", o.token), zap.Stringer("last", last), zap.Error(err))
 	}
-	c.submit(func() { c.startRequest(service, g, o) })
+	c.queue.Do(func() { c.startRequest(service, g, o) })
 }
 
 // receivedPosition queries the position up to which an upstream has received the log.
@@ -132,7 +132,7 @@
 	g.demoting = true
 	go func() {
 		c.demote(primary, replaced, term)
-		c.submit(func() { g.demoting, g.nextDemotionAt = false, c.Now().Add(demotionInterval) })
+		c.queue.Do(func() { g.demoting, g.nextDemotionAt = false, c.Now().Add(demotionInterval) })
 	}()
 }
 
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -85,7 +85,7 @@
 			}
 		}
 	}()
-	defer c.submit(func() { c.removeStream(a) })
+	defer c.queue.Do(func() { c.removeStream(a) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -106,7 +106,7 @@
 			}
 		case <-ctx.Done():
 			return nil
-		case <-c.stopped:
+		case <-c.queue.Stopped():
 			return nil
 		}
 	}
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -174,7 +174,7 @@
 		return stream.MsgSend(&out, linker.JSONEncoding{})
 	case <-stream.Context().Done():
 		return stream.Context().Err()
-	case <-c.stopped:
+	case <-c.queue.Stopped():
 		return ErrStopped
 	}
 }
--- a/internal/coordinator/open.go
+++ b/internal/coordinator/open.go
@@ -13,8 +13,6 @@
 
 // Open opens the data directory. It must be called before the other methods.
 func (c *Coordinator) Open() error {
-	c.tasks = make(chan func(), taskQueueSize)
-	c.stopped = make(chan struct{})
 	c.pending = map[uint64]proposal{}
 	c.heldStreams = map[*hostStream]bool{}
 	store, err := storer.Open(c.DataDir, c.Node)
--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -136,7 +136,7 @@
 		return err
 	case <-ctx.Done():
 		return ctx.Err()
-	case <-c.stopped:
+	case <-c.queue.Stopped():
 		return ErrStopped
 	}
 }
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -219,7 +219,7 @@
 		})
 	}
 	wait.Wait()
-	c.submit(func() { c.decidePromotion(term, e, statuses, reason) })
+	c.queue.Do(func() { c.decidePromotion(term, e, statuses, reason) })
 }
 
 // decidePromotion commits the decision to the log and then requests the
@@ -278,7 +278,7 @@
 		cancel()
 		c.Log.Info(logger.EventPromotionAnswered, zap.String("service", service), zap.String("candidate", o.candidate), zap.Uint64("token", o.token), zap.String("result", string(result)), zap.Error(err))
 		if result != PromotionOutcomeUnknown {
-			c.submit(func() {
+			c.queue.Do(func() {
 				if g.promotion == nil || g.promotion.token != o.token {
 					return
 				}
@@ -298,7 +298,7 @@
 // is the latest of the service.
 func (c *Coordinator) isCurrent(term uint64, g *serviceState, token uint64) bool {
 	current := make(chan bool, 1)
-	if !c.submit(func() {
+	if !c.queue.Do(func() {
 		current <- c.leadership.leading && c.leadership.term == term && c.elector.HasLease(c.Now()) && g.promotion != nil && g.promotion.token == token
 	}) {
 		return false
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -44,7 +44,6 @@
 func (h *ControlHost) Prepare() error {
 	h.peers = map[string]*peer{}
 	h.Controller.SendMessage = h.enqueue
-	h.Controller.Prepare()
 	return h.Controller.Open()
 }
 
--- /dev/null
+++ b/internal/tasker/tasker.go
@@ -0,0 +1,110 @@
+// Package tasker runs functions one after the other in the goroutine that owns a host's
+// control state. Connections, timers and calls hand their work to it.
+//
+// # Usage
+//
+//	var q tasker.Queue
+//	go q.Run(ctx, 50*time.Millisecond, onTick, afterEach)
+//	q.Do(func() { ... })      // work that must not be lost
+//	q.Try(func() { ... })     // work that its sender repeats
+//
+// Functions that wait together run before afterEach is called once, so that one disk
+// sync covers them.
+package tasker
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// capacity bounds the functions that wait.
+const capacity = 1024
+
+// Queue is a queue of functions. The zero value is ready for use.
+type Queue struct {
+	once    sync.Once
+	tasks   chan func()
+	stopped chan struct{}
+}
+
+func (q *Queue) init() {
+	q.once.Do(func() {
+		q.tasks = make(chan func(), capacity)
+		q.stopped = make(chan struct{})
+	})
+}
+
+// Run runs functions until ctx ends or afterEach returns an error, which it returns.
+// onTick is called at every interval. Run is called at most once.
+func (q *Queue) Run(ctx context.Context, interval time.Duration, onTick func(), afterEach func() error) error {
+	q.init()
+	defer close(q.stopped)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case f := <-q.tasks:
+			f()
+			q.runWaiting()
+		case <-ticker.C:
+			onTick()
+		}
+		if err := afterEach(); err != nil {
+			return err
+		}
+	}
+}
+
+// runWaiting runs the functions that wait already.
+func (q *Queue) runWaiting() {
+	for range capacity {
+		select {
+		case f := <-q.tasks:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// Stopped returns a channel that is closed when Run has returned.
+func (q *Queue) Stopped() <-chan struct{} {
+	q.init()
+	return q.stopped
+}
+
+// Do queues f and waits for room. It returns false once Run has returned. It must not be
+// called by a queued function.
+func (q *Queue) Do(f func()) bool {
+	q.init()
+	select {
+	case <-q.stopped:
+		return false
+	default:
+	}
+	select {
+	case q.tasks <- f:
+		return true
+	case <-q.stopped:
+		return false
+	}
+}
+
+// Try queues f unless the queue is full or Run has returned.
+func (q *Queue) Try(f func()) bool {
+	q.init()
+	select {
+	case <-q.stopped:
+		return false
+	default:
+	}
+	select {
+	case q.tasks <- f:
+		return true
+	default:
+		return false
+	}
+}
