Publish changes of topology together

Cause: in the first 5 s of the large fleet the leader sent 11.4 MB to 94 hosts, 121 KB each: every announcement of an upstream and every host that joined was published at once, whole, to every host. The product of both grows with the square of the fleet and more; at 300 machines control hosts ended by memory. Change: changes that touch no primary are published every 150 ms at most; a promotion or another primary at once. Result: the test made more publications than allowed before and passes after.

--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -244,12 +244,12 @@
 			a.version = configuration.Version
 		}
 	}
-	if a.revision != c.revision() {
+	if a.revision < c.leadership.published.revision || a.revision == 0 {
 		if u.Topology = c.updateCache.topology.compress(c.revision(), c.topology(), c.Log); u.Topology != nil {
 			a.revision = c.revision()
 		}
 	}
-	if answers && a.revision == c.revision() && c.mayLease(a) {
+	if answers && a.revision >= c.leadership.published.revision && c.mayLease(a) {
 		// The host applies the topology before it uses the lease.
 		c.leadership.leases.Grant(a.name, a.index, now)
 		u.PrimaryLease = primaryLease
--- a/internal/coordinator/host_stream_test.go
+++ b/internal/coordinator/host_stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -152,3 +153,31 @@
 	qt.Assert(t, a.Shares.Report().Demands["a"] > 0, qt.IsTrue, qt.Commentf("its callers still have demand"))
 	qt.Assert(t, a.Shares.Report().Extras["split"] > 0, qt.IsTrue, qt.Commentf("the host itself still spends this rate"))
 }
+
+// Upstreams that announce themselves together are sent to the hosts together: each
+// publication goes to every host, so one for each announcement would grow with the
+// product of both.
+func TestAnnouncementsArePublishedTogether(t *testing.T) {
+	f := newControlFleet(t)
+	f.configure(1)
+	var topologies atomic.Int64
+	last := uint64(0)
+	host := startEntryHostWith(t, "entry-1", f.founders, func(e *testEntryHost) {
+		e.OnViewChange = func(view *keeper.View) {
+			if view.Revision != last {
+				last = view.Revision
+				topologies.Add(1)
+			}
+		}
+	})
+	waitFor(t, "the lease", host.HoldsLease)
+	before, begin := topologies.Load(), time.Now()
+	const upstreams = 60
+	for i := range upstreams {
+		f.announce(fmt.Sprintf("u%d", i), keeper.LifecycleReady, keeper.RoleReplica, 1)
+	}
+	waitFor(t, "all upstreams", func() bool { view, _ := host.View(); return len(view.Upstreams) == upstreams })
+	most := int64(time.Since(begin)/publishInterval) + 2
+	got := topologies.Load() - before
+	qt.Assert(t, got <= most, qt.IsTrue, qt.Commentf("%d publications, at most %d", got, most))
+}
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -55,8 +55,13 @@
 	services          map[string]*serviceState
 	// decidedAt is when the leader last evaluated its decisions.
 	decidedAt time.Time
-	// published holds the versions of the state last published to the hosts.
-	published published
+	// published holds the versions of the state last published to the hosts, at
+	// publishedAt. latestPromotion and publishedPrimaries are what it said of
+	// primaries.
+	published          published
+	publishedAt        time.Time
+	latestPromotion    uint64
+	publishedPrimaries map[string]string
 }
 
 type published struct {
@@ -79,6 +84,10 @@
 	// peerTTL is how long after its last report a host is published as a peer:
 	// more than two report intervals.
 	peerTTL = 2600 * time.Millisecond
+	// publishInterval is the minimum time between two publications that change no
+	// primary. Many upstreams and hosts announce themselves together, and each
+	// publication goes to every host.
+	publishInterval = 150 * time.Millisecond
 	// peersPublishInterval is the minimum time between two publications of the
 	// peers, so that several hosts that start or stop in turn cause one
 	// publication.
@@ -191,7 +200,12 @@
 		return
 	}
 	at := c.Now()
-	next := published{revision: c.state.Revision(), version: c.state.Configuration().Version, hosts: s.countHosts(at), peersVersion: s.published.peersVersion}
+	urgent := s.latestPromotion != c.state.LatestPromotion() || !maps.Equal(s.publishedPrimaries, c.state.Primaries)
+	if !urgent && at.Sub(s.publishedAt) < publishInterval {
+		// A later tick publishes this change together with others.
+		return
+	}
+	next := published{revision: c.revision(), version: c.state.Configuration().Version, hosts: s.countHosts(at), peersVersion: s.published.peersVersion}
 	if at.Sub(s.startedAt) > peerCollectionTime || len(s.shares.PendingHosts) == 0 {
 		if live := s.livePeers(at); s.publishedPeers == nil || at.Sub(s.peersPublishedAt) >= peersPublishInterval && !maps.Equal(live, s.publishedPeers) {
 			s.publishedPeers, s.peersPublishedAt = live, at
@@ -201,7 +215,8 @@
 	if next == s.published {
 		return
 	}
-	s.published = next
+	s.published, s.publishedAt = next, at
+	s.latestPromotion, s.publishedPrimaries = c.state.LatestPromotion(), maps.Clone(c.state.Primaries)
 	for _, h := range s.hosts {
 		h.notify()
 	}
