Send hosts what changed of a topology

Cause: after changes were published together the leader of the large fleet still sent 3,378 whole topologies, 3.8 MB, in the first 5 s, while its 60 upstreams announced themselves over several seconds. Change: a host that has the topology published last gets the change to the next one; the published topology is kept, so that hosts are always at one that was published. Hosts of earlier builds get whole ones. A host that has no topology of this leader gets no lease: it might name a primary that was replaced before.

--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -313,7 +313,7 @@
 		index = c.ReleasedIndex(index)
 	}
 	r := Report{
-		Index: index, HoldsLease: c.holder.Valid(now),
+		Index: index, HoldsLease: c.holder.Valid(now), AcceptsChanges: true,
 		Sequence: c.sequence, Host: c.Host, Incarnation: c.Incarnation, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Hosts: view.Hosts, Version: view.Configuration.Version, LostLeader: c.lostLeader,
 		ShuttingDown: c.shuttingDown.Load(), Shares: c.Shares.Report(), UpstreamStatuses: c.changedStatuses(),
 	}
@@ -369,17 +369,16 @@
 			c.Log.Info(logger.EventConfigurationApplied, zap.Uint64("version", configuration.Version), zap.Int("routes", len(configuration.Routes)))
 		}
 	}
-	if u.Topology != nil {
-		var t Topology
-		if err := u.Topology.Decode(&t); err != nil {
-			return err
-		}
+	t, err := c.nextTopology(u, old.view)
+	if err != nil {
+		return err
+	}
+	if t != nil {
 		if t.Index < next.Index {
 			return fmt.Errorf("controlclient: topology of index %d is older than %d", t.Index, next.Index)
 		}
-		next.Index = t.Index
 		next.Upstreams, next.Primaries, next.Promotions, next.Members = t.Upstreams, t.Primaries, t.Promotions, t.Members
-		next.Revision = t.Revision
+		next.Revision, next.Index = t.Revision, t.Index
 		changed = true
 		c.Log.Info(logger.EventTopologyUpdated, zap.Uint64("revision", t.Revision), zap.Int("upstreams", len(t.Upstreams)), zap.Any("primaries", t.Primaries))
 	}
@@ -426,6 +425,31 @@
 	return nil
 }
 
+// nextTopology returns the topology in an update, or nil if it has none.
+func (c *Client) nextTopology(u Update, view *keeper.View) (*Topology, error) {
+	if u.Topology != nil {
+		var t Topology
+		if err := u.Topology.Decode(&t); err != nil {
+			return nil, err
+		}
+		return &t, nil
+	}
+	if u.TopologyChange == nil {
+		return nil, nil
+	}
+	var change TopologyChange
+	if err := u.TopologyChange.Decode(&change); err != nil {
+		return nil, err
+	}
+	t, ok := change.Apply(Topology{
+		Revision: view.Revision, Index: view.Index, Upstreams: view.Upstreams, Primaries: view.Primaries, Promotions: view.Promotions, Members: view.Members,
+	})
+	if !ok {
+		return nil, fmt.Errorf("controlclient: change of topology %d, this host has %d", change.From, view.Revision)
+	}
+	return &t, nil
+}
+
 // latestPromotion returns the token of the latest promotion.
 func latestPromotion(promotions map[string]keeper.Promotion) uint64 {
 	latest := uint64(0)
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,8 @@
 	answerDue      bool
 	// index is the log index that the host follows.
 	index uint64
+	// acceptsChanges is true if the host understands changes of a topology.
+	acceptsChanges bool
 	// grantedAt is when the host was last granted shares of rates.
 	grantedAt time.Time
 	// statuses are the latest by upstream, and reportedAt is when the last report
@@ -140,7 +143,7 @@
 	if !c.state.Hosts[a.name] || c.state.Peers[a.name] != host {
 		c.proposeHostChange(keeper.Command{Kind: keeper.CommandHostJoined, Host: a.name, Peer: host})
 	}
-	a.index = r.Index
+	a.index, a.acceptsChanges = r.Index, r.AcceptsChanges
 	c.leadership.leases.RecordVersion(a.name, r.Index)
 	c.advancePromotions(now)
 	a.reportedAt, a.answerDue, a.reportSequence = now, true, r.Sequence
@@ -244,13 +247,20 @@
 			a.version = configuration.Version
 		}
 	}
-	if a.revision < c.leadership.published.revision || a.revision == 0 {
-		if u.Topology = c.updateCache.topology.compress(c.revision(), c.topology(), c.Log); u.Topology != nil {
-			a.revision = c.revision()
+	if t := c.leadership.topology; a.revision != t.Revision {
+		change := c.leadership.topologyChange
+		switch {
+		case a.acceptsChanges && a.revision != 0 && a.revision == change.From:
+			u.TopologyChange = c.updateCache.topologyChange.compress(t.Revision, change, c.Log)
+		default:
+			u.Topology = c.updateCache.topology.compress(t.Revision, t, c.Log)
+		}
+		if u.Topology != nil || u.TopologyChange != nil {
+			a.revision = t.Revision
 		}
 	}
-	if answers && a.revision >= c.leadership.published.revision && c.mayLease(a) {
-		// The host applies the topology before it uses the lease.
+	if answers && a.revision != 0 && a.revision == c.leadership.topology.Revision && c.mayLease(a) {
+		// The host has the latest primaries before it uses the lease.
 		c.leadership.leases.Grant(a.name, a.index, now)
 		u.PrimaryLease = primaryLease
 	}
@@ -279,6 +289,7 @@
 // hosts.
 func (c *Coordinator) topology() controlclient.Topology {
 	return controlclient.Topology{
-		Revision: c.revision(), Index: c.applied, Upstreams: c.state.Upstreams, Primaries: c.state.Primaries, Promotions: c.state.Promotions, Members: c.state.Members,
+		Revision: c.revision(), Index: c.applied, Upstreams: maps.Clone(c.state.Upstreams), Primaries: maps.Clone(c.state.Primaries),
+		Promotions: maps.Clone(c.state.Promotions), Members: maps.Clone(c.state.Members),
 	}
 }
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/controlclient"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
@@ -56,12 +57,12 @@
 	// decidedAt is when the leader last evaluated its decisions.
 	decidedAt time.Time
 	// published holds the versions of the state last published to the hosts, at
-	// publishedAt. latestPromotion and publishedPrimaries are what it said of
-	// primaries.
-	published          published
-	publishedAt        time.Time
-	latestPromotion    uint64
-	publishedPrimaries map[string]string
+	// publishedAt. topology is its topology, which must not be modified, and
+	// topologyChange the change from the one published before.
+	published      published
+	publishedAt    time.Time
+	topology       controlclient.Topology
+	topologyChange controlclient.TopologyChange
 }
 
 type published struct {
@@ -196,11 +197,12 @@
 
 // publish notifies the host streams when the published state has changed.
 func (s *leaderState) publish(c *Coordinator) {
-	if !s.leading {
+	at := c.Now()
+	if !s.leading || !c.elector.HasLease(at) {
+		// Without the lease, the state of this host may be outdated.
 		return
 	}
-	at := c.Now()
-	urgent := s.latestPromotion != c.state.LatestPromotion() || !maps.Equal(s.publishedPrimaries, c.state.Primaries)
+	urgent := !maps.Equal(s.topology.Promotions, c.state.Promotions) || !maps.Equal(s.topology.Primaries, c.state.Primaries)
 	if !urgent && at.Sub(s.publishedAt) < publishInterval {
 		// A later tick publishes this change together with others.
 		return
@@ -215,8 +217,12 @@
 	if next == s.published {
 		return
 	}
+	if next.revision != s.published.revision {
+		topology := c.topology()
+		s.topologyChange = controlclient.ChangeOf(s.topology, topology)
+		s.topology = topology
+	}
 	s.published, s.publishedAt = next, at
-	s.latestPromotion, s.publishedPrimaries = c.state.LatestPromotion(), maps.Clone(c.state.Primaries)
 	for _, h := range s.hosts {
 		h.notify()
 	}
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -115,15 +115,6 @@
 // primaries, promotions and members.
 func (s *State) Revision() uint64 { return s.revision }
 
-// LatestPromotion returns the token of the latest promotion of any service, or zero.
-func (s *State) LatestPromotion() uint64 {
-	latest := uint64(0)
-	for _, p := range s.Promotions {
-		latest = max(latest, p.Token)
-	}
-	return latest
-}
-
 // PeersRevision returns a number that increases whenever Peers may have changed.
 func (s *State) PeersRevision() uint64 { return s.peersRevision }
 
