Send hosts what changed of the configuration

Cause: each version went whole to each host, 6.2 KB packed for the large fleet: in a storm of configurations most of what the leader sends, and paid for between regions.

--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -358,16 +358,14 @@
 	old := c.current()
 	next := *old.view
 	changed := false
-	if u.Configuration != nil {
-		var configuration keeper.Configuration
-		if err := u.Configuration.Decode(&configuration); err != nil {
-			return err
-		}
-		if configuration.Version > next.Configuration.Version {
-			next.Configuration = configuration
-			changed = true
-			c.Log.Info(logger.EventConfigurationApplied, zap.Uint64("version", configuration.Version), zap.Int("routes", len(configuration.Routes)))
-		}
+	configuration, err := nextConfiguration(u, old.view)
+	if err != nil {
+		return err
+	}
+	if configuration.Version > next.Configuration.Version {
+		next.Configuration = configuration
+		changed = true
+		c.Log.Info(logger.EventConfigurationApplied, zap.Uint64("version", configuration.Version), zap.Int("routes", len(configuration.Routes)))
 	}
 	t, err := c.nextTopology(u, old.view)
 	if err != nil {
@@ -425,6 +423,27 @@
 	return nil
 }
 
+// nextConfiguration returns the configuration in an update, or the present one.
+func nextConfiguration(u Update, view *keeper.View) (keeper.Configuration, error) {
+	if u.Configuration != nil {
+		var configuration keeper.Configuration
+		err := u.Configuration.Decode(&configuration)
+		return configuration, err
+	}
+	if u.ConfigurationChange == nil {
+		return view.Configuration, nil
+	}
+	var change ConfigurationChange
+	if err := u.ConfigurationChange.Decode(&change); err != nil {
+		return keeper.Configuration{}, err
+	}
+	configuration, ok := change.Apply(view.Configuration)
+	if !ok {
+		return configuration, fmt.Errorf("controlclient: change of configuration %d, this host has %d", change.From, view.Configuration.Version)
+	}
+	return configuration, nil
+}
+
 // nextTopology returns the topology in an update, or nil if it has none.
 func (c *Client) nextTopology(u Update, view *keeper.View) (*Topology, error) {
 	if u.Topology != nil {
--- a/internal/controlclient/messages.go
+++ b/internal/controlclient/messages.go
@@ -35,7 +35,8 @@
 	// HoldsLease is true if this host may hold a lease on primaries that an earlier
 	// stream gave it.
 	HoldsLease bool `json:"holds_lease,omitempty"`
-	// AcceptsChanges is true if this host understands Update.TopologyChange.
+	// AcceptsChanges is true if this host understands Update.TopologyChange and
+	// Update.ConfigurationChange.
 	AcceptsChanges bool `json:"accepts_changes,omitempty"`
 	// LostLeader is the leader that the entry host has lost contact with.
 	LostLeader string `json:"lost,omitempty"`
@@ -66,6 +67,9 @@
 	// Configuration is a compressed keeper.Configuration, set if the host has an
 	// older version.
 	Configuration CompressedJSON `json:"configuration,omitempty"`
+	// ConfigurationChange is a compressed ConfigurationChange, sent in place of
+	// Configuration to a host that has the version before.
+	ConfigurationChange CompressedJSON `json:"configuration_change,omitempty"`
 	// Topology is a compressed Topology, set in the first update and when it has
 	// changed.
 	Topology CompressedJSON `json:"topology,omitempty"`
--- a/internal/controlclient/messages_test.go
+++ b/internal/controlclient/messages_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -53,3 +54,48 @@
 		}
 	}
 }
+
+func TestChangesOfConfigurationAddUp(t *testing.T) {
+	for seed := range uint64(50) {
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		leader := keeper.Configuration{
+			Version: 1, Routes: map[string]keeper.Route{}, Services: map[string]keeper.Service{}, Organisations: map[string]keeper.Organisation{}, Keys: map[string]string{},
+		}
+		host := leader
+		for version := uint64(2); version < 120; version += 1 + rnd.Uint64N(3) {
+			next := keeper.Configuration{
+				Version: version, Routes: maps.Clone(leader.Routes), Services: maps.Clone(leader.Services), Organisations: maps.Clone(leader.Organisations), Keys: maps.Clone(leader.Keys),
+				TransactionIdleTimeout: time.Duration(rnd.IntN(3)) * time.Second,
+			}
+			for range rnd.IntN(5) {
+				name := fmt.Sprint("n", rnd.IntN(6))
+				switch rnd.IntN(7) {
+				case 0:
+					delete(next.Routes, name)
+				case 1:
+					delete(next.Keys, name)
+				case 2:
+					next.Keys[name] = fmt.Sprint(version)
+				case 3:
+					next.Services[name] = keeper.Service{Name: name, MaxConnections: int(version)}
+				case 4:
+					delete(next.Services, name)
+				case 5:
+					next.Organisations[name] = keeper.Organisation{Name: name, Rate: float64(version)}
+				default:
+					next.Routes[name] = keeper.Route{Name: name, Timeout: time.Duration(version)}
+				}
+			}
+			body, err := json.Marshal(ConfigurationChangeOf(leader, next))
+			qt.Assert(t, err, qt.IsNil)
+			var change ConfigurationChange
+			qt.Assert(t, json.Unmarshal(body, &change), qt.IsNil)
+			applied, ok := change.Apply(host)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, applied, qt.DeepEquals, next, qt.Commentf("seed %d, version %d", seed, version))
+			_, ok = change.Apply(applied)
+			qt.Assert(t, ok, qt.IsFalse)
+			leader, host = next, applied
+		}
+	}
+}
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -241,9 +241,14 @@
 		// Without the lease, the state of this host may be outdated.
 		return u
 	}
-	configuration := c.state.Configuration()
-	if configuration.Version > a.version {
-		if u.Configuration = c.updateCache.configuration.compress(configuration.Version, configuration, c.Log); u.Configuration != nil {
+	if configuration := c.leadership.configuration; configuration.Version > a.version {
+		change := c.leadership.configurationChange
+		if a.acceptsChanges && a.version != 0 && a.version == change.From {
+			u.ConfigurationChange = c.updateCache.configurationChange.compress(configuration.Version, change, c.Log)
+		} else {
+			u.Configuration = c.updateCache.configuration.compress(configuration.Version, configuration, c.Log)
+		}
+		if u.Configuration != nil || u.ConfigurationChange != nil {
 			a.version = configuration.Version
 		}
 	}
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -63,6 +63,10 @@
 	publishedAt    time.Time
 	topology       controlclient.Topology
 	topologyChange controlclient.TopologyChange
+	// configuration is the one last published, and configurationChange the change
+	// from the one before.
+	configuration       keeper.Configuration
+	configurationChange controlclient.ConfigurationChange
 }
 
 type published struct {
@@ -217,6 +221,11 @@
 	if next == s.published {
 		return
 	}
+	if next.version != s.published.version {
+		configuration := c.state.Configuration()
+		s.configurationChange = controlclient.ConfigurationChangeOf(s.configuration, configuration)
+		s.configuration = configuration
+	}
 	if next.revision != s.published.revision {
 		topology := c.topology()
 		s.topologyChange = controlclient.ChangeOf(s.topology, topology)
--- a/internal/coordinator/update_cache.go
+++ b/internal/coordinator/update_cache.go
@@ -10,7 +10,7 @@
 // updateCache caches the compressed parts of updates that are the same for all
 // entry hosts.
 type updateCache struct {
-	configuration, topology, topologyChange, peers, agreedPeers cachedValue
+	configuration, configurationChange, topology, topologyChange, peers, agreedPeers cachedValue
 }
 
 // cachedValue is the latest compressed form of one value.
