--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,9 +4,8 @@
 //
 //	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
 //
-// Every setting of a process is a flag and an environment variable. An invalid
-// setting is reported with its value and the allowed values, and the exit status
-// is 2.
+// Every setting of a process is a flag and an environment variable. An invalid one is
+// named with the allowed values, and the exit status is 2.
 package cli
 
 import (
@@ -28,7 +27,7 @@
 	exitUsage  = 2
 )
 
-// arguments holds the command that was given; the others are nil.
+// arguments holds the given command; the others are nil.
 type arguments struct {
 	Serve       *serveCommand       `arg:"subcommand:serve" help:"run an entry host"`
 	Control     *controlCommand     `arg:"subcommand:control" help:"run a control host"`
@@ -70,7 +69,7 @@
 	run(ctx context.Context, stdout, stderr io.Writer) error
 }
 
-// Run executes the command given by args and returns the exit status.
+// Run executes a command and returns the exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
 	var a arguments
 	parser, err := arg.NewParser(arg.Config{Program: "shallotstage", Out: stdout}, &a)
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -1,9 +1,8 @@
 // Package loader is an open-loop load generator. It sends requests with pgx and
 // measures latency, errors and consistency as callers see them.
 //
-// Request times do not depend on earlier responses, and latency is measured from
-// the scheduled time of a request, so that a slow response also counts against
-// the requests that wait behind it (no coordinated omission).
+// Latency counts from a request's scheduled time, so a slow response also counts
+// against the requests behind it (no coordinated omission).
 //
 // # Usage
 //
@@ -29,18 +28,15 @@
 )
 
 const (
-	// maxLatency is the upper limit of the latency histograms. Higher latencies
-	// are recorded as this value.
-	maxLatency = 2 * time.Minute
-	// requestTimeout is the time limit of one request.
+	// maxLatency is the highest latency that is told apart.
+	maxLatency     = 2 * time.Minute
 	requestTimeout = 30 * time.Second
-	// reconnectDelay is the delay after a failed connection attempt.
 	reconnectDelay = 50 * time.Millisecond
 	tableName      = "shallotstage_load"
 )
 
-// Loader generates the load of one run. Exported fields are set before Run. The
-// ids of its rows start with Name; callers connect to URLs in turn.
+// Loader generates the load of one run. The ids of its rows start with Name; callers
+// connect to URLs in turn.
 type Loader struct {
 	Name    string
 	URLs    []string
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -21,24 +21,22 @@
 	"github.com/shallotstage/shallotstage/pkg/configurer"
 )
 
-// hostTimeout is the time limit of the request to one host.
+// hostTimeout bounds the request to one host.
 const hostTimeout = 5 * time.Second
 
-// Reporter builds a report. Exported fields are set before Build.
+// Reporter builds a report.
 type Reporter struct {
 	// Hosts are the base URLs of the HTTP servers of the entry hosts.
 	Hosts []string
-	// Operator reads the objectives and the record of changes from the control
-	// hosts.
+	// Operator reads the objectives and the record.
 	Operator *operator.Client
 	// Now returns the current time; nil means time.Now.
 	Now func() time.Time
-	// HTTP is the client for requests to the hosts; nil means http.DefaultClient.
+	// HTTP is the client for the hosts; nil means http.DefaultClient.
 	HTTP *http.Client
 }
 
-// Build reads the counters of all hosts and computes the report. A host that
-// does not respond is listed in the report as missing.
+// Build computes the report. Hosts that do not respond are listed as missing.
 func (r *Reporter) Build(ctx context.Context) (burner.Report, error) {
 	levels, err := r.Operator.ServiceLevels(ctx)
 	if err != nil {
@@ -60,8 +58,8 @@
 	return burner.BuildReport(in), nil
 }
 
-// fetchAllCounts reads the counters of all hosts in parallel. The URLs of hosts
-// that did not respond are returned as missing.
+// fetchAllCounts reads the counters of all hosts. missing are the URLs of those that
+// did not respond.
 func (r *Reporter) fetchAllCounts(ctx context.Context) (counts []burner.HostCounts, missing []string) {
 	results := make([]*burner.HostCounts, len(r.Hosts))
 	var wg sync.WaitGroup
@@ -80,7 +78,7 @@
 	return counts, missing
 }
 
-// fetchCounts reads the counters of one host and returns nil if the request fails.
+// fetchCounts reads the counters of one host, or returns nil.
 func (r *Reporter) fetchCounts(ctx context.Context, host string) *burner.HostCounts {
 	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
 	defer cancel()
