--- a/cmd/shallotstage-host/soak_upstreams_test.go
+++ b/cmd/shallotstage-host/soak_upstreams_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -308,8 +309,7 @@
 		return "COMPLETE sig-" + id + "\r\n"
 	case "READ":
 		value := "-"
-		visible := append(u.group.log[:u.visibleCommits():u.visibleCommits()], u.strays...)
-		for _, w := range append(visible, s.writes...) {
+		for _, w := range slices.Concat(u.group.log[:u.visibleCommits()], u.strays, s.writes) {
 			if w.item == arguments {
 				value = w.value
 			}
