Keep control hosts' memory: no idle operator connections, a limit for the collector

The settings' memory was read and used by nothing, so the collector let the heap grow to twice what lives. Change: an operator's or upstream's connection ends with its response; the collector keeps within 0.7 of the host's memory.

--- a/cmd/shallotstage-host/run.go
+++ b/cmd/shallotstage-host/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -68,6 +69,7 @@
 		flush()
 	}()
 	log = log.With(zap.String("node", settings.Node))
+	limitMemory(settings.MemoryBytes)
 	watcher := &settingsWatcher{path: args.Config, log: log}
 	watcher.current.Store(&settings)
 	go watcher.watch(hangups)
@@ -83,6 +85,18 @@
 	return 0
 }
 
+// heapFraction is the part of a host's memory above which the collector works harder. The
+// rest is for what it does not see, such as buffers of the system's connections.
+const heapFraction = 0.7
+
+// limitMemory makes the garbage collector keep within the memory of the host, which ends a
+// process that uses more; zero means that there is no limit.
+func limitMemory(hostBytes int64) {
+	if hostBytes > 0 {
+		debug.SetMemoryLimit(int64(heapFraction * float64(hostBytes)))
+	}
+}
+
 // pollInterval is the interval at which the settings file is checked for changes.
 // It may change without a SIGHUP.
 const pollInterval = 2 * time.Second
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -70,7 +70,7 @@
 		}
 	}()
 	go func() {
-		if err := serveHTTP(ctx, operators, c.Handler(co, c.Log)); err != nil {
+		if err := serveSingleRequests(ctx, operators, c.Handler(co, c.Log)); err != nil {
 			c.Log.Error(logger.EventListenerFailed, zap.String("part", "operators"), zap.Error(err))
 		}
 	}()
