--- a/internal/transactor/gate.go
+++ b/internal/transactor/gate.go
@@ -42,10 +42,14 @@
 		wait = max(wait, g.Gate.SetPrimary(service, primary, h, now))
 	}
 	if wait > 0 && g.Released != nil {
-		time.AfterFunc(wait, g.Released)
+		time.AfterFunc(wait+releaseMargin, g.Released)
 	}
 }
 
+// releaseMargin makes sure that a release is due when its timer fires: the timer and Now
+// are different clocks.
+const releaseMargin = 5 * time.Millisecond
+
 // LeaseEnded records that this host's lease has ended. It must be called before the
 // next one is used.
 func (g *PrimaryGate) LeaseEnded() {
