--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -18,7 +18,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -152,9 +151,6 @@
 	return c.Now().UnixNano()-c.lastUpdate.Load() < int64(silenceTimeout)
 }
 
-// HoldsLease reports whether this host holds the lease on primaries.
-func (c *Client) HoldsLease() bool { return c.Now().UnixNano() < c.leaseUntil.Load() }
-
 // ReportNow triggers a report at once.
 func (c *Client) ReportNow() {
 	select {
@@ -353,151 +349,3 @@
 	}
 	return changed
 }
-
-// apply applies an update. A host never returns to an older configuration.
-func (c *Client) apply(u Update) error {
-	old := c.current()
-	next := *old.view
-	changed := false
-	configuration, err := nextConfiguration(u, old.view)
-	if err != nil {
-		return err
-	}
-	if configuration.Version > next.Configuration.Version {
-		next.Configuration = configuration
-		changed = true
-		c.Log.Info(logger.EventConfigurationApplied, zap.Uint64("version", configuration.Version), zap.Int("routes", len(configuration.Routes)))
-	}
-	t, err := c.nextTopology(u, old.view)
-	if err != nil {
-		return err
-	}
-	if t != nil {
-		if t.Index == 0 {
-			// This leader is of a build that grants no leases.
-			c.leaseUntil.Store(math.MaxInt64)
-		} else if old.view.Index == 0 {
-			c.leaseUntil.Store(0)
-		}
-		if t.Index != 0 && t.Index < next.Index {
-			return fmt.Errorf("controlclient: topology of index %d is older than %d", t.Index, next.Index)
-		}
-		next.Upstreams, next.Primaries, next.Promotions, next.Members = t.Upstreams, t.Primaries, t.Promotions, t.Members
-		next.Revision, next.Index = t.Revision, t.Index
-		changed = true
-		c.Log.Info(logger.EventTopologyUpdated, zap.Uint64("revision", t.Revision), zap.Int("upstreams", len(t.Upstreams)), zap.Any("primaries", t.Primaries))
-	}
-	if u.Hosts > 0 && u.Hosts != next.Hosts {
-		next.Hosts = u.Hosts
-		changed = true
-	}
-	if u.Peers != nil {
-		var peers map[string]keeper.Peer
-		if err := u.Peers.Decode(&peers); err != nil {
-			return err
-		}
-		if !maps.Equal(peers, next.Peers) {
-			next.Peers = peers
-			changed = true
-			c.Log.Info(logger.EventPeersUpdated, zap.Int("peers", len(peers)))
-		}
-	}
-	if sent, ok := c.sentAt[u.ReportSequence]; ok && u.GrantNumber > 0 && c.Shares.ApplyGrant(u.GrantNumber, maps.Clone(u.Extras), sent.Add(u.Lease)) {
-		// Other hosts wait for the share that this host has released.
-		c.ReportNow()
-	}
-	if u.PrimaryLease > 0 {
-		c.holder.Renew(u.ReportSequence, u.PrimaryLease)
-	}
-	// A later update may answer the same report again.
-	maps.DeleteFunc(c.sentAt, func(n uint64, _ time.Time) bool { return n < u.ReportSequence })
-	if !changed {
-		c.publishLease()
-		return nil
-	}
-	c.Shares.SetHostCount(next.Hosts)
-	next.BuildServiceIndex()
-	if c.OnViewChange != nil {
-		c.OnViewChange(&next)
-	}
-	c.viewState.Store(&viewState{view: &next, changed: make(chan struct{})})
-	close(old.changed)
-	if latestPromotion(next.Promotions) > latestPromotion(old.view.Promotions) {
-		// The leader waits for this before a primary is replaced.
-		c.ReportNow()
-	}
-	c.publishLease()
-	return nil
-}
-
-// nextConfiguration returns the configuration in an update, or the present one.
-func nextConfiguration(u Update, view *keeper.View) (keeper.Configuration, error) {
-	if u.Configuration != nil {
-		var configuration keeper.Configuration
-		err := u.Configuration.Decode(&configuration)
-		return configuration, err
-	}
-	if u.ConfigurationChange == nil {
-		return view.Configuration, nil
-	}
-	var change ConfigurationChange
-	if err := u.ConfigurationChange.Decode(&change); err != nil {
-		return keeper.Configuration{}, err
-	}
-	configuration, ok := change.Apply(view.Configuration)
-	if !ok {
-		return configuration, fmt.Errorf("controlclient: change of configuration %d, this host has %d", change.From, view.Configuration.Version)
-	}
-	return configuration, nil
-}
-
-// nextTopology returns the topology in an update, or nil if it has none.
-func (c *Client) nextTopology(u Update, view *keeper.View) (*Topology, error) {
-	if u.Topology != nil {
-		var t Topology
-		if err := u.Topology.Decode(&t); err != nil {
-			return nil, err
-		}
-		return &t, nil
-	}
-	if u.TopologyChange == nil {
-		return nil, nil
-	}
-	var change TopologyChange
-	if err := u.TopologyChange.Decode(&change); err != nil {
-		return nil, err
-	}
-	t, ok := change.Apply(Topology{
-		Revision: view.Revision, Index: view.Index, Upstreams: view.Upstreams, Primaries: view.Primaries, Promotions: view.Promotions, Members: view.Members,
-	})
-	if !ok {
-		return nil, fmt.Errorf("controlclient: change of topology %d, this host has %d", change.From, view.Revision)
-	}
-	return &t, nil
-}
-
-// latestPromotion returns the token of the latest promotion.
-func latestPromotion(promotions map[string]keeper.Promotion) uint64 {
-	latest := uint64(0)
-	for _, p := range promotions {
-		latest = max(latest, p.Token)
-	}
-	return latest
-}
-
-// publishLease makes a renewed lease visible. A topology that came with it has been
-// applied before.
-func (c *Client) publishLease() {
-	until, now := c.holder.ExpiresAt(), c.Now()
-	if until.IsZero() || !c.holder.Valid(now) {
-		return
-	}
-	without := now.UnixNano() - c.leaseUntil.Load()
-	if without > 0 && c.OnLeaseEnded != nil {
-		c.OnLeaseEnded()
-	}
-	c.leaseUntil.Store(until.UnixNano())
-	if without > 0 {
-		c.Log.Info(logger.EventPrimaryLeaseGained, zap.Duration("without", time.Duration(without)))
-	}
-}
