Test hand-overs in series and a primary that control cannot reach

Cause: the one-way cut and changes in series were covered by the decisions' tests alone. Change: two tests of the coordinator.

--- a/internal/coordinator/hand_over_test.go
+++ b/internal/coordinator/hand_over_test.go
@@ -181,3 +181,61 @@
 	f.announce("r1", keeper.LifecycleDraining, keeper.RolePrimary, 3)
 	qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r2", qt.Commentf("p has not announced itself as a replica"))
 }
+
+// A former primary whose announcements arrive and that control itself cannot reach goes on
+// taking itself for the primary. It is neither waited for nor believed.
+func TestFormerPrimaryThatControlCannotReach(t *testing.T) {
+	f := newLeaseFleet(t)
+	f.upstreams.mu.Lock()
+	delete(f.upstreams.statuses, "p")
+	f.upstreams.lostDemotions = 1000
+	f.upstreams.mu.Unlock()
+	f.announce("p", keeper.LifecycleDraining, keeper.RolePrimary, 2)
+	qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r1")
+	f.upstreams.set("r1", true, 4, 100)
+	f.announce("r1", keeper.LifecycleReady, keeper.RolePrimary, 2)
+	for sequence := uint64(3); sequence < 6; sequence++ {
+		f.announce("p", keeper.LifecycleReady, keeper.RolePrimary, sequence)
+	}
+	waitFor(t, "repeated demotions", func() bool {
+		f.upstreams.mu.Lock()
+		defer f.upstreams.mu.Unlock()
+		return f.upstreams.demotions >= 3
+	})
+	primary := make(chan string, 1)
+	leader := f.hosts[f.leader()]
+	qt.Assert(t, leader.submit(func() { primary <- leader.state.Primaries["s"] }), qt.IsTrue)
+	qt.Assert(t, <-primary, qt.Equals, "r1")
+}
+
+// Two changes in series, the second back to the first primary once it was demoted: each
+// waits for the hosts, under a higher token.
+func TestHandOversInSeriesWaitForTheHosts(t *testing.T) {
+	f := newLeaseFleet(t)
+	h := f.startLeaseHolder("entry-1")
+	f.announce("p", keeper.LifecycleDraining, keeper.RolePrimary, 2)
+	waitFor(t, "the first decision", func() bool { view, _ := h.View(); return view.PromotionCandidate("s") == "r1" })
+	f.noRequest(100 * time.Millisecond)
+	h.mayRelease.Store(true)
+	h.ReportNow()
+	first := <-f.promotionRequests
+	f.upstreams.set("r1", true, 4, 100)
+	f.upstreams.set("r2", false, 4, 50)
+	f.announce("r1", keeper.LifecycleReady, keeper.RolePrimary, 2)
+	waitFor(t, "the demotion", func() bool {
+		f.upstreams.mu.Lock()
+		defer f.upstreams.mu.Unlock()
+		return !f.upstreams.statuses["p"].Primary
+	})
+	f.upstreams.set("p", false, 4, 100)
+	f.announce("p", keeper.LifecycleReady, keeper.RoleReplica, 3)
+	h.mayRelease.Store(false)
+	f.announce("r1", keeper.LifecycleDraining, keeper.RolePrimary, 3)
+	waitFor(t, "the second decision", func() bool { view, _ := h.View(); return view.PromotionCandidate("s") == "p" })
+	f.noRequest(100 * time.Millisecond)
+	h.mayRelease.Store(true)
+	h.ReportNow()
+	second := <-f.promotionRequests
+	qt.Assert(t, second.Candidate, qt.Equals, "p")
+	qt.Assert(t, second.Token > first.Token, qt.IsTrue)
+}
