--- a/internal/coordinator/hand_over_test.go
+++ b/internal/coordinator/hand_over_test.go
@@ -75,7 +75,8 @@
 	mayRelease atomic.Bool
 }
 
-func (f *controlFleet) startLeaseHolder(name string) *leaseHolder {
+func (f *controlFleet) startLeaseHolder() *leaseHolder {
+	const name = "entry-1"
 	h := &leaseHolder{}
 	h.testEntryHost = startEntryHostWith(f.t, name, f.founders, func(e *testEntryHost) {
 		e.ReleasedIndex = func(index uint64) uint64 {
@@ -101,7 +102,7 @@
 
 func TestPromotionWaitsForTheHostsThatMayActAtThePrimary(t *testing.T) {
 	f := newLeaseFleet(t)
-	h := f.startLeaseHolder("entry-1")
+	h := f.startLeaseHolder()
 	f.announce("p", keeper.LifecycleDraining, keeper.RolePrimary, 2)
 	waitFor(t, "the decision", func() bool { view, _ := h.View(); return view.PromotionCandidate("s") == "r1" })
 	f.noRequest(primaryLease / 4)
@@ -113,7 +114,7 @@
 
 func TestPromotionWaitsForTheLeaseOfASilentHost(t *testing.T) {
 	f := newLeaseFleet(t)
-	h := f.startLeaseHolder("entry-1")
+	h := f.startLeaseHolder()
 	h.stopRun()
 	f.announce("p", keeper.LifecycleDraining, keeper.RolePrimary, 2)
 	// The lease is counted from a report that was sent earlier.
@@ -132,7 +133,7 @@
 // before the lease that the earlier one granted has been given back.
 func TestLeaderChangesDuringAHandOver(t *testing.T) {
 	f := newLeaseFleet(t)
-	h := f.startLeaseHolder("entry-1")
+	h := f.startLeaseHolder()
 	f.announce("p", keeper.LifecycleDraining, keeper.RolePrimary, 2)
 	waitFor(t, "the decision", func() bool { view, _ := h.View(); return view.PromotionCandidate("s") == "r1" })
 	view, _ := h.View()
@@ -212,7 +213,7 @@
 // waits for the hosts, under a higher token.
 func TestHandOversInSeriesWaitForTheHosts(t *testing.T) {
 	f := newLeaseFleet(t)
-	h := f.startLeaseHolder("entry-1")
+	h := f.startLeaseHolder()
 	f.announce("p", keeper.LifecycleDraining, keeper.RolePrimary, 2)
 	waitFor(t, "the first decision", func() bool { view, _ := h.View(); return view.PromotionCandidate("s") == "r1" })
 	f.noRequest(100 * time.Millisecond)
