--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
 	"stale-read": staleRead,
 	"sync-lost":  syncLost,
+	"split-line": splitLine,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -31,6 +31,8 @@
 	promoteDelay time.Duration
 	// onPromoted is called with the group locked when a promotion takes effect.
 	onPromoted func(u *upstream)
+	// onRun is called with the group locked before a statement of a client is run.
+	onRun func(u *upstream, id, text string)
 	// delayOrder returns how long an order stays unanswered before it is carried out;
 	// zero means that it is answered at once.
 	delayOrder func() time.Duration
@@ -59,9 +61,8 @@
 
 	listener net.Listener
 	// log is what the backend has received, applied the number of commits that it shows.
-	log     []commit
-	applied int
-	// pending are commits on their way.
+	log                  []commit
+	applied              int
 	deaf, down, draining bool
 	busy                 int
 	conns                map[net.Conn]bool
@@ -396,6 +397,11 @@
 // handle executes one statement. The group is locked. An empty answer ends the connection.
 func (u *upstream) handle(s *backendSession, id, text string) string {
 	g := u.group
+	run := func() {
+		if g.onRun != nil {
+			g.onRun(u, id, text)
+		}
+	}
 	fail := func(code string) string {
 		s.failed = s.inTransaction && code != "BUSY" || s.failed
 		return "ERROR " + code + " " + u.id + "\r\n"
@@ -461,6 +467,7 @@
 		if !u.occupy(u.work) {
 			return fail("BUSY")
 		}
+		run()
 		value := "-"
 		for n := u.applied - 1; n >= 0; n-- {
 			if v, ok := u.log[n].items[arguments]; ok {
@@ -479,6 +486,7 @@
 		if u.down || g.primary != u || s.inTransaction && s.term != g.term {
 			return fail("READONLY")
 		}
+		run()
 		item, value, _ := strings.Cut(arguments, " ")
 		if s.inTransaction {
 			s.ids = append(s.ids, id)
