Review case 4: an open transaction goes on for a tenant that no longer holds the key

Cause: statements of a transaction are authorised by the present configuration but run on the connection of the tenant that held the key at its beginning.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,9 +17,11 @@
 const timeLimit = 117 * time.Second
 
 var cases = map[string]func(r *record, trouble bool) (broken bool, err error){
-	"stale-read": staleRead,
-	"sync-lost":  syncLost,
-	"split-line": splitLine,
+	"stale-read":     staleRead,
+	"sync-lost":      syncLost,
+	"split-line":     splitLine,
+	"key-moved":      keyMoved,
+	"trailing-blank": trailingBlank,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin/split_line.go
+++ b/review/standin/split_line.go
@@ -53,7 +53,7 @@
 	}
 	var mu sync.Mutex
 	sent, ran, unasked := map[string]string{}, 0, 0
-	g.onRun = func(u *upstream, id, text string) {
+	g.onRun = func(u *upstream, id, _, text string) {
 		mu.Lock()
 		defer mu.Unlock()
 		ran++
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -32,7 +32,7 @@
 	// onPromoted is called with the group locked when a promotion takes effect.
 	onPromoted func(u *upstream)
 	// onRun is called with the group locked before a statement of a client is run.
-	onRun func(u *upstream, id, text string)
+	onRun func(u *upstream, id, tenant, text string)
 	// delayOrder returns how long an order stays unanswered before it is carried out;
 	// zero means that it is answered at once.
 	delayOrder func() time.Duration
@@ -315,6 +315,7 @@
 	ids                             []string
 	items                           map[string]string
 	prepared                        map[string]string
+	tenant                          string
 }
 
 func (u *upstream) serve(conn net.Conn) {
@@ -343,7 +344,7 @@
 		return
 	}
 	time.Sleep(12 * time.Millisecond)
-	s := &backendSession{prepared: map[string]string{}}
+	s := &backendSession{prepared: map[string]string{}, tenant: fields[2]}
 	answer := ""
 	for {
 		g.mu.Lock()
@@ -399,7 +400,7 @@
 	g := u.group
 	run := func() {
 		if g.onRun != nil {
-			g.onRun(u, id, text)
+			g.onRun(u, id, s.tenant, text)
 		}
 	}
 	fail := func(code string) string {
@@ -423,6 +424,7 @@
 			return fail("NOSTMT")
 		}
 		verb, arguments = strings.Fields(shape)[0], rest
+		text = verb + " " + rest
 	}
 	if s.failed && verb != "COMMIT" && verb != "ROLLBACK" && verb != "RESET" {
 		return "ERROR MALFORMED -\r\n"
