--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -114,3 +114,20 @@
 	}
 	return c.Version
 }
+
+// callOnce sends a request without following a redirect, and returns the status and the
+// location.
+func callOnce(method, url string) (int, string) {
+	request, err := http.NewRequest(method, url, nil)
+	if err != nil {
+		return 0, ""
+	}
+	client := *httpClient
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, response.Header.Get("Location")
+}
