Promote no replica that may lack acknowledged commits

Cause: an error from the query for an upstream's position set that position to zero. The replica with all commits had no slot free for STATUS and answered BUSY, so the one that had received nothing for three seconds was promoted. Nothing compared the answers with sync_replicas. The planned change of primary took a primary that did not tell its position for one at position zero, and so did not wait for its candidate.

Ruled out: outdated reports of entry hosts (they were not used), and a late order (it went out 5 ms after the answers).

Change: a candidate is chosen only if fewer than sync_replicas others may have received more; an unknown position may be any. A busy upstream's refusal shows what it has applied, a lower bound. Where commits wait for no replica nothing waits that did not wait before.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,13 +19,19 @@
 
 const waitTimeout = 20 * time.Second
 
-// decodeVersion decodes a document that consists of a version only.
+// decodeVersion decodes a document that consists of a version and, after a comma, how
+// many replicas of the service s receive a commit before it is acknowledged.
 func decodeVersion(document []byte) (keeper.Configuration, error) {
-	v, err := strconv.ParseUint(string(document), 10, 64)
+	version, syncReplicas, _ := strings.Cut(string(document), ",")
+	v, err := strconv.ParseUint(version, 10, 64)
 	if err != nil {
 		return keeper.Configuration{}, errors.New("not a version")
 	}
-	return keeper.Configuration{Version: v}, nil
+	c := keeper.Configuration{Version: v}
+	if n, err := strconv.Atoi(syncReplicas); err == nil {
+		c.Services = map[string]keeper.Service{"s": {Name: "s", SyncReplicas: n}}
+	}
+	return c, nil
 }
 
 // controlHost is a running control host of a test.
@@ -149,10 +156,14 @@
 
 // configure replicates a configuration version through the current leader.
 func (f *controlFleet) configure(version uint64) {
+	f.configureDocument(version, strconv.FormatUint(version, 10))
+}
+
+func (f *controlFleet) configureDocument(version uint64, document string) {
 	waitFor(f.t, "version "+strconv.FormatUint(version, 10), func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		return f.hosts[f.leader()].Configure(ctx, version, []byte(strconv.FormatUint(version, 10))) == nil
+		return f.hosts[f.leader()].Configure(ctx, version, []byte(document)) == nil
 	})
 }
 
--- a/internal/coordinator/hand_over.go
+++ b/internal/coordinator/hand_over.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/shallotstage/shallotstage/internal/logger"
+	"github.com/shallotstage/shallotstage/pkg/failoverplanner"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
-	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
 const (
@@ -43,7 +44,7 @@
 	}
 	o.releasedAt = now
 	if o.planned {
-		go c.catchUp(service, g, o, c.state.Upstreams[o.former], c.state.Upstreams[o.candidate])
+		go c.catchUp(service, g, o, c.state.Upstreams[o.former], c.state.Upstreams[o.candidate], c.replicationEvidence(service, o.former, now))
 		return
 	}
 	c.startRequest(service, g, o)
@@ -66,38 +67,50 @@
 	return true
 }
 
-// catchUp waits until the candidate has received all that its primary has committed.
-func (c *Coordinator) catchUp(service string, g *serviceState, o *promotion, former, candidate keeper.Upstream) {
+// catchUp waits until the candidate has received all that its primary has committed, and
+// then asks the platform. Where commits wait for replicas, a promotion whose candidate may
+// lack one is given up: another candidate is looked for.
+func (c *Coordinator) catchUp(service string, g *serviceState, o *promotion, former, candidate keeper.Upstream, e failoverplanner.Evidence) {
+	err := c.awaitCandidate(former, candidate)
+	if err != nil {
+		c.Log.Warn(logger.EventPromotionBlocked, zap.String("service", service), zap.String("candidate", o.candidate), zap.Uint64("token", o.token), zap.Error(err))
+	}
+	mayLackCommits := false
+	if err != nil && e.SyncReplicas > 0 {
+		ctx, cancel := context.WithTimeout(c.run, statusQueryTimeout)
+		c.queryPositions(ctx, &e)
+		cancel()
+		mayLackCommits = !e.HasAllCommits(o.candidate)
+	}
+	c.queue.Do(func() {
+		if mayLackCommits {
+			o.rejected = true
+			return
+		}
+		c.startRequest(service, g, o)
+	})
+}
+
+// awaitCandidate waits until the candidate has received all that the former primary had
+// committed when it was asked. It returns an error if the former primary does not answer
+// or the candidate is not known to have caught up within catchUpTimeout.
+func (c *Coordinator) awaitCandidate(former, candidate keeper.Upstream) error {
 	ctx, cancel := context.WithTimeout(c.run, catchUpTimeout)
 	defer cancel()
 	last, err := c.receivedPosition(ctx, former)
 	if err != nil {
-		c.Log.Info(logger.EventReplicationStatusUnknown, zap.String("upstream", former.ID), zap.Error(err))
+		return err
 	}
-	for err == nil {
-		var p tracker.Position
-		if p, err = c.receivedPosition(ctx, candidate); err == nil && !p.Less(last) {
-			break
+	for {
+		if p, err := c.receivedPosition(ctx, candidate); err == nil && !p.Less(last) {
+			return nil
 		}
 		select {
 		case <-ctx.Done():
-			err = ctx.Err()
+			return fmt.Errorf("coordinator: %s is not known to have received %s: %w", candidate.ID, last, ctx.Err())
 		case <-time.After(catchUpInterval):
-			err = nil
 		}
 	}
-	if err != nil {
-		c.Log.Warn(logger.EventPromotionBlocked, zap.String("service", service), zap.String("candidate", o.candidate), zap.Uint64("token", o.token), zap.Stringer("last", last), zap.Error(err))
-	}
-	c.queue.Do(func() { c.startRequest(service, g, o) })
-}
-
-// receivedPosition queries the position up to which an upstream has received the log.
-func (c *Coordinator) receivedPosition(ctx context.Context, u keeper.Upstream) (tracker.Position, error) {
-	ctx, cancel := context.WithTimeout(ctx, statusQueryTimeout)
-	defer cancel()
-	status, err := c.QueryStatus(ctx, u)
-	return status.ReceivedPosition, err
 }
 
 // startRequest asks the platform for a promotion unless it is no longer the latest.
--- a/internal/coordinator/hand_over_test.go
+++ b/internal/coordinator/hand_over_test.go
@@ -19,19 +19,33 @@
 type scriptedUpstreams struct {
 	mu       sync.Mutex
 	statuses map[string]connector.ReplicationStatus
+	// applied holds the positions that busy upstreams show, by ID.
+	applied map[string]tracker.Position
 	// lostDemotions is how many more demotions get no answer; demotions counts all.
 	lostDemotions, demotions int
+	// onQuery is called with the ID of an upstream before it is queried, with mu held.
+	onQuery func(id string)
+}
+
+func newStatus(primary bool, term, offset uint64) connector.ReplicationStatus {
+	return connector.ReplicationStatus{Primary: primary, Term: term, ReceivedPosition: tracker.Position{Term: term, Offset: offset}}
 }
 
 func (s *scriptedUpstreams) set(id string, primary bool, term, offset uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.statuses[id] = connector.ReplicationStatus{Primary: primary, Term: term, ReceivedPosition: tracker.Position{Term: term, Offset: offset}}
+	s.statuses[id] = newStatus(primary, term, offset)
 }
 
 func (s *scriptedUpstreams) queryStatus(_ context.Context, u keeper.Upstream) (connector.ReplicationStatus, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.onQuery != nil {
+		s.onQuery(u.ID)
+	}
+	if applied, ok := s.applied[u.ID]; ok {
+		return connector.ReplicationStatus{}, &connector.BusyError{Upstream: u.ID, Applied: applied}
+	}
 	status, ok := s.statuses[u.ID]
 	if !ok {
 		return status, errors.New("no answer")
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/failoverplanner"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
-	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
 const (
@@ -42,6 +39,8 @@
 	// nextQueryAt is when they are queried again if that gave no decision.
 	querying    bool
 	nextQueryAt time.Time
+	// undecidedLoggedAt is when a query without a decision was last logged.
+	undecidedLoggedAt time.Time
 	// demoting is true while a replaced primary is being told, and nextDemotionAt is
 	// when one is told again.
 	demoting       bool
@@ -61,7 +60,9 @@
 	releasedAt  time.Time
 	requestedAt time.Time
 	answeredAt  time.Time
-	rejected    bool
+	// rejected is true when the platform rejected the promotion, or when it was given
+	// up before the platform was asked.
+	rejected bool
 	// blockLoggedAt is when a wait for hosts was last logged.
 	blockLoggedAt time.Time
 }
@@ -80,6 +81,18 @@
 	}
 }
 
+// replicationEvidence returns what is known of the upstreams of a service with the given
+// primary, and how many of them receive a commit before it is acknowledged.
+func (c *Coordinator) replicationEvidence(service, primary string, now time.Time) failoverplanner.Evidence {
+	upstreams := map[string]failoverplanner.UpstreamHealth{}
+	for id, u := range c.state.Upstreams {
+		if u.Service == service {
+			upstreams[id] = c.upstreamHealth(u, now)
+		}
+	}
+	return failoverplanner.Evidence{Service: service, Primary: primary, SyncReplicas: c.state.Configuration().Services[service].SyncReplicas, Upstreams: upstreams}
+}
+
 // upstreamHealth combines the statuses of an upstream that hosts reported.
 func (c *Coordinator) upstreamHealth(u keeper.Upstream, now time.Time) failoverplanner.UpstreamHealth {
 	s := failoverplanner.UpstreamHealth{Upstream: u, SinceAnnouncement: now.Sub(c.announcementTime(u.ID))}
@@ -135,7 +148,10 @@
 	if g.querying || now.Before(g.nextQueryAt) {
 		return
 	}
-	e := failoverplanner.Evidence{Service: service, Primary: primary, Upstreams: upstreams, LeaderFor: now.Sub(c.leadership.startedAt), Promotion: g.promotion.evidence(now)}
+	e := failoverplanner.Evidence{
+		Service: service, Primary: primary, SyncReplicas: c.state.Configuration().Services[service].SyncReplicas, Upstreams: upstreams,
+		LeaderFor: now.Sub(c.leadership.startedAt), Promotion: g.promotion.evidence(now),
+	}
 	if c.PrimaryLease {
 		e.Unfinished, e.SilentHolders = c.unfinishedPromotion(service), c.silentHolders(now)
 	}
@@ -200,59 +216,25 @@
 func (c *Coordinator) queryCandidates(term uint64, e failoverplanner.Evidence, reason string) {
 	ctx, cancel := context.WithTimeout(c.run, statusQueryTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	statuses := map[string]connector.ReplicationStatus{}
-	for id, s := range e.Upstreams {
-		if id == e.Primary || s.Upstream.Lifecycle != keeper.LifecycleReady {
-			continue
-		}
-		wait.Go(func() {
-			status, err := c.QueryStatus(ctx, s.Upstream)
-			if err != nil {
-				c.Log.Info(logger.EventReplicationStatusUnknown, zap.String("upstream", id), zap.Error(err))
-				return
-			}
-			mu.Lock()
-			statuses[id] = status
-			mu.Unlock()
-		})
-	}
-	wait.Wait()
-	c.queue.Do(func() { c.decidePromotion(term, e, statuses, reason) })
+	c.queryPositions(ctx, &e)
+	c.queue.Do(func() { c.decidePromotion(term, e, reason) })
 }
 
 // decidePromotion commits the decision to the log and then requests the
 // promotion.
-func (c *Coordinator) decidePromotion(term uint64, e failoverplanner.Evidence, statuses map[string]connector.ReplicationStatus, reason string) {
+func (c *Coordinator) decidePromotion(term uint64, e failoverplanner.Evidence, reason string) {
 	if !c.leadership.leading || c.leadership.term != term {
 		return
 	}
 	g := c.leadership.services[e.Service]
-	for id, status := range statuses {
-		s := e.Upstreams[id]
-		s.Position, s.Lag = status.ReceivedPosition, status.Lag
-		// An upstream that answers now is running, whatever hosts reported
-		// before.
-		s.SinceAnnouncement = 0
-		e.Upstreams[id] = s
-	}
-	for id, s := range e.Upstreams {
-		if _, ok := statuses[id]; !ok && len(statuses) > 0 && id != e.Primary {
-			// Reported positions may be outdated: an upstream that has answered
-			// is preferred.
-			s.Position = tracker.Position{}
-			e.Upstreams[id] = s
-		}
-	}
 	d := failoverplanner.Decide(e)
 	if d.Candidate == "" {
-		g.querying, g.nextQueryAt = false, c.Now().Add(requeryInterval)
+		c.postponeDecision(g, e, reason)
 		return
 	}
 	fields := []zap.Field{zap.String("service", e.Service), zap.String("candidate", d.Candidate), zap.String("primary", e.Primary), zap.String("reason", reason), zap.Bool("planned", d.Planned)}
 	for id, s := range e.Upstreams {
-		fields = append(fields, zap.Stringer("position_"+id, s.Position))
+		fields = append(fields, zap.Stringer("position_"+id, s.Position), zap.String("response_"+id, string(s.Response)))
 	}
 	c.Log.Info(logger.EventPromotionOrdered, fields...)
 	command := keeper.Command{Kind: keeper.CommandPromote, Service: e.Service, Candidate: d.Candidate, Requester: c.Node, Reason: reason, Planned: d.Planned}
@@ -266,6 +248,24 @@
 	})
 }
 
+// postponeDecision lets a service's upstreams be queried again, soon if one of them was
+// only too busy to tell its position.
+func (c *Coordinator) postponeDecision(g *serviceState, e failoverplanner.Evidence, reason string) {
+	now := c.Now()
+	g.querying, g.nextQueryAt = false, now.Add(requeryInterval)
+	fields := []zap.Field{zap.String("service", e.Service), zap.String("primary", e.Primary), zap.String("reason", reason), zap.Int("sync_replicas", e.SyncReplicas)}
+	for id, s := range e.Upstreams {
+		if s.Response == failoverplanner.ResponseBusy && e.SyncReplicas > 0 {
+			g.nextQueryAt = now
+		}
+		fields = append(fields, zap.Stringer("position_"+id, s.Position), zap.String("response_"+id, string(s.Response)))
+	}
+	if now.Sub(g.undecidedLoggedAt) > blockLogInterval {
+		g.undecidedLoggedAt = now
+		c.Log.Warn(logger.EventPromotionUndecided, fields...)
+	}
+}
+
 // requestPromotion asks the platform for a promotion until it answers. A decision
 // always carries the same fencing token; a later one has a higher token.
 func (c *Coordinator) requestPromotion(term uint64, g *serviceState, o promotion, service string) {
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -59,6 +59,7 @@
 	EventTermStarted              = Event{1403, "term_started"}
 	EventPromotionDone            = Event{1404, "promotion_done"}
 	EventPromotionBlocked         = Event{1405, "promotion_held"}
+	EventPromotionUndecided       = Event{1420, "promotion_undecided"}
 	EventPlatformOrderFailed      = Event{1406, "platform_order_failed"}
 	EventConfigurationInForce     = Event{1407, "configuration_in_force"}
 	EventControlMembersChanged    = Event{1408, "control_members_changed"}
@@ -81,6 +82,6 @@
 		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
-		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused,
+		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided,
 	}
 }
--- a/pkg/failoverplanner/failoverplanner.go
+++ b/pkg/failoverplanner/failoverplanner.go
@@ -54,8 +54,12 @@
 	ReachableHosts, UnreachableHosts int
 	// SinceAnnouncement is the time since its last announcement.
 	SinceAnnouncement time.Duration
-	// Position is the highest log position that it is known to have reached.
+	// Position is the highest log position that it is known to have reached. It has
+	// received exactly the log up to there if Response is ResponseStatus, else perhaps
+	// more.
 	Position tracker.Position
+	// Response is its answer to the query for this decision.
+	Response Response
 	// Superseded is true for a replaced primary that has not announced itself as a
 	// replica since. It might accept work that is meant for the next primary.
 	Superseded bool
@@ -63,6 +67,19 @@
 	Lag time.Duration
 }
 
+// Response is an upstream's answer to the query for its status.
+type Response string
+
+// The answers of an upstream.
+const (
+	// ResponseNone means that the upstream was not queried or did not answer.
+	ResponseNone Response = ""
+	// ResponseBusy means that it runs and did not tell how much it has received.
+	ResponseBusy Response = "busy"
+	// ResponseStatus means that it told how much it has received.
+	ResponseStatus Response = "status"
+)
+
 // hasFailed reports whether most of the reporting hosts cannot connect to the
 // upstream. A report by a single host counts only if announcements are missing
 // too.
@@ -83,7 +100,8 @@
 	// SinceAccepted is the time since the platform accepted the promotion; zero
 	// means that it has not.
 	SinceAccepted time.Duration
-	// Rejected is true when the platform rejected the promotion.
+	// Rejected is true when the platform rejected the promotion, or when it was given
+	// up before the platform was asked.
 	Rejected bool
 }
 
@@ -92,8 +110,13 @@
 	Service string
 	// Primary is the ID of the current primary, or empty.
 	Primary string
+	// SyncReplicas is the number of replicas that have received a commit before it is
+	// acknowledged. With zero, a promotion may lose acknowledged commits.
+	SyncReplicas int
 	// Upstreams are keyed by ID.
 	Upstreams map[string]UpstreamHealth
+	// Queried is true once the upstreams have been queried for this decision.
+	Queried bool
 	// Promotion is the latest promotion, or nil when it is completed or
 	// abandoned.
 	Promotion *Promotion
@@ -191,7 +214,8 @@
 }
 
 // selectCandidate returns the healthy upstream with the highest log position, or
-// an empty string. It prefers the candidate of an unfinished promotion, as the
+// an empty string if there is none or it may lack acknowledged commits that must not be
+// lost. It prefers the candidate of an unfinished promotion, as the
 // platform may still carry that out.
 func (e Evidence) selectCandidate() string {
 	if e.isEligible(e.Unfinished) && (e.Promotion == nil || !e.Promotion.Rejected) {
@@ -199,7 +223,7 @@
 	}
 	best := ""
 	for id, s := range e.Upstreams {
-		if id == e.Primary || !e.isEligible(id) {
+		if id == e.Primary || !e.isEligible(id) || (e.Queried && !e.HasAllCommits(id)) {
 			continue
 		}
 		if best == "" || e.isBetterCandidate(s, e.Upstreams[best]) {
@@ -218,7 +242,36 @@
 	return ok && !s.Superseded && s.Upstream.Lifecycle == keeper.LifecycleReady && !s.hasFailed() && s.SinceAnnouncement <= announcementTimeout
 }
 
+// HasAllCommits reports whether an upstream certainly has each commit that was
+// acknowledged. At least SyncReplicas replicas have received such a commit, so it is
+// missing here only if that many others may have received more than this one. One whose
+// position is unknown may have. An upstream that did not answer itself may have restarted
+// without its log. With no SyncReplicas nothing is certain, and it returns true.
+func (e Evidence) HasAllCommits(id string) bool {
+	if e.SyncReplicas == 0 {
+		return true
+	}
+	if e.Upstreams[id].Response == ResponseNone {
+		return false
+	}
+	mayHaveMore := 0
+	for other, s := range e.Upstreams {
+		if other == id || other == e.Primary {
+			continue
+		}
+		if s.Response != ResponseStatus || e.Upstreams[id].Position.Less(s.Position) {
+			mayHaveMore++
+		}
+	}
+	return mayHaveMore < e.SyncReplicas
+}
+
+// isBetterCandidate prefers upstreams that answered, as the others may have stopped,
+// and of these the one known to have received the most.
 func (e Evidence) isBetterCandidate(a, b UpstreamHealth) bool {
+	if answered := a.Response != ResponseNone; answered != (b.Response != ResponseNone) {
+		return answered
+	}
 	if a.Position != b.Position {
 		return b.Position.Less(a.Position)
 	}
--- a/pkg/failoverplanner/failoverplanner_test.go
+++ b/pkg/failoverplanner/failoverplanner_test.go
@@ -26,6 +26,51 @@
 	}
 }
 
+// The primary p has failed. A commit is acknowledged once one of the replicas a and b, or
+// two of a, b and c, have received it.
+func TestDecideLosesNoCommitThatReplicasConfirmed(t *testing.T) {
+	none, busy, status := ResponseNone, ResponseBusy, ResponseStatus
+	tests := []struct {
+		name         string
+		syncReplicas int
+		// a, b and c are the positions in the log, and the answers to the query.
+		offsets   [3]uint64
+		responses [3]Response
+		want      string
+	}{
+		{"both told their positions", 1, [3]uint64{90, 95}, [3]Response{status, status}, "b"},
+		{"the other has told, the best is busy", 1, [3]uint64{90, 95}, [3]Response{status, busy}, "b"},
+		{"busy at the same position", 1, [3]uint64{90, 90}, [3]Response{status, busy}, "b"},
+		{"the busy one may have more", 1, [3]uint64{95, 90}, [3]Response{status, busy}, ""},
+		{"both are busy", 1, [3]uint64{95, 90}, [3]Response{busy, busy}, ""},
+		{"the other is silent", 1, [3]uint64{95, 90}, [3]Response{status, none}, ""},
+		{"the best is silent", 1, [3]uint64{90, 95}, [3]Response{status, none}, ""},
+		{"both are silent", 1, [3]uint64{90, 95}, [3]Response{none, none}, ""},
+		{"one of three is silent", 2, [3]uint64{90, 95, 80}, [3]Response{status, status, none}, "b"},
+		{"two of three are silent", 2, [3]uint64{90, 95, 80}, [3]Response{status, none, none}, ""},
+		{"nothing is confirmed, one is silent", 0, [3]uint64{90, 95}, [3]Response{status, none}, "a"},
+		{"nothing is confirmed, one is busy", 0, [3]uint64{90, 95}, [3]Response{status, busy}, "b"},
+		{"nothing is confirmed, both are silent", 0, [3]uint64{90, 95}, [3]Response{none, none}, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := Evidence{Service: "s", Primary: "p", LeaderFor: time.Minute, SyncReplicas: test.syncReplicas, Queried: true}
+			p := newUpstreamHealth("p", 100, keeper.RolePrimary)
+			p.UnreachableHosts, p.ReachableHosts = 5, 0
+			e.Upstreams = map[string]UpstreamHealth{"p": p}
+			for i, id := range []string{"a", "b", "c"} {
+				if test.offsets[i] == 0 {
+					continue
+				}
+				s := newUpstreamHealth(id, test.offsets[i], keeper.RoleReplica)
+				s.Response = test.responses[i]
+				e.Upstreams[id] = s
+			}
+			qt.Assert(t, Decide(e).Candidate, qt.Equals, test.want)
+		})
+	}
+}
+
 func TestDecide(t *testing.T) {
 	tests := []struct {
 		name   string
