Give a leader its lease only once its log is applied

Cause: HasLease was true with the commit of an entry of the leader's own term. Functions that wait for the control goroutine run in batches, and committed entries are applied after a batch.

Ruled out: a lease of before the restart (the process has none), and two leaders of one term.

Change: HasLease needs an entry of the own term to be handed out for applying. The entries are applied at the end of the same batch, so an election takes as long as before.

--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -30,15 +30,9 @@
 func (c *Coordinator) ConfigurationDocument(ctx context.Context) ([]byte, error) {
 	document := make(chan []byte, 1)
 	err := c.call(ctx, func(done func(error)) {
-		// The lease is checked after the request arrived, by a clock that
-		// advances during suspensions: nothing newer was committed before the
-		// request.
-		if !c.elector.HasLease(c.Now()) {
-			done(ErrNotLeader)
-			return
-		}
-		document <- c.state.Document
-		done(nil)
+		d, err := c.currentDocument()
+		document <- d
+		done(err)
 	})
 	if err != nil {
 		return nil, err
@@ -46,6 +40,16 @@
 	return <-document, nil
 }
 
+// currentDocument is ConfigurationDocument in the control goroutine. The lease is checked
+// after the request arrived, by a clock that advances during suspensions: nothing newer
+// was committed before the request.
+func (c *Coordinator) currentDocument() ([]byte, error) {
+	if !c.elector.HasLease(c.Now()) {
+		return nil, ErrNotLeader
+	}
+	return c.state.Document, nil
+}
+
 // RecordAnnouncement records an upstream's announcement. It returns nil once
 // the changes in it are committed.
 func (c *Coordinator) RecordAnnouncement(ctx context.Context, u keeper.Upstream) error {
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -197,14 +197,18 @@
 }
 
 // HasLease reports whether this host is the leader, holds an unexpired lease at
-// now and has committed an entry of its own term. No other host can lead while
-// the lease is held.
+// now and was given an entry of its own term to apply by Output. No other host can
+// lead while the lease is held, and the state that the caller has applied lacks no
+// entry that an earlier leader committed.
 func (e *Elector) HasLease(now time.Time) bool {
-	if e.role != RoleLeader || !now.Before(e.leaseUntil) {
-		return false
-	}
-	t, ok := e.log.term(e.log.commit)
-	return ok && t == e.hardState.Term
+	return e.HasAppliedOwnTerm() && now.Before(e.leaseUntil)
+}
+
+// HasAppliedOwnTerm reports whether this host is the leader and Output has returned an
+// entry of its own term to be applied, and with it all entries of earlier terms.
+func (e *Elector) HasAppliedOwnTerm() bool {
+	t, ok := e.log.term(e.log.applied)
+	return e.role == RoleLeader && ok && t == e.hardState.Term
 }
 
 // Output returns the pending work and clears it.
--- a/pkg/elector/restart_test.go
+++ b/pkg/elector/restart_test.go
@@ -121,3 +121,24 @@
 	qt.Assert(t, a.e.HasLease(s.clock(a)), qt.IsTrue)
 	qt.Assert(t, s.failure, qt.Equals, "")
 }
+
+// A leader held its lease as soon as an entry of its own term was committed, although
+// the caller had not been given the entries before it to apply.
+func TestLeaseBeginsWithTheAppliedLog(t *testing.T) {
+	now := time.Unix(0, 0)
+	entries := []Entry{{Index: 1, Term: 1, Kind: EntryCommand}, {Index: 2, Term: 1, Kind: EntryCommand}}
+	e, err := New(Config{
+		ID: "a", HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, InitialMembership: Membership{Voters: []string{"a", "b", "c"}},
+		Jitter: func(time.Duration) time.Duration { return 0 },
+	}, HardState{Term: 1, Leader: "a"}, Snapshot{}, entries, now)
+	qt.Assert(t, err, qt.IsNil)
+	e.Tick(now)
+	e.Step(Message{Kind: MessagePreVoteResponse, From: "b", To: "a", Term: 2}, now)
+	e.Step(Message{Kind: MessageVoteResponse, From: "b", To: "a", Term: 2}, now)
+	e.Output()
+	e.Step(Message{Kind: MessageAppendResponse, From: "b", To: "a", Term: 2, Index: 3, Round: 1}, now)
+	qt.Assert(t, e.CommitIndex(), qt.Equals, uint64(3))
+	qt.Assert(t, e.HasLease(now), qt.IsFalse, qt.Commentf("nothing was returned to be applied"))
+	qt.Assert(t, e.Output().Committed, qt.HasLen, 3)
+	qt.Assert(t, e.HasLease(now), qt.IsTrue)
+}
