End a transaction whose key has passed to another organisation

Cause: the organisation of each statement is looked up anew, and was not compared with the one for which the transaction's connection was opened.

Ruled out: an outdated configuration on the host.

Change: a transaction keeps the organisation that began it.

--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -44,7 +44,7 @@
 	if s.tx == nil {
 		return s.handleOutsideTransaction(ctx, view, r, organisation)
 	}
-	return s.handleInTransaction(ctx, r)
+	return s.handleInTransaction(ctx, view, r)
 }
 
 // handleOutsideTransaction executes a statement that arrives while no
@@ -102,13 +102,15 @@
 }
 
 // handleInTransaction executes a statement of an open transaction.
-func (s *session) handleInTransaction(ctx context.Context, r *request) Reply {
+func (s *session) handleInTransaction(ctx context.Context, view *keeper.View, r *request) Reply {
 	st := r.statement
 	switch {
 	case st.Verb == VerbRollback:
 		s.tx.rollBack()
 		s.tx = nil
 		return Reply{State: connector.StateIdle}
+	case s.tx.organisation != r.organisation:
+		return s.refuse(st, view, refuser.New(refuser.ReasonTransactionLost, "the caller's key has passed from organisation "+s.tx.organisation+" to "+r.organisation))
 	case st.Verb == VerbCommit:
 		out := s.tx.commit(ctx, r)
 		s.tx = nil
--- a/internal/transactor/transaction.go
+++ b/internal/transactor/transaction.go
@@ -13,7 +13,10 @@
 // transaction is a caller's open transaction. Its upstream is chosen with its
 // first statement and does not change afterwards.
 type transaction struct {
-	readOnly bool
+	// organisation is the one that began it, or empty on a public route. Its upstream
+	// connection acts for that organisation, whoever holds the caller's key later.
+	organisation string
+	readOnly     bool
 	// arrived is when the transaction began, by a clock that keeps running
 	// while the machine is suspended.
 	arrived time.Time
@@ -29,7 +32,7 @@
 }
 
 func newTransaction(r *request) *transaction {
-	return &transaction{readOnly: r.statement.ReadOnly, arrived: r.arrived}
+	return &transaction{organisation: r.organisation, readOnly: r.statement.ReadOnly, arrived: r.arrived}
 }
 
 // needsPrimary reports whether the transaction must run on the primary.
