Keep the positions of a session's commits by service

Callers saw (in a test): after a route had moved to another service, the reads of a session that had written before were refused as lagging, for good.

Cause: the position of the session's newest commit had no service, and became the floor of reads in a log that has positions of its own.

Ruled out: missing samples of the new service's primary; the floor was the former service's position.

Change: positions are kept by service.

Result: TestReadsAfterTheRouteHasMovedIgnoreCommitsOfItsFormerService failed before and passes.

--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -150,7 +150,10 @@
 	if a.Position.IsZero() || !r.use.mayAcknowledge() {
 		return
 	}
-	r.session.lastCommit = a.Position
+	if r.session.lastCommits == nil {
+		r.session.lastCommits = map[string]tracker.Position{}
+	}
+	r.session.lastCommits[r.route.Service] = a.Position
 	r.session.server.Upstreams.AddSample(r.route.Service, sentAt, a.Position)
 }
 
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -26,13 +26,13 @@
 // sample is recent enough, it requests one, or else queries the primary itself.
 func (r *request) floor(ctx context.Context) (tracker.Position, *refuser.Refusal) {
 	upstreams := r.session.server.Upstreams
-	if p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommit); ok {
+	if p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommits[r.route.Service]); ok {
 		return p, nil
 	}
 	if refresh := r.session.server.RefreshSample; refresh != nil {
 		// If this fails, querying the primary below returns the reason.
 		if refresh(ctx, r.route.Service, r.route.MaxStaleness/refreshDivisor) == nil {
-			if p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommit); ok {
+			if p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommits[r.route.Service]); ok {
 				return p, nil
 			}
 		}
@@ -40,7 +40,7 @@
 	if out := r.samplePrimary(ctx); out.refusal != nil {
 		return noFloor, refuser.Wrap(refuser.ReasonNoFloor, "service "+r.route.Service, out.refusal)
 	}
-	p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommit)
+	p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommits[r.route.Service])
 	if !ok {
 		return noFloor, refuser.New(refuser.ReasonNoFloor, "service "+r.route.Service)
 	}
@@ -130,7 +130,7 @@
 	if !ok || s.Position.Term <= floor.Term {
 		return floor, false
 	}
-	return upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommit)
+	return upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommits[r.route.Service])
 }
 
 // readReplica runs a single read on the nearest upstream that has reached the
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -54,8 +54,9 @@
 	startup  Startup
 	values   map[string]string
 	prepared map[string]preparedStatement
-	// lastCommit is the position of the session's newest commit.
-	lastCommit tracker.Position
+	// lastCommits are the positions of the session's newest commits, by service: the
+	// route may move to another service, whose log has positions of its own.
+	lastCommits map[string]tracker.Position
 	// tx is the open transaction, or nil.
 	tx *transaction
 	// lease is the latest one of an upstream connection.
