Keep a transaction's route until it ends

Callers saw (in a test): when a route moved to another service while a transaction was open, all reads of the other service with a bounded age were refused as lagging.

Cause: each statement of a transaction took the present route. The position of its commit was recorded as one of the service that the route named by then.

Ruled out: the session's own commit positions, which have their service since the commit before.

Change: a transaction keeps the route of its first statement, with its service and time-outs: a change of a route applies from the next transaction.

Result: TestCommitAfterTheRouteHasMovedCountsForItsOwnService failed before and passes.

--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -30,6 +30,9 @@
 	if refusal != nil {
 		return s.refuse(st, view, refusal)
 	}
+	if s.tx != nil && s.tx.lease != nil {
+		route = s.tx.route
+	}
 	timeout := route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/transactor/transaction.go
+++ b/internal/transactor/transaction.go
@@ -21,7 +21,10 @@
 	// while the machine is suspended.
 	arrived time.Time
 	// lease is nil until the first statement is executed.
-	lease   *connector.Lease
+	lease *connector.Lease
+	// route is the one of the first statement that was executed. A change of the route
+	// applies from the next transaction.
+	route   keeper.Route
 	primary bool
 	// use is the work at the primary; nil for a transaction on a replica.
 	use *primaryUse
@@ -102,7 +105,7 @@
 		out.retryable = true
 		return out
 	}
-	t.lease, t.primary, t.use, t.wrote = l, !begin.ReadOnly, r.use, r.writes
+	t.lease, t.route, t.primary, t.use, t.wrote = l, r.route, !begin.ReadOnly, r.use, r.writes
 	return outcome{answer: a, keepLease: true}
 }
 
