Leave out odd entries of lists instead of refusing the lists

Callers saw (in tests): an entry host that could not decode one entry of a topology left its control host and asked again without end; a report with one such entry ended its stream; one in the stored state kept a control host from starting; a control host's announcement without a usable address replaced the address of a member.

Cause: lists were decoded whole by encoding/json.

Ruled out: entries of callers or upstreams. They are decoded one by one already and encoded anew before they get into a list; what is left are processes of other builds and damaged files.

Change: package decoder decodes the entries of maps and slices one by one when a document cannot be decoded whole, and reports the odd ones, which are logged. Reports, topologies, peers and the stored state use it. A configuration is used whole or not at all, as without an entry it could allow what it forbids.

--- a/internal/controlclient/apply.go
+++ b/internal/controlclient/apply.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/decoder"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
@@ -17,7 +18,7 @@
 	old := c.current()
 	next := *old.view
 	changed := false
-	configuration, err := nextConfiguration(u, old.view)
+	configuration, err := c.nextConfiguration(u, old.view)
 	if err != nil {
 		return err
 	}
@@ -51,9 +52,11 @@
 	}
 	if u.Peers != nil {
 		var peers map[string]keeper.Peer
-		if err := u.Peers.Decode(&peers); err != nil {
+		odd, err := u.Peers.DecodeEntries(&peers)
+		if err != nil {
 			return err
 		}
+		c.logIgnored("peers", odd)
 		if !maps.Equal(peers, next.Peers) {
 			next.Peers = peers
 			changed = true
@@ -88,12 +91,24 @@
 	return nil
 }
 
-// nextConfiguration returns the configuration in an update, or the present one.
-func nextConfiguration(u Update, view *keeper.View) (keeper.Configuration, error) {
+// logIgnored logs the entries of a list that were left out.
+func (c *Client) logIgnored(part string, odd []*decoder.EntryError) {
+	for _, e := range odd {
+		c.Log.Warn(logger.EventEntryIgnored, zap.String("part", part), zap.Error(e))
+	}
+}
+
+// nextConfiguration returns the configuration in an update, or the present one. A
+// configuration is used whole or not at all: without an entry it would allow what it
+// forbids. A host that cannot read one goes on with its own and with the topology.
+func (c *Client) nextConfiguration(u Update, view *keeper.View) (keeper.Configuration, error) {
 	if u.Configuration != nil {
 		var configuration keeper.Configuration
-		err := u.Configuration.Decode(&configuration)
-		return configuration, err
+		if err := u.Configuration.Decode(&configuration); err != nil {
+			c.Log.Error(logger.EventEntryIgnored, zap.String("part", "configuration"), zap.Error(err))
+			return view.Configuration, nil
+		}
+		return configuration, nil
 	}
 	if u.ConfigurationChange == nil {
 		return view.Configuration, nil
@@ -113,18 +128,22 @@
 func (c *Client) nextTopology(u Update, view *keeper.View) (*Topology, error) {
 	if u.Topology != nil {
 		var t Topology
-		if err := u.Topology.Decode(&t); err != nil {
+		odd, err := u.Topology.DecodeEntries(&t)
+		if err != nil {
 			return nil, err
 		}
+		c.logIgnored("topology", odd)
 		return &t, nil
 	}
 	if u.TopologyChange == nil {
 		return nil, nil
 	}
 	var change TopologyChange
-	if err := u.TopologyChange.Decode(&change); err != nil {
+	odd, err := u.TopologyChange.DecodeEntries(&change)
+	if err != nil {
 		return nil, err
 	}
+	c.logIgnored("change of topology", odd)
 	t, ok := change.Apply(Topology{
 		Revision: view.Revision, Index: view.Index, Upstreams: view.Upstreams, Primaries: view.Primaries, Promotions: view.Promotions, Members: view.Members,
 	})
--- a/internal/controlclient/compressed_json.go
+++ b/internal/controlclient/compressed_json.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 
+	"github.com/shallotstage/shallotstage/internal/decoder"
 	"github.com/shallotstage/shallotstage/internal/messenger"
 )
 
@@ -32,3 +33,17 @@
 	}
 	return nil
 }
+
+// DecodeEntries is Decode for values with lists. It returns the entries that could not be
+// decoded and were left out.
+func (p CompressedJSON) DecodeEntries(v any) ([]*decoder.EntryError, error) {
+	body, err := messenger.Decompress(p)
+	if err != nil {
+		return nil, err
+	}
+	odd, err := decoder.Decode(body, v)
+	if err != nil {
+		return nil, fmt.Errorf("controlclient: decode: %w", err)
+	}
+	return odd, nil
+}
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -28,6 +28,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/shallotstage/shallotstage/internal/decoder"
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
@@ -240,7 +241,7 @@
 		return fmt.Errorf("controlclient: open stream: %w", err)
 	}
 	updates := make(chan Update)
-	go receiveUpdates(ctx, cancel, stream, updates)
+	go c.receiveUpdates(ctx, cancel, stream, updates)
 	c.reported, c.sentAt = nil, map[uint64]time.Time{}
 	if err := c.sendReport(stream); err != nil {
 		return err
@@ -283,10 +284,11 @@
 	}
 }
 
-func receiveUpdates(ctx context.Context, cancel context.CancelCauseFunc, stream drpc.Stream, updates chan<- Update) {
+func (c *Client) receiveUpdates(ctx context.Context, cancel context.CancelCauseFunc, stream drpc.Stream, updates chan<- Update) {
+	encoding := linker.EntryEncoding{Ignored: func(e *decoder.EntryError) { c.logIgnored("update", []*decoder.EntryError{e}) }}
 	for {
 		var u Update
-		if err := stream.MsgRecv(&u, linker.JSONEncoding{}); err != nil {
+		if err := stream.MsgRecv(&u, encoding); err != nil {
 			cancel(fmt.Errorf("controlclient: receive update: %w", err))
 			return
 		}
--- a/internal/coordinator/apply.go
+++ b/internal/coordinator/apply.go
@@ -24,6 +24,7 @@
 	}
 	var command keeper.Command
 	if err := json.Unmarshal(e.Data, &command); err != nil {
+		c.Log.Error(logger.EventEntryIgnored, zap.String("part", "log"), zap.Uint64("index", e.Index), zap.Error(err))
 		c.answer(e, keeper.Outcome{}, fmt.Errorf("coordinator: decode entry %d: %w", e.Index, err))
 		return
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -27,6 +27,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/internal/decoder"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/storer"
 	"github.com/shallotstage/shallotstage/internal/tasker"
@@ -202,6 +203,7 @@
 			if err != nil {
 				return err
 			}
+			c.logIgnored("snapshot", state.Ignored()...)
 			c.state, c.applied, c.logBytes = state, out.Snapshot.Index, 0
 			c.transport.addAddresses(state.Members)
 		}
@@ -217,6 +219,13 @@
 	}
 }
 
+// logIgnored logs the entries of a list that were left out.
+func (c *Coordinator) logIgnored(part string, entries ...*decoder.EntryError) {
+	for _, e := range entries {
+		c.Log.Warn(logger.EventEntryIgnored, zap.String("part", part), zap.Error(e))
+	}
+}
+
 // save stores an output. While the disk refuses writes, nothing is sent, answered
 // or applied, so the other hosts see this one as silent.
 func (c *Coordinator) save(ctx context.Context, out elector.Output) bool {
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"github.com/shallotstage/shallotstage/internal/controlclient"
+	"github.com/shallotstage/shallotstage/internal/decoder"
 	"github.com/shallotstage/shallotstage/internal/linker"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
@@ -72,17 +73,23 @@
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	a := &hostStream{cancel: cancel, updateNeeded: make(chan struct{}, 1), statuses: map[string]controlclient.UpstreamStatus{}}
+	encoding := linker.EntryEncoding{Ignored: func(e *decoder.EntryError) { c.logIgnored("report", e) }}
 	go func() {
 		defer cancel()
 		for ctx.Err() == nil {
 			var r controlclient.Report
-			if err := stream.MsgRecv(&r, linker.JSONEncoding{}); err != nil {
+			if err := stream.MsgRecv(&r, encoding); err != nil {
 				return
 			}
 			if r.Host == "" {
 				c.Log.Warn(logger.EventReportRefused, zap.String("data_centre", r.DataCentre), zap.String("address", r.PeerAddress))
 				return
 			}
+			if err := linker.CheckAddress(r.PeerAddress); r.PeerAddress != "" && err != nil {
+				// The host serves; others cannot reach it.
+				c.Log.Warn(logger.EventEntryIgnored, zap.String("part", "report of "+r.Host), zap.Error(err))
+				r.PeerAddress = ""
+			}
 			if !c.submit(func() { c.handleReport(a, r) }) {
 				return
 			}
--- a/internal/coordinator/membership.go
+++ b/internal/coordinator/membership.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		leader, err := c.announceTo(ctx, target)
-		if err != nil || leader == nil {
+		if err != nil || leader == nil || linker.CheckAddress(leader.PeerAddress) != nil {
 			target = ""
 			continue
 		}
@@ -165,6 +165,10 @@
 	if err := stream.MsgRecv(&in, linker.JSONEncoding{}); err != nil {
 		return err
 	}
+	if err := checkMember(in.Member); err != nil {
+		c.Log.Warn(logger.EventEntryIgnored, zap.String("part", "announcement of a control host"), zap.Error(err))
+		return err
+	}
 	answer := make(chan notice, 1)
 	if !c.submit(func() { answer <- c.handleAnnouncement(in) }) {
 		return ErrStopped
@@ -179,6 +183,14 @@
 	}
 }
 
+// checkMember returns an error unless a control host can be reached as it announces.
+func checkMember(m keeper.Member) error {
+	if m.ID == "" {
+		return errors.New("coordinator: control host without an ID")
+	}
+	return linker.CheckAddress(m.PeerAddress)
+}
+
 func (c *Coordinator) handleAnnouncement(in notice) notice {
 	c.transport.setAddress(in.Member)
 	if c.leadership.leading {
--- a/internal/coordinator/open.go
+++ b/internal/coordinator/open.go
@@ -45,6 +45,7 @@
 	if c.state, err = keeper.Unmarshal(loaded.Snapshot.Data, c.Decode); err != nil {
 		return err
 	}
+	c.logIgnored("data folder", c.state.Ignored()...)
 	c.applied = loaded.Snapshot.Index
 	c.transport = newPeerTransport(c)
 	c.loadAddresses(loaded.Entries)
--- a/internal/linker/json.go
+++ b/internal/linker/json.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
 
 	"storj.io/drpc"
+
+	"github.com/shallotstage/shallotstage/internal/decoder"
 )
 
 // JSONEncoding is the encoding of calls without generated code. It encodes a
@@ -15,3 +20,34 @@
 
 // Unmarshal implements drpc.Encoding.
 func (JSONEncoding) Unmarshal(buf []byte, msg drpc.Message) error { return json.Unmarshal(buf, msg) }
+
+// EntryEncoding is a JSONEncoding that leaves out entries of the message's lists that
+// cannot be decoded, and passes them to Ignored, which may be nil.
+type EntryEncoding struct {
+	JSONEncoding
+	Ignored func(e *decoder.EntryError)
+}
+
+// Unmarshal implements drpc.Encoding.
+func (enc EntryEncoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	odd, err := decoder.Decode(buf, msg)
+	for _, e := range odd {
+		if enc.Ignored != nil {
+			enc.Ignored(e)
+		}
+	}
+	return err
+}
+
+// CheckAddress returns an error unless a process can be reached at the address: a host
+// and a port from 1 to 65535.
+func CheckAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return fmt.Errorf("linker: address %q: %w", address, err)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return fmt.Errorf("linker: address %q needs a host and a port from 1 to 65535", address)
+	}
+	return nil
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -45,6 +45,7 @@
 	EventReadinessChanged         = Event{1007, "readiness_changed"}
 	EventReportRefused            = Event{1419, "report_refused"}
 	EventPanicRecovered           = Event{1009, "panic_recovered"}
+	EventEntryIgnored             = Event{1010, "entry_ignored"}
 	EventUpstreamAnnounced        = Event{1201, "upstream_announced"}
 	EventAnnouncementRefused      = Event{1202, "announcement_refused"}
 	EventUpstreamLifecycleChanged = Event{1203, "upstream_lifecycle_changed"}
@@ -82,6 +83,6 @@
 		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
-		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided,
+		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored,
 	}
 }
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -18,6 +18,8 @@
 	"fmt"
 	"maps"
 	"sort"
+
+	"github.com/shallotstage/shallotstage/internal/decoder"
 )
 
 // maxTombstones limits the removed upstreams that are kept to reject their late
@@ -54,6 +56,7 @@
 
 	configuration Configuration
 	decode        DecodeFunc
+	ignored       []*decoder.EntryError
 	// revision counts the changes that are sent to entry hosts.
 	revision uint64
 	// peersRevision counts the commands that may change Peers.
@@ -72,22 +75,53 @@
 
 // New returns an empty state.
 func New(decode DecodeFunc) *State {
-	return &State{
-		Upstreams: map[string]Upstream{}, Removed: map[string]Upstream{}, Primaries: map[string]string{},
-		Promotions: map[string]Promotion{}, Superseded: map[string]string{}, Members: map[string]Member{}, Hosts: map[string]bool{}, Peers: map[string]Peer{}, decode: decode,
+	s := &State{decode: decode}
+	s.makeMaps()
+	return s
+}
+
+// makeMaps makes the maps that are missing.
+func (s *State) makeMaps() {
+	if s.Upstreams == nil {
+		s.Upstreams = map[string]Upstream{}
+	}
+	if s.Removed == nil {
+		s.Removed = map[string]Upstream{}
+	}
+	if s.Primaries == nil {
+		s.Primaries = map[string]string{}
+	}
+	if s.Promotions == nil {
+		s.Promotions = map[string]Promotion{}
+	}
+	if s.Superseded == nil {
+		s.Superseded = map[string]string{}
+	}
+	if s.Members == nil {
+		s.Members = map[string]Member{}
+	}
+	if s.Hosts == nil {
+		s.Hosts = map[string]bool{}
+	}
+	if s.Peers == nil {
+		s.Peers = map[string]Peer{}
 	}
 }
 
 // Unmarshal decodes a state that Marshal encoded. An empty body gives an empty
-// state.
+// state. Entries that cannot be decoded, perhaps those of another build, are left out:
+// see Ignored.
 func Unmarshal(body []byte, decode DecodeFunc) (*State, error) {
-	s := New(decode)
 	if len(body) == 0 {
-		return s, nil
+		return New(decode), nil
 	}
-	if err := json.Unmarshal(body, s); err != nil {
+	s := &State{}
+	ignored, err := decoder.Decode(body, s)
+	if err != nil {
 		return nil, fmt.Errorf("keeper: decode state: %w", err)
 	}
+	s.ignored, s.decode = ignored, decode
+	s.makeMaps()
 	if len(s.Document) == 0 {
 		return s, nil
 	}
@@ -99,6 +133,9 @@
 	return s, nil
 }
 
+// Ignored returns the entries that Unmarshal left out.
+func (s *State) Ignored() []*decoder.EntryError { return s.ignored }
+
 // Marshal encodes the state for a snapshot.
 func (s *State) Marshal() ([]byte, error) {
 	body, err := json.Marshal(s)
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strconv"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -167,3 +168,24 @@
 	v = apply(announce("b", "y:1", 9, 1, RoleReplica), 5)
 	qt.Assert(t, v.PromotionCandidate("s"), qt.Equals, "")
 }
+
+// One entry of the stored state that a build cannot decode kept its control host from
+// starting.
+func TestUnmarshalLeavesOutOddEntries(t *testing.T) {
+	s := New(decode)
+	s.Apply(Command{Kind: CommandUpdateUpstream, Upstream: &Upstream{ID: "good", Service: "s", Address: "a:1", Role: RolePrimary, Sequence: 1}}, 1)
+	body, err := s.Marshal()
+	qt.Assert(t, err, qt.IsNil)
+	text := strings.Replace(string(body), `"upstreams":{`, `"upstreams":{"odd":{"id":"odd","slots":1e30},`, 1)
+	text = strings.Replace(text, `"members":{}`, `"members":{"c1":[]}`, 1)
+	qt.Assert(t, text, qt.Not(qt.Equals), string(body))
+	got, err := Unmarshal([]byte(text), decode)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got.Ignored(), qt.HasLen, 2)
+	qt.Assert(t, got.Upstreams, qt.DeepEquals, s.Upstreams)
+	qt.Assert(t, got.Primaries, qt.DeepEquals, s.Primaries)
+	// The state can be used: none of its maps is missing.
+	got.Apply(Command{Kind: CommandSetMember, Member: &Member{ID: "c2"}}, 2)
+	got.Apply(Command{Kind: CommandHostJoined, Host: "h"}, 3)
+	got.Apply(Command{Kind: CommandRemoveUpstream, Upstream: &Upstream{ID: "good"}}, 4)
+}
