Use the good seeds and zones of a settings file

Operators saw (in a test): one seed of another type, or without a usable port, made a process refuse its whole settings file: at a start it ended.

Cause: lists of the file were decoded whole, and seeds that cannot be split were dropped without a line in the log.

Ruled out: unknown fields; they are ignored.

Change: seeds and zones are checked one by one; the odd ones are logged and left out.

--- a/cmd/shallotstage-host/run.go
+++ b/cmd/shallotstage-host/run.go
@@ -71,7 +71,7 @@
 	log = log.With(zap.String("node", settings.Node))
 	limitMemory(settings.MemoryBytes)
 	watcher := &settingsWatcher{path: args.Config, log: log}
-	watcher.current.Store(&settings)
+	watcher.use(settings)
 	go watcher.watch(hangups)
 	if args.Entry != nil {
 		err = newEntryHost(watcher, log).Run(ctx)
@@ -137,13 +137,21 @@
 	}
 }
 
+// use makes settings the current ones and logs what they leave out.
+func (w *settingsWatcher) use(settings platform.Settings) {
+	for _, e := range settings.Ignored {
+		w.log.Warn(logger.EventEntryIgnored, zap.String("part", "settings"), zap.Error(e))
+	}
+	w.current.Store(&settings)
+}
+
 func (w *settingsWatcher) reload(signalled bool) {
 	settings, err := platform.ReadSettings(w.path)
 	if err != nil {
 		w.log.Warn(logger.EventSettingsRefused, zap.Error(err))
 		return
 	}
-	w.current.Store(&settings)
+	w.use(settings)
 	w.log.Info(logger.EventSettingsRead, zap.Bool("signalled", signalled), zap.Strings("seeds", settings.Seeds))
 }
 
