Refuse announcements that contradict the agreed upstreams

Callers saw (in a test): an announcement under the ID of an upstream, of another service or address, moved that upstream there; one of a service that no configuration names took the address of an upstream, which was removed.

Cause: an announcement was taken over if its start and sequence were new.

Ruled out: values that cannot be an upstream's; they are refused before.

An upstream that restarts, and one of a known service that takes an address over, are recorded as before.

--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -50,14 +50,51 @@
 	return c.state.Document, nil
 }
 
+// AnnouncementConflictError means that an announcement contradicts what is agreed, so
+// that it cannot be the upstream's.
+type AnnouncementConflictError struct {
+	Upstream string
+	Reason   string
+}
+
+// Error implements error.
+func (e *AnnouncementConflictError) Error() string {
+	return "coordinator: announcement of upstream " + e.Upstream + ": " + e.Reason
+}
+
+// contradiction returns what an announcement contradicts, or an empty string. An upstream
+// keeps its service and address until it restarts, and one of an unknown service does not
+// take the address of another.
+func (c *Coordinator) contradiction(u keeper.Upstream) string {
+	old, known := c.state.Upstreams[u.ID]
+	if known && u.IncarnationStart != 0 && old.IncarnationStart == u.IncarnationStart && (old.Service != u.Service || old.Address != u.Address) {
+		return "the same incarnation is of service " + old.Service + " at " + old.Address
+	}
+	services := c.state.Configuration().Services
+	if _, ok := services[u.Service]; ok {
+		return ""
+	}
+	for id, other := range c.state.Upstreams {
+		if _, ok := services[other.Service]; ok && id != u.ID && other.Address == u.Address {
+			return "its service is unknown and its address that of " + id
+		}
+	}
+	return ""
+}
+
 // RecordAnnouncement records an upstream's announcement. It returns nil once
-// the changes in it are committed.
+// the changes in it are committed, and an AnnouncementConflictError if it contradicts what
+// is agreed.
 func (c *Coordinator) RecordAnnouncement(ctx context.Context, u keeper.Upstream) error {
 	return c.call(ctx, func(done func(error)) {
 		if !c.elector.HasLease(c.Now()) {
 			done(ErrNotLeader)
 			return
 		}
+		if reason := c.contradiction(u); reason != "" {
+			done(&AnnouncementConflictError{Upstream: u.ID, Reason: reason})
+			return
+		}
 		if old, ok := c.state.Upstreams[u.ID]; !ok || old.IncarnationStart <= u.IncarnationStart {
 			c.leadership.lastAnnounced[u.ID] = c.Now()
 		}
