Await the hosts of the applied log before shares are granted

Cause: the hosts that may hold shares of an earlier leader were copied from the state at the moment of the election.

Ruled out: the shares that reporting hosts name; they are counted.

Change: the holders of shares and of leases are recalled once an entry of the leader's own term is applied, before anything can be granted.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -213,6 +213,7 @@
 		for _, e := range out.Committed {
 			c.apply(e)
 		}
+		c.recallEarlierHolders()
 		c.compact()
 		c.releaseHeldReports(c.Now())
 		c.leadership.publish(c)
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -50,10 +50,10 @@
 	// leases are the entry hosts' leases to act at primaries. Their version is the
 	// log index that a host follows.
 	leases fencer.Granter
-	// knowsLeaseHolders is true once the hosts that may hold a lease of an earlier
-	// leader are known.
-	knowsLeaseHolders bool
-	services          map[string]*serviceState
+	// knowsEarlierHolders is true once the hosts that may hold a lease or shares of an
+	// earlier leader are known.
+	knowsEarlierHolders bool
+	services            map[string]*serviceState
 	// decidedAt is when the leader last evaluated its decisions.
 	decidedAt time.Time
 	// published holds the versions of the state last published to the hosts, at
@@ -149,7 +149,20 @@
 	c.leadership.services = map[string]*serviceState{}
 	c.leadership.leases = fencer.Granter{TTL: primaryLease, MaxClockDrift: maxClockDrift}
 	c.leadership.leases.Reset(now)
-	c.leadership.shares = sharer.Sharer{StartedAt: now, LeaseDuration: shareLease, PendingHosts: maps.Clone(c.state.Hosts)}
+	c.leadership.shares = sharer.Sharer{StartedAt: now, LeaseDuration: shareLease}
+}
+
+// recallEarlierHolders takes over the hosts to which an earlier leader may have granted
+// leases and shares. It must be called as soon as the log of the earlier leaders is
+// applied, before anything is granted: at the election itself the state of a host that
+// has just restarted is its last snapshot.
+func (c *Coordinator) recallEarlierHolders() {
+	if !c.leadership.leading || c.leadership.knowsEarlierHolders || c.leadership.term != c.elector.Term() || !c.elector.HasAppliedOwnTerm() {
+		return
+	}
+	c.leadership.knowsEarlierHolders = true
+	c.leadership.leases.SetKnownHolders(slices.Collect(maps.Keys(c.state.Hosts)))
+	c.leadership.shares.AwaitHosts(c.state.Hosts)
 }
 
 // tick evaluates the leader's periodic decisions.
@@ -158,11 +171,6 @@
 		return
 	}
 	c.leadership.decidedAt = now
-	if !c.leadership.knowsLeaseHolders {
-		// With the leader's own lease, all entries of earlier leaders are applied.
-		c.leadership.leases.SetKnownHolders(slices.Collect(maps.Keys(c.state.Hosts)))
-		c.leadership.knowsLeaseHolders = true
-	}
 	c.updateMembership(now)
 	c.checkPrimaries(now)
 	c.removeSilentHosts(now)
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -11,9 +11,11 @@
 	qt "github.com/frankban/quicktest"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/shallotstage/shallotstage/internal/controlclient"
 	"github.com/shallotstage/shallotstage/internal/storer"
 	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/spender"
 )
 
 // The control hosts of a takeover, and the versions in the data of the first: the one in
@@ -30,11 +32,15 @@
 type takeover struct {
 	*Coordinator
 	t *testing.T
+	// logged is the index of the last entry in its log.
+	logged uint64
 	// toVoter receives the host's messages.
 	toVoter chan elector.Message
 }
 
-func newTakeover(t *testing.T, snapshot *keeper.State) *takeover {
+// newTakeover starts the host. Its log has the configurations after the snapshot and then
+// the given commands.
+func newTakeover(t *testing.T, snapshot *keeper.State, commands ...keeper.Command) *takeover {
 	dir := t.TempDir()
 	store, err := storer.Open(dir, "c0")
 	qt.Assert(t, err, qt.IsNil)
@@ -44,14 +50,18 @@
 	first := elector.Snapshot{Index: 1, Membership: elector.Membership{Voters: []string{takeoverLeader, takeoverVoter, "127.0.0.1:3"}}, Data: body}
 	qt.Assert(t, store.SaveSnapshot(first), qt.IsNil)
 	out := elector.Output{HardState: &elector.HardState{Term: 1, VotedFor: takeoverLeader, Leader: takeoverLeader}}
+	var logged []keeper.Command
 	for version := uint64(snapshotVersion + 1); version <= loggedVersion; version++ {
-		data, err := json.Marshal(keeper.Command{Kind: keeper.CommandConfigure, Version: version, Document: []byte(fmt.Sprint(version))})
+		logged = append(logged, keeper.Command{Kind: keeper.CommandConfigure, Version: version, Document: []byte(fmt.Sprint(version))})
+	}
+	for i, command := range append(logged, commands...) {
+		data, err := json.Marshal(command)
 		qt.Assert(t, err, qt.IsNil)
-		out.Entries = append(out.Entries, elector.Entry{Index: version, Term: 1, Kind: elector.EntryCommand, Data: data})
+		out.Entries = append(out.Entries, elector.Entry{Index: first.Index + uint64(i) + 1, Term: 1, Kind: elector.EntryCommand, Data: data})
 	}
 	qt.Assert(t, store.Save(out), qt.IsNil)
 	qt.Assert(t, store.Close(), qt.IsNil)
-	h := &takeover{t: t, toVoter: make(chan elector.Message, sendQueueSize), Coordinator: &Coordinator{
+	h := &takeover{t: t, logged: first.Index + uint64(len(out.Entries)), toVoter: make(chan elector.Message, sendQueueSize), Coordinator: &Coordinator{
 		Settings: Settings{Node: "c0", DataDir: dir, PeerAddress: takeoverLeader, Voters: 3},
 		Seeds:    func() []string { return nil }, Decode: decodeVersion, Now: time.Now,
 		Dial: func(context.Context, string) (*drpcconn.Conn, error) {
@@ -97,7 +107,7 @@
 			case elector.MessageAppend:
 				last := m.Index + uint64(len(m.Entries))
 				h.step(elector.Message{Kind: elector.MessageAppendResponse, Term: m.Term, Index: last, Round: m.Round}, afterEach)
-				if last > loggedVersion {
+				if last > h.logged {
 					return
 				}
 			}
@@ -133,3 +143,39 @@
 		return err == nil && string(document) == fmt.Sprint(loggedVersion)
 	})
 }
+
+// report handles the report of an entry host and returns the update in answer.
+func (h *takeover) report(r controlclient.Report) controlclient.Update {
+	updates := make(chan controlclient.Update, 1)
+	qt.Assert(h.t, h.submit(func() {
+		a := &hostStream{cancel: func() {}, updateNeeded: make(chan struct{}, 1), statuses: map[string]controlclient.UpstreamStatus{}}
+		h.handleReport(a, r)
+		updates <- h.buildUpdate(a)
+	}), qt.IsTrue)
+	return <-updates
+}
+
+// A leader that had just restarted granted a host the whole rate of an organisation while
+// another host, cut off at the time, still held its share: the leader took the hosts of its
+// last snapshot for all that may hold one.
+func TestRestartedLeaderGrantsNoShareThatAnotherHostHolds(t *testing.T) {
+	joined := func(host string) keeper.Command {
+		return keeper.Command{Kind: keeper.CommandHostJoined, Host: host, Peer: keeper.Peer{Address: host + ":1", DataCentre: "a"}}
+	}
+	h := newTakeover(t, snapshotState(), joined("entry-1"), joined("cut-off"))
+	h.elect(func() {})
+	report := controlclient.Report{
+		Sequence: 1, Host: "entry-1", Incarnation: 1, DataCentre: "a", PeerAddress: "entry-1:1", AcceptsChanges: true,
+		Shares: spender.Report{Demands: map[string]float64{"o": 50}},
+	}
+	u := h.report(report)
+	for u.GrantNumber == 0 {
+		report.Sequence++
+		u = h.report(report)
+	}
+	qt.Assert(t, u.Extras["o"], qt.Equals, 0.0)
+	report.Host, report.PeerAddress, report.Shares = "cut-off", "cut-off:1", spender.Report{Extras: map[string]float64{"o": 0.9}}
+	h.report(report)
+	report.Host, report.PeerAddress, report.Shares = "entry-1", "entry-1:1", spender.Report{Demands: map[string]float64{"o": 50}}
+	qt.Assert(t, h.report(report).Extras["o"] <= 0.06, qt.IsTrue, qt.Commentf("the rest of the rate is the other host's"))
+}
--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -138,6 +138,17 @@
 	}
 }
 
+// AwaitHosts makes hosts pending that have not reported yet. It must be called before the
+// first grant.
+func (s *Sharer) AwaitHosts(hosts map[string]bool) {
+	s.PendingHosts = map[string]bool{}
+	for id := range hosts {
+		if s.hosts[id] == nil {
+			s.PendingHosts[id] = true
+		}
+	}
+}
+
 // RemoveHost removes a host that has certainly stopped.
 func (s *Sharer) RemoveHost(id string) {
 	if h := s.hosts[id]; h != nil {
