Count the agreed hosts after an election

Cause: the count came from reports alone. A restarted host reports none.

Ruled out: hosts that kept running; they report the count they know.

Change: the agreed hosts count as well while a leader is new, and no count goes out before the log of the earlier leaders is applied.

Result: TestRestartedLeaderCountsTheAgreedHosts passes; without the change the first host is told that it is alone.

--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -226,7 +226,7 @@
 	if !c.leadership.leading || c.leadership.hosts[a.name] != a {
 		return controlclient.Update{NotLeading: true, Leader: c.leaderAddress()}
 	}
-	u := controlclient.Update{Hosts: c.leadership.countHosts(now)}
+	u := controlclient.Update{Hosts: c.countHosts(now)}
 	if c.leadership.publishedPeers != nil && a.peersVersion != c.leadership.published.peersVersion {
 		if u.Peers = c.updateCache.peers.compress(c.leadership.published.peersVersion, c.leadership.publishedPeers, c.Log); u.Peers != nil {
 			a.peersVersion, a.hasPeers = c.leadership.published.peersVersion, true
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -219,7 +219,7 @@
 		// A later tick publishes this change together with others.
 		return
 	}
-	next := published{revision: c.revision(), version: c.state.Configuration().Version, hosts: s.countHosts(at), peersVersion: s.published.peersVersion}
+	next := published{revision: c.revision(), version: c.state.Configuration().Version, hosts: c.countHosts(at), peersVersion: s.published.peersVersion}
 	if at.Sub(s.startedAt) > peerCollectionTime || len(s.shares.PendingHosts) == 0 {
 		if live := s.livePeers(at); s.publishedPeers == nil || at.Sub(s.peersPublishedAt) >= peersPublishInterval && !maps.Equal(live, s.publishedPeers) {
 			s.publishedPeers, s.peersPublishedAt = live, at
@@ -249,9 +249,14 @@
 // serving while it is cut off.
 const hostTTL = 60 * time.Second
 
-// countHosts returns the number of entry hosts that may be serving. A new leader
-// also counts the hosts that an earlier leader had counted.
-func (s *leaderState) countHosts(now time.Time) int {
+// countHosts returns the number of entry hosts that may be serving, or zero if it is not
+// known yet. A new leader also counts the agreed hosts and those that an earlier leader had
+// counted: hosts that restarted with it do not know how many there are.
+func (c *Coordinator) countHosts(now time.Time) int {
+	s := &c.leadership
+	if !s.knowsEarlierHolders {
+		return 0
+	}
 	n := 0
 	for name, at := range s.hostsSeen {
 		if now.Sub(at) > hostTTL {
@@ -261,7 +266,7 @@
 		n++
 	}
 	if now.Sub(s.startedAt) < hostTTL {
-		return max(n, s.reportedHosts)
+		return max(n, s.reportedHosts, len(c.state.Hosts))
 	}
 	return n
 }
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -179,3 +179,24 @@
 	report.Host, report.PeerAddress, report.Shares = "entry-1", "entry-1:1", spender.Report{Demands: map[string]float64{"o": 50}}
 	qt.Assert(t, h.report(report).Extras["o"] <= 0.06, qt.IsTrue, qt.Commentf("the rest of the rate is the other host's"))
 }
+
+// When all hosts had restarted, a new leader divided the rates and connections by the few
+// hosts that had reported first, so each of these took more than its share.
+func TestRestartedLeaderCountsTheAgreedHosts(t *testing.T) {
+	var joined []keeper.Command
+	for _, host := range []string{"entry-1", "entry-2", "entry-3"} {
+		joined = append(joined, keeper.Command{Kind: keeper.CommandHostJoined, Host: host, Peer: keeper.Peer{Address: host + ":1", DataCentre: "a"}})
+	}
+	h := newTakeover(t, snapshotState(), joined...)
+	report := controlclient.Report{Sequence: 1, Host: "entry-1", Incarnation: 1, DataCentre: "a", PeerAddress: "entry-1:1"}
+	h.elect(func() {
+		if h.leadership.leading && !h.leadership.knowsEarlierHolders {
+			qt.Check(t, h.countHosts(h.Now()), qt.Equals, 0, qt.Commentf("the log is not applied"))
+		}
+	})
+	u := h.report(report)
+	for u.Hosts == 0 {
+		u = h.report(report)
+	}
+	qt.Assert(t, u.Hosts, qt.Equals, 3)
+}
