Read a statement to its end once a part has arrived

Cause: a session was idle until a whole statement had arrived. The drain ended it by a read deadline in the past, the line reader dropped the part that it had taken, and the session read on from the middle of the statement.

Ruled out: the parser; without the signal the same statements run whole.

Change: a session waits for the first byte without taking it, is not idle from then on, and an expired deadline no longer ends the read of a statement.

--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -138,7 +138,8 @@
 }
 
 func (s *Server) start(ctx context.Context, conn net.Conn) {
-	ss := &session{server: s, conn: conn, r: bufio.NewReaderSize(conn, readBufferSize), values: map[string]string{}, prepared: map[string]preparedStatement{}}
+	ss := &session{server: s, conn: conn, values: map[string]string{}, prepared: map[string]preparedStatement{}}
+	ss.r = bufio.NewReaderSize(ss, readBufferSize)
 	ss.markIdle()
 	s.mu.Lock()
 	if s.open == nil {
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -62,9 +62,13 @@
 	// lease is the latest one of an upstream connection.
 	lease *connector.Lease
 
+	// receiving is true while a statement is read of which a part has arrived. Only the
+	// session's goroutine uses it.
+	receiving bool
+
 	mu sync.Mutex
 	// idleSince is when the last reply was sent; zero while a statement is
-	// being executed.
+	// being received or executed.
 	idleSince time.Time
 	// inTransaction mirrors tx for the drain, which runs in another goroutine.
 	inTransaction bool
@@ -76,14 +80,7 @@
 		return
 	}
 	for {
-		st, err := s.nextStatement()
-		if errors.Is(err, os.ErrDeadlineExceeded) && s.isEnded() {
-			st, err = s.readPending()
-		}
-		if errors.Is(err, os.ErrDeadlineExceeded) && s.tx != nil && !s.isEnded() {
-			s.expire()
-			continue
-		}
+		st, err := s.receive()
 		if err != nil || st.Verb == VerbQuit {
 			s.end(err)
 			return
@@ -165,32 +162,46 @@
 	return route, c.Organisations[name], nil
 }
 
+// receive reads the caller's next statement. A transaction that is idle for too long
+// meanwhile is rolled back, and a session that is being closed waits only for a statement
+// in transit.
+func (s *session) receive() (Statement, error) {
+	for {
+		st, err := s.nextStatement()
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.isEnded() {
+			st, err = s.readPending()
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.tx != nil && !s.isEnded() {
+			s.expire()
+			continue
+		}
+		return st, err
+	}
+}
+
 // nextStatement reads the caller's next statement. In a transaction it waits no
 // longer than the configured idle timeout.
 func (s *session) nextStatement() (Statement, error) {
-	deadline := time.Time{}
-	if s.tx != nil {
-		view, _ := s.server.View()
-		if idle := view.Configuration.TransactionIdleTimeout; idle > 0 && s.tx.lease != nil {
-			deadline = time.Now().Add(idle)
-		}
-	}
 	s.mu.Lock()
 	ended := s.ended
 	if !ended {
-		_ = s.conn.SetReadDeadline(deadline)
+		_ = s.conn.SetReadDeadline(s.idleDeadline())
 	}
 	s.mu.Unlock()
 	if ended && s.r.Buffered() == 0 {
 		return Statement{}, io.EOF
 	}
-	st, err := s.server.Codec.ReadStatement(s.r)
-	if err == nil {
-		s.mu.Lock()
-		s.idleSince = time.Time{}
-		s.mu.Unlock()
+	return s.readStatement()
+}
+
+// idleDeadline returns until when the session waits for its caller. The zero time means
+// without limit.
+func (s *session) idleDeadline() time.Time {
+	view, _ := s.server.View()
+	if idle := view.Configuration.TransactionIdleTimeout; idle > 0 && s.tx != nil && s.tx.lease != nil {
+		return time.Now().Add(idle)
 	}
-	return st, err
+	return time.Time{}
 }
 
 // readPending reads a statement that arrived while the session was being
@@ -199,9 +210,41 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(pendingReadTimeout)); err != nil {
 		return Statement{}, err
 	}
+	return s.readStatement()
+}
+
+// readStatement waits for a statement until the read deadline. Once a part of one has
+// arrived, it reads that statement to its end: the rest must not be taken for another one.
+func (s *session) readStatement() (Statement, error) {
+	if _, err := s.r.Peek(1); err != nil {
+		return Statement{}, err
+	}
+	s.mu.Lock()
+	s.idleSince = time.Time{}
+	s.mu.Unlock()
+	s.receiving = true
+	defer func() { s.receiving = false }()
 	return s.server.Codec.ReadStatement(s.r)
 }
 
+// Read implements io.Reader for the session's buffer. An expired deadline ends a read only
+// between statements: within one, an idle transaction is rolled back, and the read goes
+// on.
+func (s *session) Read(p []byte) (int, error) {
+	for {
+		n, err := s.conn.Read(p)
+		if n > 0 || !s.receiving || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if s.tx != nil && s.tx.lease != nil && !s.isEnded() {
+			s.expire()
+		}
+		if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
+			return 0, err
+		}
+	}
+}
+
 // answer sends a reply.
 func (s *session) answer(r Reply) bool {
 	s.out = s.server.Codec.AppendReply(s.out[:0], r)
