Forget a confirmed primary when the next leader's view comes

Cause: an upstream that acted as the primary was kept for a revision of the view. Each leader counts revisions anew, so the next leader's view could have the same one.

Ruled out: wrong answers; an upstream that no longer leads refuses.

Change: the index of the view, which rises over leaders, counts as well.

Result: TestConfirmedPrimaryEndsWithItsView failed before and passes.

--- a/internal/transactor/upstream_tracker.go
+++ b/internal/transactor/upstream_tracker.go
@@ -53,11 +53,11 @@
 	confirmedPrimaries map[string]confirmedPrimary
 }
 
-// confirmedPrimary is an upstream that acted as the primary under the view with
-// the given revision.
+// confirmedPrimary is an upstream that acted as the primary under the view with the given
+// revision and index. The next leader may use the same revision for another view.
 type confirmedPrimary struct {
-	upstream string
-	revision uint64
+	upstream        string
+	revision, index uint64
 }
 
 // Primary returns the upstream to use as the primary of a service: the one that
@@ -65,7 +65,7 @@
 func (t *UpstreamTracker) Primary(service string, view *keeper.View) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if l, ok := t.confirmedPrimaries[service]; ok && l.revision == view.Revision {
+	if l, ok := t.confirmedPrimaries[service]; ok && l.revision == view.Revision && l.index == view.Index {
 		return l.upstream
 	}
 	return view.Primaries[service]
@@ -83,7 +83,7 @@
 	if t.confirmedPrimaries == nil {
 		t.confirmedPrimaries = map[string]confirmedPrimary{}
 	}
-	t.confirmedPrimaries[service] = confirmedPrimary{id, view.Revision}
+	t.confirmedPrimaries[service] = confirmedPrimary{id, view.Revision, view.Index}
 }
 
 // Update replaces the known upstreams with those of a view. State is kept for
