Sample the primary after a commit without a position

Cause: a commit that was acknowledged without the position of the log was recorded as none, so the next read went to a replica by an older floor.

Ruled out: samples of other sessions; they are older than the commit.

Change: the session's next read asks the primary for its position first, which includes the commit.

Result: TestOwnCommitWithoutAPositionIsRead failed before and passes.

--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -148,12 +148,10 @@
 // recordCommit stores the position of a commit of the session.
 func (r *request) recordCommit(sentAt time.Time, a connector.Answer) {
 	if a.Position.IsZero() || !r.use.mayAcknowledge() {
+		r.session.addUnplacedCommit(r.route.Service)
 		return
 	}
-	if r.session.lastCommits == nil {
-		r.session.lastCommits = map[string]tracker.Position{}
-	}
-	r.session.lastCommits[r.route.Service] = a.Position
+	r.session.addCommit(r.route.Service, a.Position)
 	r.session.server.Upstreams.AddSample(r.route.Service, sentAt, a.Position)
 }
 
@@ -187,7 +185,7 @@
 	return nil
 }
 
-// samplePrimary queries the primary's position.
+// samplePrimary queries the primary's position, which the answer carries.
 func (r *request) samplePrimary(ctx context.Context) outcome {
 	probe := *r
 	probe.isProbe = true
@@ -196,10 +194,10 @@
 
 func (r *request) queryPosition(ctx context.Context) outcome {
 	return r.withPrimary(ctx, func(l *connector.Lease) outcome {
-		_, failed := r.run(ctx, l, r.deadline, connector.Request{Verb: connector.VerbBegin}, connector.Request{Verb: connector.VerbRollback})
+		a, failed := r.run(ctx, l, r.deadline, connector.Request{Verb: connector.VerbBegin}, connector.Request{Verb: connector.VerbRollback})
 		if failed != nil {
 			return *failed
 		}
-		return outcome{}
+		return outcome{answer: a}
 	})
 }
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -22,9 +22,29 @@
 // sample, so that the sample also serves later reads.
 const refreshDivisor = 4
 
+// placeCommit finds a position that includes the session's newest commit, if the
+// commit was acknowledged without one: the primary's present position.
+func (r *request) placeCommit(ctx context.Context) *refuser.Refusal {
+	if !r.session.unplacedCommits[r.route.Service] {
+		return nil
+	}
+	out := r.samplePrimary(ctx)
+	if out.refusal != nil {
+		return refuser.Wrap(refuser.ReasonNoFloor, "service "+r.route.Service, out.refusal)
+	}
+	if out.answer.Position.IsZero() {
+		return refuser.New(refuser.ReasonNoFloor, "the primary of service "+r.route.Service+" shows no position")
+	}
+	r.session.addCommit(r.route.Service, out.answer.Position)
+	return nil
+}
+
 // floor returns the minimum position that the session's reads must see. If no
 // sample is recent enough, it requests one, or else queries the primary itself.
 func (r *request) floor(ctx context.Context) (tracker.Position, *refuser.Refusal) {
+	if refusal := r.placeCommit(ctx); refusal != nil {
+		return noFloor, refusal
+	}
 	upstreams := r.session.server.Upstreams
 	if p, ok := upstreams.Floor(r.route.Service, r.arrived, r.route.MaxStaleness, r.session.lastCommits[r.route.Service]); ok {
 		return p, nil
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -57,6 +57,9 @@
 	// lastCommits are the positions of the session's newest commits, by service: the
 	// route may move to another service, whose log has positions of its own.
 	lastCommits map[string]tracker.Position
+	// unplacedCommits holds the services whose newest commit of the session has no known
+	// position.
+	unplacedCommits map[string]bool
 	// tx is the open transaction, or nil.
 	tx *transaction
 	// lease is the latest one of an upstream connection.
@@ -162,6 +165,24 @@
 	return route, c.Organisations[name], nil
 }
 
+// addCommit records the position of the session's newest commit on a service.
+func (s *session) addCommit(service string, p tracker.Position) {
+	if s.lastCommits == nil {
+		s.lastCommits = map[string]tracker.Position{}
+	}
+	s.lastCommits[service] = p
+	delete(s.unplacedCommits, service)
+}
+
+// addUnplacedCommit records a commit on a service that the upstream acknowledged without
+// its position.
+func (s *session) addUnplacedCommit(service string) {
+	if s.unplacedCommits == nil {
+		s.unplacedCommits = map[string]bool{}
+	}
+	s.unplacedCommits[service] = true
+}
+
 // receive reads the caller's next statement. A transaction that is idle for too long
 // meanwhile is rolled back, and a session that is being closed waits only for a statement
 // in transit.
