Keep no connections of an upstream that changes its service

Cause: pools and observations were kept while the address and the start of an upstream stayed.

Ruled out: upstreams that restart; their start changes.

Change: the service is compared as well.

--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -51,7 +51,7 @@
 	}
 	for id, p := range s.pools {
 		u, ok := upstreams[id]
-		if !ok || u.Address != p.upstream.Address || u.IncarnationStart != p.upstream.IncarnationStart {
+		if !ok || u.Service != p.upstream.Service || u.Address != p.upstream.Address || u.IncarnationStart != p.upstream.IncarnationStart {
 			p.Close()
 			delete(s.pools, id)
 		}
--- a/internal/transactor/upstream_tracker.go
+++ b/internal/transactor/upstream_tracker.go
@@ -87,7 +87,7 @@
 }
 
 // Update replaces the known upstreams with those of a view. State is kept for
-// upstreams whose start time and address are unchanged.
+// upstreams whose service, start time and address are unchanged.
 func (t *UpstreamTracker) Update(upstreams map[string]keeper.Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,7 +95,7 @@
 		t.upstreams, t.floors = map[string]*upstreamState{}, map[string]*tracker.Floors{}
 	}
 	for id, s := range t.upstreams {
-		if u, ok := upstreams[id]; !ok || u.IncarnationStart != s.upstream.IncarnationStart || u.Address != s.upstream.Address {
+		if u, ok := upstreams[id]; !ok || u.Service != s.upstream.Service || u.IncarnationStart != s.upstream.IncarnationStart || u.Address != s.upstream.Address {
 			delete(t.upstreams, id)
 		}
 	}
