--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/keeper"
@@ -62,6 +63,11 @@
 	return "coordinator: announcement of upstream " + e.Upstream + ": " + e.Reason
 }
 
+// maxUnknownServiceUpstreams bounds the upstreams of services that the configuration does
+// not name: they announced themselves before the configuration that names them came, or
+// are another writer's.
+const maxUnknownServiceUpstreams = 64
+
 // contradiction returns what an announcement contradicts, or an empty string. An upstream
 // keeps its service and address until it restarts, and one of an unknown service does not
 // take the address of another.
@@ -71,13 +77,21 @@
 		return "the same incarnation is of service " + old.Service + " at " + old.Address
 	}
 	services := c.state.Configuration().Services
-	if _, ok := services[u.Service]; ok {
+	if _, ok := services[u.Service]; ok || len(services) == 0 {
 		return ""
 	}
+	unknown := 0
 	for id, other := range c.state.Upstreams {
-		if _, ok := services[other.Service]; ok && id != u.ID && other.Address == u.Address {
+		_, named := services[other.Service]
+		if named && id != u.ID && other.Address == u.Address {
 			return "its service is unknown and its address that of " + id
 		}
+		if !named {
+			unknown++
+		}
+	}
+	if !known && unknown >= maxUnknownServiceUpstreams {
+		return fmt.Sprintf("%d upstreams of unknown services are recorded", unknown)
 	}
 	return ""
 }
