Log cancel requests that reach no statement

Cause: TestSessionsAreRelayedToOwners failed once, and nothing says where its cancel requests ended: errors on their way were dropped.

Change: event 1113 tells on each host where a cancel request ended, and a failing test of a small fleet prints the fleet's log.

--- a/internal/demonstrator/partition_test.go
+++ b/internal/demonstrator/partition_test.go
@@ -53,7 +53,7 @@
 // and returns the group's name.
 func startSmallFleet(c *qt.C, layout Layout) (f *Fleet, group string) {
 	layout.Groups = 1
-	f = &Fleet{Layout: layout}
+	f = &Fleet{Layout: layout, Log: newFailureLog(c)}
 	c.Assert(f.Start(context.Background()), qt.IsNil)
 	c.Cleanup(f.Stop)
 	return f, layout.GroupNames()[0]
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -21,6 +21,7 @@
 	EventRequestServed            = Event{1110, "request_served"}
 	EventRequestRefused           = Event{1111, "request_refused"}
 	EventRequestRetried           = Event{1112, "request_retried"}
+	EventCancelNotDelivered       = Event{1113, "cancel_not_delivered"}
 	EventUpstreamSuspect          = Event{1204, "upstream_suspect"}
 	EventUpstreamRecovered        = Event{1205, "upstream_back"}
 	EventUpstreamConnectionLost   = Event{1206, "upstream_connection_lost"}
@@ -83,6 +84,6 @@
 		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
-		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored,
+		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventCancelNotDelivered,
 	}
 }
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -327,14 +327,25 @@
 		if other.Number != server.CancelKeyHost(pid) || other.ID == h.Host.ID || other.PeerAddress == "" {
 			continue
 		}
-		conn, err := h.Linker.Dial(ctx, other.PeerAddress)
-		if err != nil {
-			return
+		found, err := h.cancelAt(ctx, other.PeerAddress, pid, secret)
+		if err != nil || !found {
+			h.Log.Info(logger.EventCancelNotDelivered, zap.Uint32("pid", pid), zap.String("host", other.ID), zap.String("reason", "the host did not answer or has no such session"), zap.Error(err))
 		}
-		defer func() { _ = conn.Close() }()
-		_, _ = messenger.NewDRPCHostsClient(conn).Cancel(ctx, &messenger.CancelRequest{Pid: pid, Secret: secret})
 		return
 	}
+	h.Log.Info(logger.EventCancelNotDelivered, zap.Uint32("pid", pid), zap.Uint32("number", server.CancelKeyHost(pid)), zap.String("reason", "no other host has the number"))
+}
+
+// cancelAt sends a cancel request to another host. It reports whether the host has the
+// session.
+func (h *EntryHost) cancelAt(ctx context.Context, address string, pid uint32, secret []byte) (bool, error) {
+	conn, err := h.Linker.Dial(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = conn.Close() }()
+	answer, err := messenger.NewDRPCHostsClient(conn).Cancel(ctx, &messenger.CancelRequest{Pid: pid, Secret: secret})
+	return answer.GetFound(), err
 }
 
 // Ready reports whether the host has a valid lease and the given number of groups
--- a/internal/server/cancel.go
+++ b/internal/server/cancel.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/pooler"
 )
 
@@ -28,7 +31,9 @@
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
 	if CancelKeyHost(pid) == s.HostNumber.Load() {
-		s.CancelStatement(ctx, pid, secret)
+		if !s.CancelStatement(ctx, pid, secret) {
+			s.Log.Info(logger.EventCancelNotDelivered, zap.Uint32("pid", pid), zap.String("reason", "this host has no such session"))
+		}
 		return
 	}
 	if s.ForwardCancel != nil {
@@ -44,10 +49,13 @@
 	c.cancelMu.Lock()
 	defer c.cancelMu.Unlock()
 	if c.cancelTarget == nil {
+		c.server.Log.Info(logger.EventCancelNotDelivered, zap.Uint32("pid", c.pid), zap.String("reason", "the session runs no statement"))
 		return
 	}
 	c.cancelSent = true
-	_ = c.cancelTarget.Cancel(ctx, c.server.Dial)
+	if err := c.cancelTarget.Cancel(ctx, c.server.Dial); err != nil {
+		c.server.Log.Info(logger.EventCancelNotDelivered, zap.Uint32("pid", c.pid), zap.String("reason", "the upstream did not take it"), zap.Error(err))
+	}
 }
 
 // setCancelTarget makes a connection the target of cancel requests.
