Acknowledge nothing of a primary that is being replaced

Cause: without leases on primaries, only a planned change kept work from the former primary.

Ruled out: a wait of the leader for the hosts, which would make each failover slower.

Change: a host that learns of such a decision begins no work at the former primary and acknowledges nothing of it, for services with sync_replicas. Others go on as before.

--- a/internal/transactor/gate.go
+++ b/internal/transactor/gate.go
@@ -32,11 +32,14 @@
 	defer g.mu.Unlock()
 	now := g.Now()
 	wait := time.Duration(0)
-	for service := range view.Configuration.Services {
+	for service, s := range view.Configuration.Services {
 		primary := view.Primaries[service]
 		var h *fencer.HandOver
 		if p, ok := view.Promotion(service); ok {
 			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned}
+			// The candidate was chosen by what it had received: a later commit may be
+			// with another replica only.
+			h.AbandonsFormer = !p.Planned && !g.Gate.Exclusive && s.SyncReplicas > 0
 			primary = p.Candidate
 		}
 		wait = max(wait, g.Gate.SetPrimary(service, primary, h, now))
--- a/pkg/fencer/gate.go
+++ b/pkg/fencer/gate.go
@@ -12,8 +12,8 @@
 	// HandOverTimeout is how long work that began at a primary before a planned
 	// hand-over may go on.
 	HandOverTimeout time.Duration
-	// HoldTimeout is how long new work is kept from a primary that hands over, if
-	// the gate is not exclusive.
+	// HoldTimeout is how long new work is kept from a primary that hands over or is
+	// abandoned, if the gate is not exclusive.
 	HoldTimeout time.Duration
 
 	services map[string]*gateService
@@ -38,6 +38,10 @@
 	handOver *handOver
 	// uses counts the work in progress by upstream.
 	uses map[string]int
+	// abandoned is the former primary of the latest hand-over with AbandonsFormer, and
+	// abandonedBefore the generation before which work at it is not acknowledged.
+	abandoned       string
+	abandonedBefore int
 }
 
 // handOver is a change of primary that has not come into effect.
@@ -57,6 +61,9 @@
 	Former string
 	// Planned is true if the former primary still serves.
 	Planned bool
+	// AbandonsFormer is true if what the former primary commits from now on may be lost
+	// and must not be acknowledged.
+	AbandonsFormer bool
 }
 
 func (g *Gate) service(name string) *gateService {
@@ -95,9 +102,13 @@
 	s.handOver = &handOver{HandOver: *h, releaseAt: now.Add(wait), holdUntil: now}
 	// Another candidate does not give back a primary that was released.
 	s.handOver.released = last != nil && last.released && last.Former == h.Former
-	if h.Planned || g.Exclusive {
+	if h.Planned || h.AbandonsFormer || g.Exclusive {
 		s.handOver.holdUntil = now.Add(g.HoldTimeout)
 	}
+	if h.AbandonsFormer {
+		s.generation++
+		s.abandoned, s.abandonedBefore = h.Former, s.generation
+	}
 	return wait
 }
 
@@ -143,7 +154,7 @@
 	s := g.service(u.Service)
 	switch {
 	case !g.Exclusive:
-		return true
+		return u.Upstream != s.abandoned || u.generation >= s.abandonedBefore
 	case u.period != g.period:
 		return false
 	case u.Upstream == s.primary:
--- a/pkg/fencer/gate_test.go
+++ b/pkg/fencer/gate_test.go
@@ -140,3 +140,31 @@
 	qt.Assert(t, g.OutdatedHolders(9, start.Add(time.Second)), qt.DeepEquals, []string{"c"})
 	qt.Assert(t, g.InForce(9, start.Add(3*time.Second)), qt.IsTrue)
 }
+
+// A host that still reached a primary which most hosts could not reach went on
+// acknowledging its commits while another upstream was promoted without them.
+func TestAbandonedPrimaryIsNotAcknowledged(t *testing.T) {
+	now := gateStart
+	g := newGate(false)
+	work := use(t, g, "a", now)
+	g.SetPrimary("s", "b", &HandOver{Former: "a", Token: 50, AbandonsFormer: true}, now)
+	qt.Assert(t, g.MayAcknowledge(work), qt.IsFalse)
+	qt.Assert(t, passes(g, "a", now), qt.IsFalse)
+	g.SetPrimary("s", "b", nil, now)
+	qt.Assert(t, g.MayAcknowledge(work), qt.IsFalse, qt.Commentf("an answer that comes after the promotion"))
+	qt.Assert(t, g.MayAcknowledge(use(t, g, "b", now)), qt.IsTrue)
+}
+
+// A promotion that does not come into effect gives the primary back after a while.
+func TestAbandonedPrimaryIsUsedAgain(t *testing.T) {
+	now := gateStart
+	g := newGate(false)
+	h := &HandOver{Former: "a", Token: 50, AbandonsFormer: true}
+	g.SetPrimary("s", "b", h, now)
+	now = now.Add(g.HoldTimeout)
+	g.SetPrimary("s", "b", h, now)
+	work := use(t, g, "a", now)
+	qt.Assert(t, g.MayAcknowledge(work), qt.IsTrue)
+	g.SetPrimary("s", "b", &HandOver{Former: "a", Token: 51, AbandonsFormer: true}, now)
+	qt.Assert(t, g.MayAcknowledge(work), qt.IsFalse, qt.Commentf("the next decision"))
+}
