Publish the peers of a restarted fleet as they report

Cause: a leader that has just restarted published who lends connections at once, as it did not know its hosts yet. Since it awaits the holders of shares from its applied log, it published only when all hosts had reported, or after 2.5 s.

Ruled out: refusals for the rate, which were few in that time.

Change: publishing waits for the hosts known at the election, as before, and not for the holders of shares.

--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -163,6 +163,7 @@
 		a.statuses[s.Upstream] = s
 	}
 	c.leadership.hostsSeen[a.name] = now
+	delete(c.leadership.unreportedHosts, a.name)
 	c.leadership.reportedHosts = max(c.leadership.reportedHosts, r.Hosts)
 	c.leadership.shares.HandleReport(a.name, r.Shares, now)
 	for _, name := range c.leadership.shares.OverAllocated(a.name, now) {
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -29,6 +29,9 @@
 	hosts map[string]*hostStream
 	// hostsSeen is when each entry host last reported.
 	hostsSeen map[string]time.Time
+	// unreportedHosts are the entry hosts known at the election that have not reported
+	// since.
+	unreportedHosts map[string]bool
 	// pendingHosts are the entry hosts with a proposal in progress.
 	pendingHosts map[string]bool
 	// reportedHosts is the largest host count from an earlier leader that an
@@ -142,6 +145,7 @@
 	c.leadership.hosts = map[string]*hostStream{}
 	c.leadership.hostsSeen = map[string]time.Time{}
 	c.leadership.peers = map[string]peerStatus{}
+	c.leadership.unreportedHosts = maps.Clone(c.state.Hosts)
 	c.leadership.pendingHosts = map[string]bool{}
 	c.leadership.lastAnnounced = map[string]time.Time{}
 	c.leadership.membersSeen = map[string]time.Time{}
@@ -220,7 +224,7 @@
 		return
 	}
 	next := published{revision: c.revision(), version: c.state.Configuration().Version, hosts: c.countHosts(at), peersVersion: s.published.peersVersion}
-	if at.Sub(s.startedAt) > peerCollectionTime || len(s.shares.PendingHosts) == 0 {
+	if at.Sub(s.startedAt) > peerCollectionTime || len(s.unreportedHosts) == 0 {
 		if live := s.livePeers(at); s.publishedPeers == nil || at.Sub(s.peersPublishedAt) >= peersPublishInterval && !maps.Equal(live, s.publishedPeers) {
 			s.publishedPeers, s.peersPublishedAt = live, at
 			next.peersVersion++
