Keep a bounded reserve for hosts that have not reported

Callers could have been left with a twentieth of their rates for 17 s (by a test): when all hosts had restarted and one stayed away, a new leader granted nothing until the lease of that one had certainly ended.

Cause: whatever a host might hold, the whole rate was kept for it.

Ruled out: shares that the other hosts hold and report; they keep them.

Change: for each host that has not reported three times an equal share is kept, and a tenth at least. With few hosts, or many away, that is the whole rate.

Result: TestOneHostThatStaysAwayDoesNotStopAFleet passes; with the rule before nothing was granted in any of its cases.

--- a/pkg/sharer/sharer.go
+++ b/pkg/sharer/sharer.go
@@ -5,8 +5,8 @@
 // A grant counts as allocated until the host has reported a smaller one as
 // applied, or until its lease has certainly expired. A new leader does not know
 // the grants of its predecessor. Until all hosts that may hold one have
-// reported, or a lease has passed, it allocates only fractions that reporting
-// hosts gave up.
+// reported, or a lease has passed, it keeps a reserve for each that has not, beside
+// the fractions that reporting hosts gave up.
 //
 // # Usage
 //
@@ -34,6 +34,10 @@
 	leaseMargin = 2 * time.Second
 	// minGrant is the smallest fraction that is granted.
 	minGrant = 0.01
+	// pendingReserveFactor is how many times an equal share is kept for a pending host,
+	// and minPendingReserve the least fraction.
+	pendingReserveFactor = 3
+	minPendingReserve    = 0.1
 )
 
 // Sharer allocates rates to hosts. StartedAt and LeaseDuration must be set.
@@ -232,13 +236,21 @@
 func (s *Sharer) grantable(h *host, name string, demand float64, now time.Time) float64 {
 	free := math.Max(0, grantableFraction-s.totalOf(name).allocated)
 	if len(s.PendingHosts) > 0 && now.Sub(s.StartedAt) < s.LeaseDuration+leaseMargin {
-		// Hosts that have not reported yet may hold the rest of what seems
-		// free.
-		free = math.Min(free, math.Max(0, s.released[name]))
+		// Hosts that have not reported yet may hold a part of what seems free.
+		free = math.Min(free, math.Max(free-s.pendingReserve(), s.released[name]))
+		free = math.Max(0, free)
 	}
 	return math.Min(s.fairShare(name, demand), h.allocated[name]+free)
 }
 
+// pendingReserve returns the fraction of a rate that the pending hosts may hold together.
+// When all hosts have restarted and a few stay away, the others must not wait for the end
+// of a lease with their bases alone.
+func (s *Sharer) pendingReserve() float64 {
+	hosts := len(s.PendingHosts) + len(s.hosts)
+	return float64(len(s.PendingHosts)) * math.Max(minPendingReserve, pendingReserveFactor/float64(hosts))
+}
+
 // expire removes the hosts whose lease has ended.
 func (s *Sharer) expire(now time.Time) {
 	for id, h := range s.hosts {
--- a/pkg/sharer/sharer_test.go
+++ b/pkg/sharer/sharer_test.go
@@ -178,3 +178,29 @@
 		}
 	}
 }
+
+// After a restart of all hosts one that stayed away left the others with their bases until
+// a lease had passed: longer than a fleet may take to recover.
+func TestOneHostThatStaysAwayDoesNotStopAFleet(t *testing.T) {
+	for _, test := range []struct {
+		hosts, away int
+		min, max    float64
+	}{{87, 1, 0.84, 0.86}, {87, 5, 0.44, 0.46}, {87, 20, 0, 0}, {6, 1, 0.44, 0.46}, {6, 2, 0, 0}, {6, 5, 0, 0}} {
+		now := time.Unix(1000, 0)
+		s := Sharer{StartedAt: now, LeaseDuration: lease}
+		known := map[string]bool{}
+		for i := range test.hosts {
+			known[fmt.Sprint(i)] = true
+		}
+		s.AwaitHosts(known)
+		sum := 0.0
+		for i := range test.hosts - test.away {
+			s.HandleReport(fmt.Sprint(i), spender.Report{Demands: map[string]float64{"a": 1}}, now)
+		}
+		for i := range test.hosts - test.away {
+			_, extras := s.Grant(fmt.Sprint(i), now)
+			sum += extras["a"]
+		}
+		qt.Check(t, sum >= test.min && sum <= test.max, qt.IsTrue, qt.Commentf("%d of %d hosts stay away: %v granted", test.away, test.hosts, sum))
+	}
+}
