balancer: connection placement for reads

Cause: a connection belongs to one organisation. Reads of each organisation were spread over all upstreams, so with more organisations than connections most statements closed one connection to open another.

Change: placer.Place assigns each organisation to home upstreams by a rendezvous hash with bounded demand and number; those with the highest demand have several. All hosts compute the same placement, for each service and region, when upstreams, primaries or the configuration change. balancer.Candidate has a rank (Affinity), and an upstream that is not a home costs the opening of a connection. Primaries keep their connections for writes where their region has a replica. With fewer organisations than connections nothing is placed.

Not measured under load yet.

--- a/internal/launcher/assignments.go
+++ b/internal/launcher/assignments.go
@@ -66,9 +66,13 @@
 	// sampleHosts maps a service to the hosts of this region that keep samples
 	// of its primary.
 	sampleHosts atomic.Pointer[map[string][]sampler.SampleHost]
-	// configurationVersion is the configuration for which tokenHosts was
-	// computed.
+	// placements hold which upstreams keep connections for which organisation.
+	placements atomic.Pointer[placements]
+	// configurationVersion is the configuration for which tokenHosts and
+	// placements were computed, and primaries are the primaries for which
+	// placements were.
 	configurationVersion uint64
+	primaries            map[string]string
 }
 
 // connectionOwners maps an upstream's ID to its owners, in order of preference.
@@ -80,7 +84,12 @@
 	for id, u := range view.Upstreams {
 		upstreamDataCentres[id] = u.DataCentre
 	}
-	same := maps.Equal(o.peers, view.Peers) && maps.Equal(o.upstreamDataCentres, upstreamDataCentres)
+	sameUpstreams := maps.Equal(o.upstreamDataCentres, upstreamDataCentres)
+	same := maps.Equal(o.peers, view.Peers) && sameUpstreams
+	if !sameUpstreams || !maps.Equal(o.primaries, view.Primaries) || o.configurationVersion != view.Configuration.Version {
+		o.primaries = view.Primaries
+		o.placeOrganisations(view)
+	}
 	if same && o.configurationVersion == view.Configuration.Version {
 		return
 	}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -172,7 +172,7 @@
 	e.upstreams.StatusChanged = e.controlClient.ReportNow
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Affinity: e.assignments.affinity, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
 		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
 	}
 	e.sampler = &sampler.Sampler{
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -30,9 +30,9 @@
 	// queueWaitDivisor divides the latency objective to get the longest wait of
 	// an operation in an upstream's queue.
 	queueWaitDivisor = 3
-	// publicOrganisation is the organisation name sent to upstreams for public
+	// PublicOrganisation is the organisation name sent to upstreams for public
 	// routes.
-	publicOrganisation = "public"
+	PublicOrganisation = "public"
 )
 
 // request is a statement being executed.
@@ -109,15 +109,20 @@
 
 // lease returns a lease of a connection to an upstream.
 func (r *request) lease(u keeper.Upstream) *connector.Lease {
-	organisation := r.organisation
-	if organisation == "" {
-		organisation = publicOrganisation
-	}
-	l := r.session.server.Lease(u, organisation)
+	l := r.session.server.Lease(u, r.connectionOrganisation())
 	r.session.lease = l
 	return l
 }
 
+// connectionOrganisation returns the organisation whose connections serve the
+// request.
+func (r *request) connectionOrganisation() string {
+	if r.organisation == "" {
+		return PublicOrganisation
+	}
+	return r.organisation
+}
+
 // run executes requests on a lease after applying the session's values and
 // preparing the statement if needed. It returns the last answer; failed is set
 // unless all requests succeeded.
@@ -292,6 +297,9 @@
 		c := balancer.Candidate{
 			ID: u.ID, Distance: server.Location.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
 		}
+		if server.Affinity != nil {
+			c.Affinity = server.Affinity(view, u, r.connectionOrganisation())
+		}
 		server.Upstreams.FillCandidate(&c)
 		c.Suspect = server.isSuspect(u)
 		candidates = append(candidates, c)
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -1,8 +1,9 @@
 // Package balancer chooses the upstream that serves a read.
 //
 // The cost of a candidate is its estimated response time: the round trip, the
-// queue for its slots, and a penalty if it may not have reached the read's
-// floor yet. The candidate with the lowest cost is chosen.
+// queue for its slots, the opening of a connection unless the upstream keeps some
+// for the organisation, and a penalty if it may not have reached the read's floor
+// yet. The candidate with the lowest cost is chosen.
 //
 // # Usage
 //
@@ -40,6 +41,11 @@
 	staleCost = 6 * time.Millisecond
 	// defaultService is the service time assumed before the first measurement.
 	defaultService = 20 * time.Millisecond
+	// openingTime is how long the opening of a connection occupies a slot.
+	openingTime = 12 * time.Millisecond
+	// rankCost separates the upstreams that keep no connections for an
+	// organisation, so that its requests share the same one of them.
+	rankCost = 2 * time.Millisecond
 )
 
 // Candidate is the host's view of an upstream.
@@ -63,6 +69,10 @@
 	// MeanServiceTime is the mean service time of a statement; zero means
 	// unknown.
 	MeanServiceTime time.Duration
+	// Affinity is the rank of the upstream for the organisation of the read. An
+	// upstream of rank 0 keeps connections for it; at others one must probably be
+	// opened.
+	Affinity int
 	// Suspect is true when the upstream has recently failed to answer.
 	Suspect bool
 }
@@ -98,6 +108,10 @@
 		service = defaultService
 	}
 	cost += service * time.Duration(1+c.InFlight) / time.Duration(max(1, c.Slots))
+	if c.Affinity > 0 {
+		cost += openingTime + openingTime*time.Duration(1+c.InFlight)/time.Duration(max(1, c.Slots))
+		cost += rankCost * time.Duration(c.Affinity-1)
+	}
 	if c.Primary {
 		return cost + primaryCost
 	}
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -35,6 +35,10 @@
 			n.Position, n.LaggedFloor, n.LaggedUntil = at(49), at(45), now
 		}, "near"},
 		{"moderate load is not balanced between regions", func(n, r, _ *Candidate) { n.InFlight, r.InFlight = 8, 8 }, "near"},
+		{"another one in the region keeps the connections", func(n, _, _ *Candidate) { n.Affinity = 1 }, "region"},
+		{"the one that keeps the connections is slower than an opening", func(n, r, _ *Candidate) { n.Affinity, r.InFlight = 1, 10 }, "near"},
+		{"connections are not kept in another region only", func(n, r, _ *Candidate) { n.Affinity, r.Affinity = 1, 2 }, "near"},
+		{"all are equally bad", func(n, r, f *Candidate) { n.Affinity, r.Affinity, f.Affinity = 1, 1, 1 }, "near"},
 		{"only the far upstream answers", func(n, r, _ *Candidate) { n.Suspect, r.Suspect = true, true }, "far"},
 		{"no upstream answers", func(n, r, f *Candidate) { n.Suspect, r.Suspect, f.Suspect = true, true, true }, ""},
 	}
