Permitted regions of routes and organisations

Cause: an operator can't keep requests of a route or a tenant inside regions. Queries of a primary's position, which leave a region, carried the session's values and the text of a prepared statement.

A promotion prefers candidates in regions that the routes permit. Position queries carry neither values nor prepared statements. LentWork gets the field route.

--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -25,6 +25,8 @@
 	settings string
 	log      string
 	cmd      *exec.Cmd
+	// adjust changes the text of the settings; nil leaves it as it is.
+	adjust func(settings string) string
 }
 
 // fleet is a fleet of host processes on the local machine.
@@ -113,11 +115,17 @@
 address = "%s"
 `, p.ip, p.ip, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, p.ip),
 		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), f.platformAddress)
+	if p.adjust != nil {
+		text = p.adjust(text)
+	}
 	qt.Assert(f.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
 
-func (f *fleet) start(role, ip string) *hostProcess {
-	p := &hostProcess{ip: ip, settings: filepath.Join(f.dir, ip+".toml"), log: filepath.Join(f.dir, ip+".log")}
+func (f *fleet) start(role, ip string) *hostProcess { return f.startAdjusted(role, ip, nil) }
+
+// startAdjusted starts a host with changed settings.
+func (f *fleet) startAdjusted(role, ip string, adjust func(settings string) string) *hostProcess {
+	p := &hostProcess{ip: ip, settings: filepath.Join(f.dir, ip+".toml"), log: filepath.Join(f.dir, ip+".log"), adjust: adjust}
 	f.writeSettings(p, "127.0.0.2", "127.0.0.3", "127.0.0.4")
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	qt.Assert(f.t, err, qt.IsNil)
--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -28,7 +28,7 @@
 	return &launcher.ControlHost{
 		Settings: coordinator.Settings{
 			Node: s.Node, DataDir: s.DataDir, PeerAddress: s.PeerAddress(), OperatorAddress: s.OperatorAddress,
-			DataCentre: s.DataCentre, Region: s.Region, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
+			DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
 			Voters: 2*s.Tolerance + 1, PrimaryLease: s.PrimaryLease,
 		},
 		MetricsAddress: s.MetricsAddress(),
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -63,7 +63,11 @@
 	// Owners returns the hosts that may own an upstream, in order of
 	// preference. An owner without an address is this host.
 	Owners func(u keeper.Upstream) []Owner
-	Log    *logger.Logger
+	// Check returns why this host must not run the statements of another host at an
+	// upstream, for an organisation on a route; nil allows all. It is not asked about
+	// queries of a position.
+	Check func(upstream, organisation, route string) error
+	Log   *logger.Logger
 	// Backoffer tracks the owners to skip: by host, or by host and upstream when
 	// the owner cannot reach only that upstream.
 	Backoffer backoffer.Backoffer
@@ -147,7 +151,7 @@
 	}
 	work := encodeWork(limits, batch)
 	if l.stream == nil {
-		work.Upstream, work.Organisation, work.Born = l.upstream.ID, l.organisation, l.upstream.IncarnationStart
+		work.Upstream, work.Organisation, work.Born, work.Route = l.upstream.ID, l.organisation, l.upstream.IncarnationStart, batch.Route
 		header, err := proto.Marshal(work)
 		if err != nil {
 			return nil, &connector.RunError{Err: fmt.Errorf("broker: encode work: %w", err)}
@@ -203,7 +207,14 @@
 		lease := b.LocalConnections.Lease(first.GetUpstream(), first.GetOrganisation())
 		defer lease.Release()
 		r := bufio.NewReaderSize(stream, readBufferSize)
-		for work := &first; ; {
+		for work, checked := &first, false; ; {
+			if !checked && !work.GetProbe() {
+				if err := b.check(&first); err != nil {
+					_, _ = protodelim.MarshalTo(stream, encodeResult(nil, &connector.RunError{Err: err}))
+					return
+				}
+				checked = true
+			}
 			result := b.runWork(ctx, lease, work)
 			if _, err := protodelim.MarshalTo(stream, result); err != nil || work.GetLast() {
 				return
@@ -217,6 +228,15 @@
 	}
 }
 
+// check returns why the statements of a lease must not run here, or nil. A lease keeps
+// what was permitted when its first statement came.
+func (b *Broker) check(first *messenger.LentWork) error {
+	if b.Check == nil {
+		return nil
+	}
+	return b.Check(first.GetUpstream(), first.GetOrganisation(), first.GetRoute())
+}
+
 // runWork runs the work that another host sent.
 func (b *Broker) runWork(ctx context.Context, lease *connector.Lease, work *messenger.LentWork) *messenger.LentResult {
 	limits, batch := decodeWork(work)
--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -15,6 +15,7 @@
 	failureQueue   = "queue"
 	failureConnect = "connect"
 	failureLost    = "lost"
+	failureRegion  = "region"
 )
 
 func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
@@ -69,7 +70,10 @@
 	result.Sent = !errors.As(err, &runErr) || runErr.MayHaveRun
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
+	var regionErr *connector.RegionError
 	switch {
+	case errors.As(err, &regionErr):
+		result.Failure = failureRegion
 	case errors.As(err, &queueErr):
 		result.Failure, result.ExpectedMs = failureQueue, milliseconds(queueErr.ExpectedWait)
 	case errors.As(err, &connectErr):
@@ -91,6 +95,8 @@
 		return answers, nil
 	case failureQueue:
 		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
+	case failureRegion:
+		return answers, &connector.RunError{Err: &connector.RegionError{Upstream: upstream}}
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -50,6 +50,7 @@
 		{"none", nil, false},
 		{"full queue", &connector.RunError{Err: &connector.QueueError{Upstream: "u", ExpectedWait: 400 * time.Millisecond}}, false},
 		{"no connection", &connector.RunError{Err: &connector.ConnectError{Upstream: "u", Failure: connector.FailureTooManyConnections, Err: errors.New("full")}}, false},
+		{"region not permitted", &connector.RunError{Err: &connector.RegionError{Upstream: "u"}}, false},
 		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
 		{"sent", &connector.RunError{MayHaveRun: true, Err: errors.New("no answer")}, true},
 		{"unknown kind", errors.New("unknown"), true},
@@ -74,6 +75,8 @@
 			if queueErr != nil {
 				qt.Assert(t, queueErr.ExpectedWait, qt.Equals, wantQueueErr.ExpectedWait)
 			}
+			var regionErr, wantRegionErr *connector.RegionError
+			qt.Assert(t, errors.As(err, &regionErr), qt.Equals, errors.As(test.err, &wantRegionErr))
 			var connectErr, wantConnectErr *connector.ConnectError
 			qt.Assert(t, errors.As(err, &connectErr), qt.Equals, errors.As(test.err, &wantConnectErr))
 			if connectErr != nil {
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -19,6 +19,9 @@
 // Batch is a sequence of requests executed on one connection, up to the first
 // that fails.
 type Batch struct {
+	// Route is the route as the caller requested it. Another host that runs the batch
+	// applies its restrictions.
+	Route string
 	// Values are all session values that must be set on the connection.
 	Values map[string]string
 	// Prepare is prepared first; the zero value means nothing.
--- a/internal/controlclient/configuration_change.go
+++ b/internal/controlclient/configuration_change.go
@@ -32,7 +32,7 @@
 		From: from.Version, Version: to.Version, Routes: map[string]keeper.Route{}, Keys: map[string]string{}, TransactionIdleTimeout: to.TransactionIdleTimeout,
 	}
 	for name, route := range to.Routes {
-		if old, ok := from.Routes[name]; !ok || old != route {
+		if old, ok := from.Routes[name]; !ok || !old.Equal(route) {
 			c.Routes[name] = route
 		}
 	}
@@ -56,7 +56,7 @@
 	if !maps.Equal(from.Services, to.Services) {
 		c.Services = to.Services
 	}
-	if !maps.Equal(from.Organisations, to.Organisations) {
+	if !maps.EqualFunc(from.Organisations, to.Organisations, keeper.Organisation.Equal) {
 		c.Organisations = to.Organisations
 	}
 	return c
--- a/internal/controlclient/messages_test.go
+++ b/internal/controlclient/messages_test.go
@@ -81,9 +81,9 @@
 				case 4:
 					delete(next.Services, name)
 				case 5:
-					next.Organisations[name] = keeper.Organisation{Name: name, Rate: float64(version)}
+					next.Organisations[name] = keeper.Organisation{Name: name, Rate: float64(version), PermittedRegions: [][]string{nil, {"east"}, {"east", "west"}}[rnd.IntN(3)]}
 				default:
-					next.Routes[name] = keeper.Route{Name: name, Timeout: time.Duration(version)}
+					next.Routes[name] = keeper.Route{Name: name, Timeout: time.Duration(version % 3), PermittedRegions: [][]string{nil, {"east"}, {"east", "west"}}[rnd.IntN(3)]}
 				}
 			}
 			body, err := json.Marshal(ConfigurationChangeOf(leader, next))
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -9,6 +9,7 @@
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/failoverplanner"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/permitter"
 )
 
 const (
@@ -95,7 +96,7 @@
 
 // upstreamHealth combines the statuses of an upstream that hosts reported.
 func (c *Coordinator) upstreamHealth(u keeper.Upstream, now time.Time) failoverplanner.UpstreamHealth {
-	s := failoverplanner.UpstreamHealth{Upstream: u, SinceAnnouncement: now.Sub(c.announcementTime(u.ID))}
+	s := failoverplanner.UpstreamHealth{Upstream: u, SinceAnnouncement: now.Sub(c.announcementTime(u.ID)), ExcludedRoutes: c.excludedRoutes(u)}
 	if c.PrimaryLease {
 		_, s.Superseded = c.state.Superseded[u.ID]
 	}
@@ -117,6 +118,26 @@
 	return s
 }
 
+// excludedRoutes returns the number of the service's routes that do not permit the
+// region of an upstream.
+func (c *Coordinator) excludedRoutes(u keeper.Upstream) int {
+	n := 0
+	for _, route := range c.state.Configuration().Routes {
+		if route.Service == u.Service && !permitter.Effective(route.PermittedRegions).Permits(c.regionOf(u.DataCentre)) {
+			n++
+		}
+	}
+	return n
+}
+
+// regionOf returns the region of a data centre, or an empty string if it is unknown.
+func (c *Coordinator) regionOf(dataCentre string) string {
+	if dataCentre == c.DataCentre {
+		return c.Region
+	}
+	return c.Regions[dataCentre]
+}
+
 // announcementTime returns when an upstream last announced itself to this leader.
 // Without an announcement it is the start of the leadership.
 func (c *Coordinator) announcementTime(id string) time.Time {
@@ -232,7 +253,7 @@
 		c.postponeDecision(g, e, reason)
 		return
 	}
-	fields := []zap.Field{zap.String("service", e.Service), zap.String("candidate", d.Candidate), zap.String("primary", e.Primary), zap.String("reason", reason), zap.Bool("planned", d.Planned)}
+	fields := []zap.Field{zap.String("service", e.Service), zap.String("candidate", d.Candidate), zap.String("primary", e.Primary), zap.String("reason", reason), zap.Bool("planned", d.Planned), zap.Int("excluded_routes", e.Upstreams[d.Candidate].ExcludedRoutes)}
 	for id, s := range e.Upstreams {
 		fields = append(fields, zap.Stringer("position_"+id, s.Position), zap.String("response_"+id, string(s.Response)))
 	}
--- a/internal/launcher/assignments_test.go
+++ b/internal/launcher/assignments_test.go
@@ -52,7 +52,10 @@
 		for id, u := range v.Upstreams {
 			ranked := o.ownersOf(u)
 			qt.Assert(t, ranked, qt.HasLen, assignedHosts)
-			qt.Assert(t, v.Peers[ranked[0].Host].DataCentre, qt.Equals, u.DataCentre)
+			for _, o := range ranked {
+				// Bodies of restricted requests pass through the owners.
+				qt.Assert(t, v.Peers[o.Host].DataCentre, qt.Equals, u.DataCentre)
+			}
 			qt.Assert(t, ranked[0].Address == "", qt.Equals, ranked[0].Host == name)
 			if known := owner[id]; known != "" {
 				qt.Assert(t, ranked[0].Host, qt.Equals, known)
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -31,6 +31,7 @@
 	"github.com/shallotstage/shallotstage/internal/transactor"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/permitter"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
 
@@ -152,7 +153,7 @@
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Check: e.checkLentWork, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -193,6 +194,24 @@
 	return o, ok
 }
 
+// checkLentWork returns why the statements of an organisation on a route must not run at
+// an upstream under the present view, or nil.
+func (e *EntryHost) checkLentWork(upstream, organisation, route string) error {
+	view, _ := e.controlClient.View()
+	return checkRegion(view, e.Settings.Place, upstream, organisation, route)
+}
+
+// checkRegion returns an error unless the configuration permits the statements of an
+// organisation on a route in the region of an upstream.
+func checkRegion(view *keeper.View, place transactor.Location, upstream, organisation, route string) error {
+	c := &view.Configuration
+	permitted := permitter.Effective(c.Routes[route].PermittedRegions, c.Organisations[organisation].PermittedRegions)
+	if !permitted.Permits(place.RegionOf(view.Upstreams[upstream].DataCentre)) {
+		return &connector.RegionError{Upstream: upstream}
+	}
+	return nil
+}
+
 // primaryOwner returns the host that owns the connections to a service's primary.
 func (e *EntryHost) primaryOwner(service string) sampler.SampleHost {
 	view, _ := e.controlClient.View()
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -12,6 +12,7 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/permitter"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 )
 
@@ -39,7 +40,8 @@
 	}
 	r := &request{
 		session: s, statement: st, route: route, organisation: organisation.Name, arrived: arrived,
-		deadline: s.server.deadline(timeout), startedAt: time.Now(), version: view.Configuration.Version,
+		permitted: permitter.Effective(route.PermittedRegions, organisation.PermittedRegions),
+		deadline:  s.server.deadline(timeout), startedAt: time.Now(), version: view.Configuration.Version,
 	}
 	if refusal := r.classify(); refusal != nil {
 		return s.refuse(st, view, refusal)
--- a/internal/transactor/location.go
+++ b/internal/transactor/location.go
@@ -10,6 +10,14 @@
 	Regions map[string]string
 }
 
+// RegionOf returns the region of a data centre, or an empty string if it is unknown.
+func (l Location) RegionOf(dataCentre string) string {
+	if dataCentre == l.DataCentre {
+		return l.Region
+	}
+	return l.Regions[dataCentre]
+}
+
 // DistanceTo classifies the distance to a data centre.
 func (l Location) DistanceTo(dataCentre string) balancer.Distance {
 	switch {
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -38,7 +38,7 @@
 		return u, false
 	}
 	for _, other := range view.ByService(r.route.Service) {
-		if !refusedBy[other.ID] && !server.isSuspect(other) {
+		if !refusedBy[other.ID] && !server.isSuspect(other) && r.mayRunAt(other) {
 			return other, true
 		}
 	}
@@ -62,6 +62,9 @@
 			}
 			continue
 		}
+		if !r.mayRunAt(u) {
+			return outcome{refusal: r.primaryRegionRefusal(u), upstream: u.ID, primary: true}
+		}
 		l, use, ok := server.Gate.guard(r.route.Service, r.lease(u))
 		if !ok {
 			last = errors.New("this host may not act at the primary: no lease, or a change of primary is under way")
@@ -88,6 +91,9 @@
 		}
 		last = out.refusal
 		switch out.refusal.Reason {
+		case refuser.ReasonRegionForbidden:
+			out.retryable = false
+			return out
 		case refuser.ReasonPoolFull:
 			out.refusal.RetryAfter = retryAfter(out.refusal)
 			out.retryable = false
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -72,6 +72,10 @@
 // the statement's time is over.
 func (r *request) withReplica(ctx context.Context, f func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome) outcome {
 	server := r.session.server
+	first, _ := server.View()
+	if refusal := r.checkRegions(first); refusal != nil {
+		return outcome{refusal: refusal}
+	}
 	floor, refusal := r.floor(ctx)
 	if refusal != nil {
 		return outcome{refusal: refusal}
@@ -80,6 +84,9 @@
 	last := outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "service "+r.route.Service, errors.New("no upstream answers"))}
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
+		if refusal := r.checkRegions(view); refusal != nil {
+			return outcome{refusal: refusal}
+		}
 		candidates := r.candidates(view, excluded)
 		i := balancer.Choose(floor, server.Now(), candidates)
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
@@ -122,6 +129,10 @@
 // read has no lasting effect, so failed attempts do not matter.
 func (r *request) finalReadOutcome(last outcome) outcome {
 	reason := last.refusal.Reason
+	if reason == refuser.ReasonRegionForbidden {
+		last.retryable = false
+		return last
+	}
 	if reason != refuser.ReasonNoFloor && reason != refuser.ReasonPoolFull {
 		reason = refuser.ReasonNoUpstream
 	}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -11,6 +11,7 @@
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/permitter"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
@@ -41,6 +42,8 @@
 	statement    Statement
 	route        keeper.Route
 	organisation string
+	// permitted are the regions in which the request may run.
+	permitted permitter.Set
 	// arrived is when the statement was read, by a clock that keeps running
 	// while the machine is suspended.
 	arrived  time.Time
@@ -123,8 +126,13 @@
 // unless all requests succeeded.
 func (r *request) run(ctx context.Context, l *connector.Lease, deadline time.Time, requests ...connector.Request) (last connector.Answer, failed *outcome) {
 	server := r.session.server
-	b := connector.Batch{Values: r.session.values, Requests: requests, EndsLease: r.endsLease(), ReadOnly: r.reads && r.session.tx == nil, PositionOnly: r.isProbe}
-	if r.statement.Verb == VerbExecute {
+	b := connector.Batch{Route: r.session.startup.Route, Requests: requests, EndsLease: r.endsLease(), ReadOnly: r.reads && r.session.tx == nil, PositionOnly: r.isProbe}
+	if !r.isProbe {
+		// A query of the position may go to a region in which the caller's values and
+		// statements must not appear.
+		b.Values = r.session.values
+	}
+	if r.statement.Verb == VerbExecute && !r.isProbe {
 		b.Prepare = connector.PreparedStatement{Name: r.preparedStmt.name, Text: server.Codec.PrepareText(r.preparedStmt.name, r.preparedStmt.value)}
 	}
 	sentAt := server.Now()
@@ -179,7 +187,8 @@
 	}
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
-	if !errors.As(err, &queueErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
+	var regionErr *connector.RegionError
+	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
 	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
@@ -199,6 +208,10 @@
 	if errors.As(err, &runErr) && runErr.MayHaveRun {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+upstream, err), upstream: upstream, retryable: r.reads}
 	}
+	var regionErr *connector.RegionError
+	if errors.As(err, &regionErr) {
+		return &outcome{refusal: regionRefusal(err.Error()), upstream: upstream, retryable: true}
+	}
 	var queueErr *connector.QueueError
 	if errors.As(err, &queueErr) {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonPoolFull, "upstream "+upstream, err), upstream: upstream, retryable: true}
@@ -286,7 +299,7 @@
 	upstreams := view.ByService(r.route.Service)
 	candidates := make([]balancer.Candidate, 0, len(upstreams))
 	for _, u := range upstreams {
-		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] {
+		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] || !r.mayRunAt(u) {
 			continue
 		}
 		c := balancer.Candidate{
--- a/pkg/failoverplanner/failoverplanner.go
+++ b/pkg/failoverplanner/failoverplanner.go
@@ -63,6 +63,9 @@
 	// Superseded is true for a replaced primary that has not announced itself as a
 	// replica since. It might accept work that is meant for the next primary.
 	Superseded bool
+	// ExcludedRoutes is the number of the service's routes that do not permit its
+	// region.
+	ExcludedRoutes int
 	// Lag is how far it is behind its primary; zero if that is unknown.
 	Lag time.Duration
 }
@@ -213,7 +216,8 @@
 	return ""
 }
 
-// selectCandidate returns the healthy upstream with the highest log position, or
+// selectCandidate returns the healthy upstream in the region that most routes permit and
+// with the highest log position there, or
 // an empty string if there is none or it may lack acknowledged commits that must not be
 // lost. It prefers the candidate of an unfinished promotion, as the
 // platform may still carry that out.
@@ -266,12 +270,16 @@
 	return mayHaveMore < e.SyncReplicas
 }
 
-// isBetterCandidate prefers upstreams that answered, as the others may have stopped,
-// and of these the one known to have received the most.
+// isBetterCandidate prefers upstreams that answered, as the others may have stopped, of
+// these the ones whose region the most routes of the service permit, and of these the one
+// known to have received the most.
 func (e Evidence) isBetterCandidate(a, b UpstreamHealth) bool {
 	if answered := a.Response != ResponseNone; answered != (b.Response != ResponseNone) {
 		return answered
 	}
+	if a.ExcludedRoutes != b.ExcludedRoutes {
+		return a.ExcludedRoutes < b.ExcludedRoutes
+	}
 	if a.Position != b.Position {
 		return b.Position.Less(a.Position)
 	}
--- a/pkg/failoverplanner/failoverplanner_test.go
+++ b/pkg/failoverplanner/failoverplanner_test.go
@@ -122,6 +122,19 @@
 		{"primary and best candidate draining", func(_ *Evidence, p, _, b *UpstreamHealth) {
 			p.Upstream.Lifecycle, b.Upstream.Lifecycle = keeper.LifecycleDraining, keeper.LifecycleDraining
 		}, "a"},
+		{"best candidate is in a region that a route excludes", func(_ *Evidence, p, _, b *UpstreamHealth) {
+			p.Upstream.Lifecycle, b.ExcludedRoutes = keeper.LifecycleDraining, 1
+		}, "a"},
+		{"best candidate is in the region that fewer routes exclude", func(_ *Evidence, p, a, b *UpstreamHealth) {
+			p.Upstream.Lifecycle, a.ExcludedRoutes, b.ExcludedRoutes = keeper.LifecycleDraining, 2, 1
+		}, "b"},
+		{"all candidates are in regions that a route excludes", func(_ *Evidence, p, a, b *UpstreamHealth) {
+			p.Upstream.Lifecycle, a.ExcludedRoutes, b.ExcludedRoutes = keeper.LifecycleDraining, 1, 1
+		}, "b"},
+		{"candidate in a permitted region has failed", func(_ *Evidence, p, a, b *UpstreamHealth) {
+			p.Upstream.Lifecycle, b.ExcludedRoutes = keeper.LifecycleDraining, 1
+			a.UnreachableHosts, a.ReachableHosts = 4, 0
+		}, "b"},
 		{"no primary for a short time", func(e *Evidence, _, _, _ *UpstreamHealth) { e.Primary, e.WithoutPrimaryFor = "", time.Second }, ""},
 		{"no primary for a long time", func(e *Evidence, _, _, _ *UpstreamHealth) {
 			e.Primary, e.WithoutPrimaryFor = "", 3*time.Second
--- a/pkg/keeper/configuration.go
+++ b/pkg/keeper/configuration.go
@@ -1,6 +1,9 @@
 package keeper
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // ReadConsistency is the read consistency of a route.
 type ReadConsistency string
@@ -49,8 +52,13 @@
 	MaxStaleness time.Duration `json:"max_age,omitempty"`
 	// Public routes need no key.
 	Public bool `json:"public,omitempty"`
+	// PermittedRegions are the regions in which requests may run; empty means all.
+	PermittedRegions []string `json:"permitted_regions,omitempty"`
 }
 
+// Equal reports whether two routes are the same.
+func (r Route) Equal(other Route) bool { return reflect.DeepEqual(r, other) }
+
 // Service is a replicated database group.
 type Service struct {
 	Name string `json:"name"`
@@ -70,4 +78,9 @@
 	Burst float64 `json:"burst"`
 	// Priority ranks organisations under load; zero is the highest.
 	Priority int `json:"priority"`
+	// PermittedRegions are the regions in which requests may run; empty means all.
+	PermittedRegions []string `json:"permitted_regions,omitempty"`
 }
+
+// Equal reports whether two organisations are the same.
+func (o Organisation) Equal(other Organisation) bool { return reflect.DeepEqual(o, other) }
