Publish evacuations and hand primaries over out of evacuated data centres

Cause: hosts must learn of an order, and services must leave the data centre. Change: topologies and their changes carry the evacuations, updates the ages of the orders that the sender applied while it led. The leader proposes each order and revocation anew, as an earlier command without an answer may still be on its way. A primary in an evacuated data centre is replaced by a planned change; candidates there are never selected. A candidate that is behind a primary that goes on is waited for instead of promoted without the missing commits. Events 1421 and 1314.

--- a/internal/controlclient/apply.go
+++ b/internal/controlclient/apply.go
@@ -42,6 +42,7 @@
 			return fmt.Errorf("controlclient: topology of index %d is older than %d", t.Index, next.Index)
 		}
 		next.Upstreams, next.Primaries, next.Promotions, next.Members = t.Upstreams, t.Primaries, t.Promotions, t.Members
+		next.Evacuations, next.EvacuationAges = t.Evacuations, u.EvacuationAges
 		next.Revision, next.Index = t.Revision, t.Index
 		changed = true
 		c.Log.Info(logger.EventTopologyUpdated, zap.Uint64("revision", t.Revision), zap.Int("upstreams", len(t.Upstreams)), zap.Any("primaries", t.Primaries))
@@ -146,6 +147,7 @@
 	c.logIgnored("change of topology", odd)
 	t, ok := change.Apply(Topology{
 		Revision: view.Revision, Index: view.Index, Upstreams: view.Upstreams, Primaries: view.Primaries, Promotions: view.Promotions, Members: view.Members,
+		Evacuations: view.Evacuations,
 	})
 	if !ok {
 		return nil, fmt.Errorf("controlclient: change of topology %d, this host has %d", change.From, view.Revision)
--- a/internal/controlclient/messages.go
+++ b/internal/controlclient/messages.go
@@ -88,6 +88,9 @@
 	// PrimaryLease is how long the host may act at primaries, from the time when the
 	// answered report was sent. Zero means no change.
 	PrimaryLease time.Duration `json:"primary_lease,omitempty"`
+	// EvacuationAges holds, by data centre, how old the orders are that the sender
+	// applied while it led. It comes with each topology and change of topology.
+	EvacuationAges map[string]time.Duration `json:"evacuation_ages,omitempty"`
 }
 
 // Topology is the agreed state of upstreams and control hosts.
@@ -99,4 +102,7 @@
 	Primaries  map[string]string           `json:"primaries"`
 	Promotions map[string]keeper.Promotion `json:"promotions"`
 	Members    map[string]keeper.Member    `json:"members"`
+	// Evacuations maps each evacuated data centre to the log index of the order. A
+	// control host of an earlier build sends none.
+	Evacuations map[string]uint64 `json:"evacuations"`
 }
--- a/internal/controlclient/messages_test.go
+++ b/internal/controlclient/messages_test.go
@@ -99,3 +99,56 @@
 		}
 	}
 }
+
+// A revoked order must reach the hosts: an empty map of evacuations must not be taken
+// for an unchanged one.
+func TestTopologyChangeCarriesEvacuations(t *testing.T) {
+	none := Topology{Revision: 1, Evacuations: map[string]uint64{}}
+	ordered := Topology{Revision: 2, Evacuations: map[string]uint64{"a": 7}}
+	revoked := Topology{Revision: 3, Evacuations: map[string]uint64{}}
+	t1 := none
+	for _, next := range []Topology{ordered, revoked} {
+		body, err := CompressJSON(ChangeOf(t1, next))
+		qt.Assert(t, err, qt.IsNil)
+		var change TopologyChange
+		odd, err := body.DecodeEntries(&change)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, odd, qt.HasLen, 0)
+		got, ok := change.Apply(t1)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, got.Evacuations, qt.DeepEquals, next.Evacuations)
+		t1 = got
+	}
+	unchanged := revoked
+	unchanged.Revision = 4
+	qt.Assert(t, ChangeOf(revoked, unchanged).Evacuations, qt.IsNil)
+}
+
+// An entry host of the build before evacuations decodes the same messages; it must find
+// all of its fields and fail on none.
+func TestEarlierBuildsReadTopologiesWithEvacuations(t *testing.T) {
+	type earlierTopology struct {
+		Revision   uint64                      `json:"revision"`
+		Index      uint64                      `json:"index"`
+		Upstreams  map[string]keeper.Upstream  `json:"upstreams"`
+		Primaries  map[string]string           `json:"primaries"`
+		Promotions map[string]keeper.Promotion `json:"promotions"`
+		Members    map[string]keeper.Member    `json:"members"`
+	}
+	body, err := CompressJSON(Topology{Revision: 2, Index: 9, Primaries: map[string]string{"s": "p"}, Evacuations: map[string]uint64{"a": 7}})
+	qt.Assert(t, err, qt.IsNil)
+	var earlier earlierTopology
+	odd, err := body.DecodeEntries(&earlier)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, odd, qt.HasLen, 0)
+	qt.Assert(t, earlier, qt.DeepEquals, earlierTopology{Revision: 2, Index: 9, Primaries: map[string]string{"s": "p"}})
+	// A control host of that build sends no evacuations.
+	if body, err = CompressJSON(earlier); err != nil {
+		t.Fatal(err)
+	}
+	var current Topology
+	odd, err = body.DecodeEntries(&current)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, odd, qt.HasLen, 0)
+	qt.Assert(t, current.Evacuations, qt.HasLen, 0)
+}
--- a/internal/controlclient/topology_change.go
+++ b/internal/controlclient/topology_change.go
@@ -18,10 +18,12 @@
 	// are gone.
 	Upstreams map[string]keeper.Upstream `json:"upstreams,omitempty"`
 	Removed   []string                   `json:"removed,omitempty"`
-	// Primaries, Promotions and Members are whole; nil means unchanged.
+	// Primaries, Promotions, Members and Evacuations are whole; nil means unchanged.
 	Primaries  map[string]string           `json:"primaries"`
 	Promotions map[string]keeper.Promotion `json:"promotions"`
 	Members    map[string]keeper.Member    `json:"members"`
+	// Evacuations are ignored by hosts of an earlier build.
+	Evacuations map[string]uint64 `json:"evacuations"`
 }
 
 // ChangeOf returns the change from one topology to a later one.
@@ -47,6 +49,9 @@
 	if !maps.Equal(from.Members, to.Members) {
 		c.Members = to.Members
 	}
+	if !maps.Equal(from.Evacuations, to.Evacuations) {
+		c.Evacuations = to.Evacuations
+	}
 	return c
 }
 
@@ -74,5 +79,8 @@
 	if c.Members != nil {
 		t.Members = c.Members
 	}
+	if c.Evacuations != nil {
+		t.Evacuations = c.Evacuations
+	}
 	return t, true
 }
--- a/internal/coordinator/apply.go
+++ b/internal/coordinator/apply.go
@@ -32,6 +32,7 @@
 	if command.Kind == keeper.CommandSetMember {
 		c.transport.addAddresses(c.state.Members)
 	}
+	c.recordEvacuation(command, e, out)
 	c.logApplied(command, e.Index, out)
 	c.answer(e, out, out.Err)
 }
@@ -49,6 +50,8 @@
 		fields = append(fields, zap.String("service", command.Service), zap.String("candidate", command.Candidate), zap.String("reason", command.Reason))
 	case keeper.CommandHostJoined, keeper.CommandHostLeft:
 		fields = append(fields, zap.String("host", command.Host))
+	case keeper.CommandEvacuate, keeper.CommandEndEvacuation:
+		fields = append(fields, zap.String("data_centre", command.DataCentre))
 	case keeper.CommandSetMember:
 		fields = append(fields, zap.String("member", command.Member.ID), zap.String("address", command.Member.PeerAddress))
 	}
--- a/internal/coordinator/hand_over.go
+++ b/internal/coordinator/hand_over.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/failoverplanner"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
 const (
@@ -39,7 +41,15 @@
 // former primary any more and, if that still serves, the candidate has caught up.
 func (c *Coordinator) advance(service string, g *serviceState, now time.Time) {
 	o := g.promotion
-	if o == nil || !o.releasedAt.IsZero() || c.awaitsHosts(service, o, now) {
+	if o == nil || !o.releasedAt.IsZero() || o.rejected {
+		return
+	}
+	if c.isEvacuated(c.state.Upstreams[o.candidate]) {
+		// Another candidate is looked for: the platform was not asked yet.
+		o.rejected = true
+		return
+	}
+	if c.awaitsHosts(service, o, now) {
 		return
 	}
 	o.releasedAt = now
@@ -56,7 +66,7 @@
 	switch {
 	case !c.PrimaryLease && !o.planned, c.leadership.leases.InForce(o.token, now):
 		return false
-	case !c.PrimaryLease && now.Sub(o.startedAt) > handOverTimeout:
+	case !c.PrimaryLease && now.Sub(o.startedAt) > o.handOverTimeout():
 		return false
 	}
 	if now.Sub(o.blockLoggedAt) > blockLogInterval {
@@ -67,9 +77,18 @@
 	return true
 }
 
+// handOverTimeout returns how long the hosts may take to let go of the former primary.
+func (o *promotion) handOverTimeout() time.Duration {
+	if o.keepsFormer {
+		return evacuationHandOverTimeout
+	}
+	return handOverTimeout
+}
+
 // catchUp waits until the candidate has received all that its primary has committed, and
 // then asks the platform. Where commits wait for replicas, a promotion whose candidate may
-// lack one is given up: another candidate is looked for.
+// lack one is given up: another candidate is looked for. So is one whose candidate is
+// behind a primary that goes on otherwise.
 func (c *Coordinator) catchUp(service string, g *serviceState, o *promotion, former, candidate keeper.Upstream, e failoverplanner.Evidence) {
 	err := c.awaitCandidate(former, candidate)
 	if err != nil {
@@ -82,6 +101,10 @@
 		cancel()
 		mayLackCommits = !e.HasAllCommits(o.candidate)
 	}
+	var behind *candidateBehindError
+	if o.keepsFormer && errors.As(err, &behind) {
+		mayLackCommits = true
+	}
 	c.queue.Do(func() {
 		if mayLackCommits {
 			o.rejected = true
@@ -107,12 +130,24 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("coordinator: %s is not known to have received %s: %w", candidate.ID, last, ctx.Err())
+			return &candidateBehindError{Candidate: candidate.ID, Position: last}
 		case <-time.After(catchUpInterval):
 		}
 	}
 }
 
+// candidateBehindError means that a candidate is not known to have received all that the
+// former primary, which answered, had committed.
+type candidateBehindError struct {
+	Candidate string
+	Position  tracker.Position
+}
+
+// Error implements error.
+func (e *candidateBehindError) Error() string {
+	return fmt.Sprintf("coordinator: %s is not known to have received %s", e.Candidate, e.Position)
+}
+
 // startRequest asks the platform for a promotion unless it is no longer the latest.
 func (c *Coordinator) startRequest(service string, g *serviceState, o *promotion) {
 	if c.leadership.services[service] != g || g.promotion != o {
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -275,6 +275,7 @@
 		}
 		if u.Topology != nil || u.TopologyChange != nil {
 			a.revision = t.Revision
+			u.EvacuationAges = c.evacuationAges(now)
 		}
 	}
 	if answers && a.revision != 0 && a.revision == c.leadership.topology.Revision && c.mayLease(a) {
@@ -308,6 +309,6 @@
 func (c *Coordinator) topology() controlclient.Topology {
 	return controlclient.Topology{
 		Revision: c.revision(), Index: c.applied, Upstreams: maps.Clone(c.state.Upstreams), Primaries: maps.Clone(c.state.Primaries),
-		Promotions: maps.Clone(c.state.Promotions), Members: maps.Clone(c.state.Members),
+		Promotions: maps.Clone(c.state.Promotions), Members: maps.Clone(c.state.Members), Evacuations: maps.Clone(c.state.Evacuations),
 	}
 }
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -59,6 +59,8 @@
 	services            map[string]*serviceState
 	// decidedAt is when the leader last evaluated its decisions.
 	decidedAt time.Time
+	// evacuatedAt is when the orders of this leadership were applied, by data centre.
+	evacuatedAt map[string]time.Time
 	// published holds the versions of the state last published to the hosts, at
 	// publishedAt. topology is its topology, which must not be modified, and
 	// topologyChange the change from the one published before.
@@ -93,7 +95,7 @@
 	// more than two report intervals.
 	peerTTL = 2600 * time.Millisecond
 	// publishInterval is the minimum time between two publications that change no
-	// primary. Many upstreams and hosts announce themselves together, and each
+	// primary and no evacuation. Many upstreams and hosts announce themselves together, and each
 	// publication goes to every host.
 	publishInterval = 150 * time.Millisecond
 	// peersPublishInterval is the minimum time between two publications of the
@@ -151,6 +153,7 @@
 	c.leadership.membersSeen = map[string]time.Time{}
 	c.leadership.members = map[string]keeper.Member{}
 	c.leadership.services = map[string]*serviceState{}
+	c.leadership.evacuatedAt = map[string]time.Time{}
 	c.leadership.leases = fencer.Granter{TTL: primaryLease, MaxClockDrift: maxClockDrift}
 	c.leadership.leases.Reset(now)
 	c.leadership.shares = sharer.Sharer{StartedAt: now, LeaseDuration: shareLease}
@@ -218,7 +221,8 @@
 		// Without the lease, the state of this host may be outdated.
 		return
 	}
-	urgent := !maps.Equal(s.topology.Promotions, c.state.Promotions) || !maps.Equal(s.topology.Primaries, c.state.Primaries)
+	urgent := !maps.Equal(s.topology.Promotions, c.state.Promotions) || !maps.Equal(s.topology.Primaries, c.state.Primaries) ||
+		!maps.Equal(s.topology.Evacuations, c.state.Evacuations)
 	if !urgent && at.Sub(s.publishedAt) < publishInterval {
 		// A later tick publishes this change together with others.
 		return
--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -136,6 +136,30 @@
 	})
 }
 
+// Evacuate orders that nothing more is sent to the upstreams of a data centre. It returns
+// nil once the order is committed, also if it was in effect before.
+func (c *Coordinator) Evacuate(ctx context.Context, dataCentre string) error {
+	return c.proposeEvacuation(ctx, keeper.Command{Kind: keeper.CommandEvacuate, DataCentre: dataCentre})
+}
+
+// EndEvacuation revokes the order for a data centre. It returns nil once that is
+// committed, also if there was no order.
+func (c *Coordinator) EndEvacuation(ctx context.Context, dataCentre string) error {
+	return c.proposeEvacuation(ctx, keeper.Command{Kind: keeper.CommandEndEvacuation, DataCentre: dataCentre})
+}
+
+// proposeEvacuation replicates a command even if the state shows its result already: an
+// earlier command whose answer was lost may still be on its way to the state.
+func (c *Coordinator) proposeEvacuation(ctx context.Context, command keeper.Command) error {
+	return c.call(ctx, func(done func(error)) {
+		if !c.elector.HasLease(c.Now()) {
+			done(ErrNotLeader)
+			return
+		}
+		c.propose(command, func(_ keeper.Outcome, err error) { done(err) })
+	})
+}
+
 // LeaderOperatorAddress returns the operators' address of the leader, or an empty
 // string if this host leads or the leader is unknown.
 func (c *Coordinator) LeaderOperatorAddress(ctx context.Context) string {
@@ -161,6 +185,8 @@
 	Voters    int
 	Hosts     int
 	Upstreams int
+	// Evacuations is the number of evacuated data centres.
+	Evacuations int
 }
 
 // Status returns the host's status; ok is false if the host is too busy to
@@ -171,6 +197,7 @@
 		status <- Status{
 			Leads: c.leadership.leading, Term: c.elector.Term(), Applied: c.applied, Version: c.state.Configuration().Version,
 			Voters: len(c.elector.Membership().Voters), Hosts: len(c.leadership.hosts), Upstreams: len(c.state.Upstreams),
+			Evacuations: len(c.state.Evacuations),
 		}
 		done(nil)
 	})
--- a/internal/coordinator/promotions.go
+++ b/internal/coordinator/promotions.go
@@ -30,8 +30,8 @@
 type serviceState struct {
 	// primaryLostAt is when the service lost its primary; zero while it has one.
 	primaryLostAt time.Time
-	// drainingSince is when the primary was first seen draining; zero while it is
-	// not.
+	// drainingSince is when the primary was first seen draining, or in an evacuated
+	// data centre; zero while it is neither.
 	drainingSince time.Time
 	// promotion is the one in progress, or nil.
 	promotion *promotion
@@ -51,10 +51,12 @@
 type promotion struct {
 	candidate string
 	// former is the primary that is replaced, or empty.
-	former    string
-	token     uint64
-	planned   bool
-	startedAt time.Time
+	former  string
+	token   uint64
+	planned bool
+	// keepsFormer is true if the former primary goes on unless it is replaced.
+	keepsFormer bool
+	startedAt   time.Time
 	// releasedAt is when no host acted at the former primary any more, and
 	// requestedAt when the platform was first asked; both are zero before.
 	releasedAt  time.Time
@@ -138,7 +140,7 @@
 	} else if g.primaryLostAt.IsZero() {
 		g.primaryLostAt = now
 	}
-	g.updateDraining(c.state.Upstreams[primary].Lifecycle == keeper.LifecycleDraining, now)
+	g.updateDraining(c.state.Upstreams[primary].Lifecycle == keeper.LifecycleDraining || c.isEvacuated(c.state.Upstreams[primary]), now)
 	if g.promotion != nil && g.promotion.candidate == primary {
 		c.Log.Info(logger.EventPromotionDone, zap.String("service", service), zap.String("primary", primary), zap.Uint64("token", g.promotion.token), zap.Duration("took", now.Sub(g.promotion.startedAt)))
 		g.promotion = nil
@@ -150,7 +152,7 @@
 	}
 	e := failoverplanner.Evidence{
 		Service: service, Primary: primary, SyncReplicas: c.state.Configuration().Services[service].SyncReplicas, Upstreams: upstreams,
-		LeaderFor: now.Sub(c.leadership.startedAt), Promotion: g.promotion.evidence(now),
+		LeaderFor: now.Sub(c.leadership.startedAt), Promotion: g.promotion.evidence(now), Evacuated: c.evacuated(),
 	}
 	if c.PrimaryLease {
 		e.Unfinished, e.SilentHolders = c.unfinishedPromotion(service), c.silentHolders(now)
@@ -161,10 +163,13 @@
 	if !g.primaryLostAt.IsZero() {
 		e.WithoutPrimaryFor = now.Sub(g.primaryLostAt)
 	}
-	if d := failoverplanner.Decide(e); d.Candidate != "" {
+	d := failoverplanner.Decide(e)
+	if d.Candidate != "" {
 		g.querying = true
 		term := c.leadership.term
 		go c.queryCandidates(term, e, d.Reason)
+	} else if d.Undecided != "" {
+		c.postponeDecision(g, e, d.Undecided)
 	}
 }
 
@@ -227,11 +232,17 @@
 		return
 	}
 	g := c.leadership.services[e.Service]
+	// A data centre may have been evacuated while the upstreams were queried.
+	e.Evacuated = c.evacuated()
 	d := failoverplanner.Decide(e)
 	if d.Candidate == "" {
+		if d.Undecided != "" {
+			reason = d.Undecided
+		}
 		c.postponeDecision(g, e, reason)
 		return
 	}
+	reason = d.Reason
 	fields := []zap.Field{zap.String("service", e.Service), zap.String("candidate", d.Candidate), zap.String("primary", e.Primary), zap.String("reason", reason), zap.Bool("planned", d.Planned)}
 	for id, s := range e.Upstreams {
 		fields = append(fields, zap.Stringer("position_"+id, s.Position), zap.String("response_"+id, string(s.Response)))
@@ -243,7 +254,7 @@
 		if err != nil {
 			return
 		}
-		g.promotion = &promotion{candidate: d.Candidate, former: e.Primary, token: out.Token, planned: d.Planned, startedAt: c.Now()}
+		g.promotion = &promotion{candidate: d.Candidate, former: e.Primary, token: out.Token, planned: d.Planned, keepsFormer: d.Planned && e.KeepsPrimary(), startedAt: c.Now()}
 		c.advance(e.Service, g, c.Now())
 	})
 }
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -39,6 +39,8 @@
 	EventTokenHostLost            = Event{1311, "treasurer_lost"}
 	EventSampleFailed             = Event{1312, "sample_failed"}
 	EventPrimaryLeaseGained       = Event{1313, "primary_lease_gained"}
+	EventDataCentreEvacuated      = Event{1314, "data_centre_evacuated"}
+	EventEvacuationChanged        = Event{1421, "evacuation_changed"}
 	EventPrimaryDemoted           = Event{1418, "primary_demoted"}
 	EventListenerFailed           = Event{1008, "part_failed"}
 	EventControlMembersPlanned    = Event{1416, "control_members_planned"}
@@ -85,5 +87,6 @@
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventCancelNotDelivered,
+		EventDataCentreEvacuated, EventEvacuationChanged,
 	}
 }
--- a/pkg/failoverplanner/failoverplanner.go
+++ b/pkg/failoverplanner/failoverplanner.go
@@ -3,7 +3,8 @@
 //
 // There is no explicit report of a failed primary. It is detected from the
 // connection attempts of entry hosts and from missing announcements. A primary
-// that announces that it is draining is replaced while it still serves.
+// that announces that it is draining, or whose data centre is evacuated, is replaced
+// while it still serves.
 //
 // # Usage
 //
@@ -125,6 +126,8 @@
 	Unfinished string
 	// DrainingFor is how long the primary has been known to be draining.
 	DrainingFor time.Duration
+	// Evacuated holds the evacuated data centres. No upstream there becomes the primary.
+	Evacuated map[string]bool
 	// SilentHolders is the number of hosts that have not reported lately and may act
 	// at the primary until their leases end. Their evidence is missing.
 	SilentHolders int
@@ -141,6 +144,9 @@
 	Reason    string
 	// Planned is true if the present primary still serves and hands over.
 	Planned bool
+	// Undecided is why the service needs another primary if no upstream can become it
+	// because of evacuations, or empty.
+	Undecided string
 }
 
 // Decide returns whether to replace a service's primary, and by which upstream.
@@ -154,20 +160,49 @@
 	}
 	candidate := e.selectCandidate()
 	if candidate == "" {
-		return Decision{}
+		return Decision{Undecided: e.evacuationReason(reason)}
 	}
 	planned := e.isPlanned()
-	mustWait := e.SilentHolders > 0 || e.Upstreams[candidate].Lag > maxHandOverLag
-	if planned && mustWait && e.DrainingFor < maxHandOverDelay {
+	lags := e.Upstreams[candidate].Lag > maxHandOverLag
+	if planned && lags && e.KeepsPrimary() {
+		// Commits that the candidate lacks would be lost, and the primary does not stop.
+		return Decision{Undecided: fmt.Sprintf("%s; candidate %s is %s behind", reason, candidate, e.Upstreams[candidate].Lag)}
+	}
+	if planned && (lags || e.SilentHolders > 0) && e.DrainingFor < maxHandOverDelay {
 		return Decision{}
 	}
 	return Decision{Candidate: candidate, Reason: reason, Planned: planned}
 }
 
-// isPlanned reports whether the present primary can hand over.
+// isPlanned reports whether the present primary can hand over. A primary that goes on
+// serving hands over again after a promotion that was given up.
 func (e Evidence) isPlanned() bool {
 	primary, ok := e.Upstreams[e.Primary]
-	return ok && !primary.hasFailed() && e.Unfinished == ""
+	return ok && !primary.hasFailed() && (e.Unfinished == "" || e.KeepsPrimary())
+}
+
+// KeepsPrimary reports whether the primary goes on if it is not replaced: it is to be
+// replaced only because its data centre is evacuated.
+func (e Evidence) KeepsPrimary() bool {
+	primary, ok := e.Upstreams[e.Primary]
+	return ok && e.isEvacuated(primary) && !primary.hasFailed() && primary.Upstream.Lifecycle != keeper.LifecycleDraining
+}
+
+func (e Evidence) isEvacuated(s UpstreamHealth) bool { return e.Evacuated[s.Upstream.DataCentre] }
+
+// evacuationReason returns why a service without a candidate needs another primary if
+// evacuations have a part in it, or an empty string.
+func (e Evidence) evacuationReason(reason string) string {
+	evacuated := 0
+	for _, s := range e.Upstreams {
+		if e.isEvacuated(s) {
+			evacuated++
+		}
+	}
+	if evacuated == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s; no candidate outside the evacuated data centres, which hold %d of %d upstreams", reason, evacuated, len(e.Upstreams))
 }
 
 // isPending reports whether a promotion may still come into effect.
@@ -179,6 +214,9 @@
 	if !ok || candidate.Upstream.Lifecycle != keeper.LifecycleReady {
 		return false
 	}
+	if e.isEvacuated(candidate) && !o.Requested {
+		return false
+	}
 	if candidate.hasFailed() && o.Age > failedCandidateTimeout {
 		return false
 	}
@@ -209,6 +247,8 @@
 	case primary.hasFailed():
 		return fmt.Sprintf("primary %s: %d hosts cannot connect, %d were answered, last announced %s ago",
 			e.Primary, primary.UnreachableHosts, primary.ReachableHosts, primary.SinceAnnouncement.Round(time.Millisecond))
+	case e.isEvacuated(primary):
+		return "data centre " + primary.Upstream.DataCentre + " of primary " + e.Primary + " is evacuated"
 	}
 	return ""
 }
@@ -239,7 +279,7 @@
 // isEligible reports whether an upstream can become the primary.
 func (e Evidence) isEligible(id string) bool {
 	s, ok := e.Upstreams[id]
-	return ok && !s.Superseded && s.Upstream.Lifecycle == keeper.LifecycleReady && !s.hasFailed() && s.SinceAnnouncement <= announcementTimeout
+	return ok && !s.Superseded && !e.isEvacuated(s) && s.Upstream.Lifecycle == keeper.LifecycleReady && !s.hasFailed() && s.SinceAnnouncement <= announcementTimeout
 }
 
 // HasAllCommits reports whether an upstream certainly has each commit that was
--- a/pkg/failoverplanner/failoverplanner_test.go
+++ b/pkg/failoverplanner/failoverplanner_test.go
@@ -162,3 +162,124 @@
 		})
 	}
 }
+
+// newSpreadEvidence has the primary p in data centre 1, a in 2 and b, which has received
+// more, in 3. All but the given data centres can be used.
+func newSpreadEvidence(evacuated ...string) Evidence {
+	e := newEvidence()
+	for id, dataCentre := range map[string]string{"p": "1", "a": "2", "b": "3"} {
+		s := e.Upstreams[id]
+		s.Upstream.DataCentre = dataCentre
+		e.Upstreams[id] = s
+	}
+	e.Evacuated = map[string]bool{}
+	for _, dataCentre := range evacuated {
+		e.Evacuated[dataCentre] = true
+	}
+	return e
+}
+
+// No promotion may select a candidate in an evacuated data centre, for whatever reason it
+// is made.
+func TestNoCandidateInAnEvacuatedDataCentre(t *testing.T) {
+	fail := func(e *Evidence, id string) {
+		s := e.Upstreams[id]
+		s.UnreachableHosts, s.ReachableHosts = 5, 0
+		e.Upstreams[id] = s
+	}
+	tests := []struct {
+		name      string
+		evacuated []string
+		change    func(e *Evidence)
+		want      string
+		planned   bool
+		undecided bool
+	}{
+		{"primary's data centre", []string{"1"}, func(*Evidence) {}, "b", true, false},
+		{"another data centre", []string{"3"}, func(*Evidence) {}, "", false, false},
+		{"primary's and the best candidate's", []string{"1", "3"}, func(*Evidence) {}, "a", true, false},
+		{"primary's, the best candidate fails", []string{"1"}, func(e *Evidence) { fail(e, "b") }, "a", true, false},
+		{"all", []string{"1", "2", "3"}, func(*Evidence) {}, "", false, true},
+		{"primary's, the others fail", []string{"1"}, func(e *Evidence) { fail(e, "a"); fail(e, "b") }, "", false, true},
+		{"primary fails, the best candidate's data centre", []string{"3"}, func(e *Evidence) { fail(e, "p") }, "a", false, false},
+		{"primary fails in its evacuated data centre", []string{"1"}, func(e *Evidence) { fail(e, "p") }, "b", false, false},
+		{"no primary, the best candidate's data centre", []string{"3"}, func(e *Evidence) {
+			e.Primary, e.WithoutPrimaryFor = "", 3*time.Second
+			delete(e.Upstreams, "p")
+		}, "a", false, false},
+		{"no primary, all", []string{"1", "2", "3"}, func(e *Evidence) {
+			e.Primary, e.WithoutPrimaryFor = "", 3*time.Second
+			delete(e.Upstreams, "p")
+		}, "", false, true},
+		{"unfinished promotion in the evacuated data centre", []string{"3"}, func(e *Evidence) { e.Unfinished = "b" }, "a", false, false},
+		{"unfinished promotion in a second evacuated data centre, the platform was not asked", []string{"1", "3"}, func(e *Evidence) {
+			e.Unfinished, e.Promotion = "b", &Promotion{Candidate: "b", Age: time.Second}
+		}, "a", true, false},
+		{"promotion in a second evacuated data centre, the platform was asked", []string{"1", "3"}, func(e *Evidence) {
+			e.Promotion = &Promotion{Candidate: "b", Age: time.Second, Requested: true}
+		}, "", false, false},
+		{"unfinished promotion, only the evacuated primary is left", []string{"1"}, func(e *Evidence) {
+			e.Unfinished = "b"
+			fail(e, "a")
+			fail(e, "b")
+		}, "", false, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := newSpreadEvidence(test.evacuated...)
+			test.change(&e)
+			d := Decide(e)
+			qt.Assert(t, d.Candidate, qt.Equals, test.want)
+			qt.Assert(t, d.Planned, qt.Equals, test.planned)
+			qt.Assert(t, d.Undecided != "", qt.Equals, test.undecided, qt.Commentf("%s", d.Undecided))
+		})
+	}
+}
+
+// The evacuated primary goes on, so that a hand-over need not lose what a candidate that
+// is far behind lacks, however long that takes. A primary that ends does not wait so long.
+func TestEvacuatedPrimaryWaitsForItsCandidate(t *testing.T) {
+	e := newSpreadEvidence("1")
+	e.DrainingFor, e.Queried = time.Hour, true
+	for _, id := range []string{"a", "b"} {
+		s := e.Upstreams[id]
+		s.Lag = time.Second
+		e.Upstreams[id] = s
+	}
+	qt.Assert(t, Decide(e).Candidate, qt.Equals, "")
+	qt.Assert(t, Decide(e).Undecided, qt.Contains, "behind")
+	p := e.Upstreams["p"]
+	p.Upstream.Lifecycle = keeper.LifecycleDraining
+	e.Upstreams["p"] = p
+	qt.Assert(t, Decide(e).Candidate, qt.Equals, "b")
+}
+
+// A hand-over that was given up because its candidate fell behind is planned again: an
+// unplanned change would not wait for the candidate.
+func TestRepeatedHandOverOfAnEvacuatedPrimaryIsPlanned(t *testing.T) {
+	e := newSpreadEvidence("1")
+	e.Unfinished, e.Promotion = "b", &Promotion{Candidate: "b", Age: time.Second, Rejected: true}
+	d := Decide(e)
+	qt.Assert(t, d.Candidate, qt.Equals, "b")
+	qt.Assert(t, d.Planned, qt.IsTrue)
+}
+
+// Where commits wait for replicas, one in the evacuated data centre may hold a commit that
+// the candidates lack.
+func TestReplicaInTheEvacuatedDataCentreMayHoldCommits(t *testing.T) {
+	e := newSpreadEvidence("1")
+	e.SyncReplicas, e.Queried = 1, true
+	c := newUpstreamHealth("c", 99, keeper.RoleReplica)
+	c.Upstream.DataCentre, c.Response = "1", ResponseStatus
+	e.Upstreams["c"] = c
+	for _, id := range []string{"a", "b"} {
+		s := e.Upstreams[id]
+		s.Response = ResponseStatus
+		e.Upstreams[id] = s
+	}
+	qt.Assert(t, Decide(e).Candidate, qt.Equals, "")
+	s := e.Upstreams["b"]
+	s.Position.Offset = 99
+	e.Upstreams["b"] = s
+	qt.Assert(t, Decide(e).Candidate, qt.Equals, "b")
+}
--- a/pkg/keeper/command.go
+++ b/pkg/keeper/command.go
@@ -14,6 +14,10 @@
 	// may hold shares of the organisations' rates.
 	CommandHostJoined CommandKind = "host_joined"
 	CommandHostLeft   CommandKind = "host_left"
+	// CommandEvacuate orders that nothing more is sent to the upstreams of a data
+	// centre, and CommandEndEvacuation revokes the order.
+	CommandEvacuate      CommandKind = "evacuate"
+	CommandEndEvacuation CommandKind = "end_evacuation"
 )
 
 // Command is one entry of the replicated log.
@@ -37,6 +41,8 @@
 	Peer Peer   `json:"peer,omitzero"`
 	// Member is set for CommandSetMember.
 	Member *Member `json:"member,omitempty"`
+	// DataCentre is set for CommandEvacuate and CommandEndEvacuation.
+	DataCentre string `json:"data_centre,omitempty"`
 }
 
 // Member is a control host and the addresses at which it is reached.
--- a/pkg/keeper/keeper.go
+++ b/pkg/keeper/keeper.go
@@ -1,6 +1,7 @@
 // Package keeper is the replicated state machine of the control hosts. It holds
 // the latest configuration, the announced upstreams, each service's primary, the
-// promotions with their fencing tokens, the control hosts and the entry hosts.
+// promotions with their fencing tokens, the control hosts, the entry hosts and the
+// evacuated data centres.
 //
 // # Usage
 //
@@ -53,6 +54,8 @@
 	Hosts map[string]bool `json:"hosts"`
 	// Peers are the addresses and locations of the entry hosts, by name.
 	Peers map[string]Peer `json:"peers"`
+	// Evacuations maps each evacuated data centre to the log index of the order.
+	Evacuations map[string]uint64 `json:"evacuations,omitempty"`
 
 	configuration Configuration
 	decode        DecodeFunc
@@ -106,6 +109,9 @@
 	if s.Peers == nil {
 		s.Peers = map[string]Peer{}
 	}
+	if s.Evacuations == nil {
+		s.Evacuations = map[string]uint64{}
+	}
 }
 
 // Unmarshal decodes a state that Marshal encoded. An empty body gives an empty
@@ -149,7 +155,7 @@
 func (s *State) Configuration() Configuration { return s.configuration }
 
 // Revision returns a number that increases with each change of upstreams,
-// primaries, promotions and members.
+// primaries, promotions, members and evacuations.
 func (s *State) Revision() uint64 { return s.revision }
 
 // PeersRevision returns a number that increases whenever Peers may have changed.
@@ -190,10 +196,37 @@
 		delete(s.Peers, c.Host)
 		s.peersRevision++
 		return Outcome{Changed: changed}
+	case CommandEvacuate:
+		return s.evacuate(c.DataCentre, index)
+	case CommandEndEvacuation:
+		_, ordered := s.Evacuations[c.DataCentre]
+		delete(s.Evacuations, c.DataCentre)
+		return s.recordChange(ordered)
 	}
 	return Outcome{Err: fmt.Errorf("keeper: unknown command %q at %d", c.Kind, index)}
 }
 
+// maxEvacuations limits the evacuated data centres: the state is sent to every host.
+const maxEvacuations = 256
+
+// ErrTooManyEvacuations means that maxEvacuations orders are in effect.
+var ErrTooManyEvacuations = fmt.Errorf("keeper: %d data centres are evacuated already", maxEvacuations)
+
+// evacuate records an order. One that is in effect keeps its index.
+func (s *State) evacuate(dataCentre string, index uint64) Outcome {
+	if dataCentre == "" {
+		return Outcome{Err: fmt.Errorf("keeper: command %d names no data centre", index)}
+	}
+	if _, ordered := s.Evacuations[dataCentre]; ordered {
+		return Outcome{}
+	}
+	if len(s.Evacuations) >= maxEvacuations {
+		return Outcome{Err: ErrTooManyEvacuations}
+	}
+	s.Evacuations[dataCentre] = index
+	return s.recordChange(true)
+}
+
 func (s *State) recordChange(changed bool) Outcome {
 	if changed {
 		s.revision++
--- a/pkg/keeper/keeper_test.go
+++ b/pkg/keeper/keeper_test.go
@@ -189,3 +189,58 @@
 	got.Apply(Command{Kind: CommandHostJoined, Host: "h"}, 3)
 	got.Apply(Command{Kind: CommandRemoveUpstream, Upstream: &Upstream{ID: "good"}}, 4)
 }
+
+// Orders are repeated after lost answers: only the first may change the state, or the
+// limit of the hosts would start again.
+func TestEvacuationsAreIdempotent(t *testing.T) {
+	s := New(decode)
+	order := func(kind CommandKind, dataCentre string, index uint64) Outcome {
+		return s.Apply(Command{Kind: kind, DataCentre: dataCentre}, index)
+	}
+	before := s.Revision()
+	qt.Assert(t, order(CommandEvacuate, "a", 5), qt.Equals, Outcome{Changed: true})
+	qt.Assert(t, s.Revision() > before, qt.IsTrue)
+	before = s.Revision()
+	qt.Assert(t, order(CommandEvacuate, "a", 6), qt.Equals, Outcome{})
+	qt.Assert(t, order(CommandEndEvacuation, "b", 7), qt.Equals, Outcome{})
+	qt.Assert(t, s.Revision(), qt.Equals, before)
+	qt.Assert(t, s.Evacuations, qt.DeepEquals, map[string]uint64{"a": 5})
+	qt.Assert(t, order(CommandEndEvacuation, "a", 8), qt.Equals, Outcome{Changed: true})
+	qt.Assert(t, s.Revision() > before, qt.IsTrue)
+	qt.Assert(t, s.Evacuations, qt.HasLen, 0)
+	qt.Assert(t, order(CommandEvacuate, "", 9).Err, qt.Not(qt.IsNil))
+}
+
+// The state is sent to every host: names without end would grow it.
+func TestEvacuationsAreBounded(t *testing.T) {
+	s := New(decode)
+	for i := range maxEvacuations {
+		qt.Assert(t, s.Apply(Command{Kind: CommandEvacuate, DataCentre: strconv.Itoa(i)}, uint64(i+1)).Changed, qt.IsTrue)
+	}
+	qt.Assert(t, s.Apply(Command{Kind: CommandEvacuate, DataCentre: "more"}, 1000).Err, qt.Equals, ErrTooManyEvacuations)
+	qt.Assert(t, s.Apply(Command{Kind: CommandEvacuate, DataCentre: "0"}, 1001), qt.Equals, Outcome{})
+	qt.Assert(t, s.Evacuations, qt.HasLen, maxEvacuations)
+}
+
+func TestEvacuationsSurviveASnapshot(t *testing.T) {
+	s := New(decode)
+	s.Apply(Command{Kind: CommandEvacuate, DataCentre: "a"}, 5)
+	body, err := s.Marshal()
+	qt.Assert(t, err, qt.IsNil)
+	restored, err := Unmarshal(body, decode)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, restored.Ignored(), qt.HasLen, 0)
+	qt.Assert(t, restored.Evacuations, qt.DeepEquals, map[string]uint64{"a": 5})
+}
+
+// A state that a build without evacuations wrote must load, and take orders.
+func TestStateWithoutEvacuationsLoads(t *testing.T) {
+	body := `{"document":"Mw==","upstreams":{"u":{"id":"u","service":"s","address":"x:1","data_centre":"a","slots":4,"life":"ready","role":"primary","born":5,"sequence":1}},
+"removed":{},"primaries":{"s":"u"},"promotions":{},"members":{},"hosts":{"h":true},"peers":{"h":{"address":"y:1","data_centre":"a"}}}`
+	s, err := Unmarshal([]byte(body), decode)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.Ignored(), qt.HasLen, 0)
+	qt.Assert(t, s.Configuration().Version, qt.Equals, uint64(3))
+	qt.Assert(t, s.Primaries, qt.DeepEquals, map[string]string{"s": "u"})
+	qt.Assert(t, s.Apply(Command{Kind: CommandEvacuate, DataCentre: "a"}, 9).Changed, qt.IsTrue)
+}
--- a/pkg/keeper/view.go
+++ b/pkg/keeper/view.go
@@ -1,5 +1,7 @@
 package keeper
 
+import "time"
+
 // View is the part of the replicated state that an entry host has received. It
 // must not be modified once it is shared.
 type View struct {
@@ -17,10 +19,16 @@
 	Hosts int
 	// Peers are the entry hosts that share their upstream connections, by name.
 	Peers map[string]Peer
-	// Revision is the version of Upstreams, Primaries, Promotions and Members.
+	// Evacuations maps each evacuated data centre to the log index of the order.
+	Evacuations map[string]uint64
+	// EvacuationAges holds how old orders were when the view arrived. The age of an
+	// order that was given before the sender led is unknown and missing.
+	EvacuationAges map[string]time.Duration
+	// Revision is the version of Upstreams, Primaries, Promotions, Members and
+	// Evacuations.
 	Revision uint64
-	// Index is the log index up to which Upstreams, Primaries, Promotions and
-	// Members include all commands. Unlike Revision, it is the same on all control
+	// Index is the log index up to which Upstreams, Primaries, Promotions, Members
+	// and Evacuations include all commands. Unlike Revision, it is the same on all control
 	// hosts.
 	Index uint64
 
