Send nothing to the upstreams of evacuated data centres after the limit

Cause: entry hosts and owners must stop, also for statements that wait in a queue. Change: reads leave at once and return there until the limit only if nothing elsewhere answers. Each caller's statement is checked before it goes to an owner and again right before it is sent on the connection; owners answer others with the failure evacuated (to earlier builds: not sent). An open transaction beyond the limit is rolled back and answered as lost. Work that only the evacuated primary could run is refused at once with reason evacuated. A planned change lets the transactions at an evacuated primary go on until the limit.

--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -15,6 +15,9 @@
 	failureQueue   = "queue"
 	failureConnect = "connect"
 	failureLost    = "lost"
+	// failureEvacuated is not known to hosts of an earlier build: they take the work for
+	// lost and not sent.
+	failureEvacuated = "evacuated"
 )
 
 func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
@@ -69,7 +72,10 @@
 	result.Sent = !errors.As(err, &runErr) || runErr.MayHaveRun
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
+	var evacuatedErr *connector.EvacuatedError
 	switch {
+	case errors.As(err, &evacuatedErr):
+		result.Failure = failureEvacuated
 	case errors.As(err, &queueErr):
 		result.Failure, result.ExpectedMs = failureQueue, milliseconds(queueErr.ExpectedWait)
 	case errors.As(err, &connectErr):
@@ -91,6 +97,8 @@
 		return answers, nil
 	case failureQueue:
 		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
+	case failureEvacuated:
+		return answers, &connector.RunError{Err: &connector.EvacuatedError{Upstream: upstream}}
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -106,6 +106,9 @@
 }
 
 func (l *localLease) run(ctx context.Context, limits Limits, b Batch) ([]Answer, error) {
+	if b.HasForward() && !l.mayForward() {
+		return nil, &RunError{Err: &EvacuatedError{Upstream: l.upstream}}
+	}
 	if err := l.acquire(ctx, limits, b); err != nil {
 		return nil, &RunError{Err: err}
 	}
@@ -150,9 +153,24 @@
 		return err
 	}
 	l.conn = conn
+	l.conn.mayForward = l.mayForward
 	return nil
 }
 
+// mayForward reports whether a caller's statement may be sent to the upstream.
+func (l *localLease) mayForward() bool {
+	if l.set.MayForward == nil {
+		return true
+	}
+	pool := l.pool
+	if pool == nil {
+		if pool = l.set.Pool(l.upstream); pool == nil {
+			return true
+		}
+	}
+	return l.set.MayForward(pool.currentUpstream())
+}
+
 func (l *localLease) end() {
 	if l.conn == nil {
 		return
@@ -174,6 +192,9 @@
 }
 
 func (c *Conn) run(deadline time.Time, b Batch) ([]Answer, error) {
+	if b.HasForward() && !c.allowsForward() {
+		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
+	}
 	if !b.PositionOnly {
 		if err := c.ApplyValues(deadline, b.Values); err != nil {
 			return nil, &RunError{Err: err}
@@ -189,6 +210,9 @@
 			send = b.Requests[i:]
 		}
 		forwarded := send[0].Verb == VerbForward
+		if forwarded && !c.allowsForward() {
+			return answers, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
+		}
 		if err := c.Send(deadline, send...); err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
@@ -208,6 +232,8 @@
 	return answers, nil
 }
 
+func (c *Conn) allowsForward() bool { return c.mayForward == nil || c.mayForward() }
+
 // receiveRollback reads the answer to a rollback. It only decides whether the
 // connection can be reused.
 func (c *Conn) receiveRollback() {
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -39,6 +39,9 @@
 	// broken is true if the state of the connection is uncertain.
 	broken    bool
 	idleSince time.Time
+	// mayForward reports whether a caller's statement may be sent; nil means that it
+	// may.
+	mayForward func() bool
 	// state is the transaction state in the last answer.
 	state TransactionState
 }
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -27,6 +27,9 @@
 // PoolSet holds a connection pool for each upstream. Dialer must be set.
 type PoolSet struct {
 	Dialer *Dialer
+	// MayForward reports whether callers' statements may be sent to an upstream; nil
+	// means that they may. It is called right before each is sent.
+	MayForward func(u keeper.Upstream) bool
 
 	mu    sync.Mutex
 	pools map[string]*Pool
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -47,6 +47,13 @@
 	return &Pool{dialer: d, upstream: u, queue: queuer.Queue{Slots: u.Slots}}
 }
 
+// currentUpstream returns the upstream as it last announced itself.
+func (p *Pool) currentUpstream() keeper.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream
+}
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
--- a/internal/launcher/control_metrics.go
+++ b/internal/launcher/control_metrics.go
@@ -14,6 +14,13 @@
 // example with a slow disk.
 const statusTimeout = 200 * time.Millisecond
 
+// evacuatedMetric counts the data centres for which an order is in effect, on entry hosts
+// and on control hosts.
+const (
+	evacuatedMetric = "shallotstage_evacuated_data_centres"
+	evacuatedHelp   = "Evacuated data centres that the host knows of."
+)
+
 // statusCollector collects a control host's status for each scrape.
 type statusCollector struct {
 	coordinator *coordinator.Coordinator
@@ -35,6 +42,7 @@
 	} {
 		s.descs[name] = prometheus.NewDesc("shallotstage_control_"+name, help, nil, nil)
 	}
+	s.descs["evacuations"] = prometheus.NewDesc(evacuatedMetric, evacuatedHelp, nil, nil)
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(s)
 	return metricsHandler(registry)
@@ -57,6 +65,7 @@
 		values = map[string]float64{
 			"answers": 1, "leads": 0, "term": float64(status.Term), "applied": float64(status.Applied), "version": float64(status.Version),
 			"voters": float64(status.Voters), "hosts": float64(status.Hosts), "upstreams": float64(status.Upstreams),
+			"evacuations": float64(status.Evacuations),
 		}
 		if status.Leads {
 			values["leads"] = 1
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -29,6 +29,7 @@
 	"github.com/shallotstage/shallotstage/internal/sampler"
 	"github.com/shallotstage/shallotstage/internal/timer"
 	"github.com/shallotstage/shallotstage/internal/transactor"
+	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
@@ -76,6 +77,10 @@
 	// Descriptors is the limit of open files and connections; zero means no
 	// limit.
 	Descriptors int64
+	// EvacuationLimit is the time from the acknowledgement of an order to evacuate a
+	// data centre after which no statement may reach its upstreams; zero means that no
+	// limit is set, and evacuator.DefaultLimit is used.
+	EvacuationLimit time.Duration
 }
 
 // EntryHost runs an entry host. All exported fields must be set before Run.
@@ -97,6 +102,7 @@
 	forwarder     *forwarder.Forwarder
 	broker        *broker.Broker
 	gate          *transactor.PrimaryGate
+	evacuations   *transactor.Evacuations
 	admitter      *admitter.Admitter
 	sampler       *sampler.Sampler
 	server        *transactor.Server
@@ -149,7 +155,8 @@
 	e.entryMetrics = newEntryMetrics()
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
-	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
+	e.evacuations = &transactor.Evacuations{Evacuator: evacuator.Evacuator{Limit: e.Settings.EvacuationLimit}, Now: timer.Now, Log: e.Log}
+	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
@@ -162,7 +169,7 @@
 		Seeds: e.Seeds, Dial: linker.Linker{}.Dial, Now: timer.Now, Shares: shares, Delegates: e.admitter.Delegates, UpstreamStatuses: e.upstreamStatuses, OnViewChange: e.applyView, Log: e.Log,
 	}
 	e.gate = &transactor.PrimaryGate{
-		Gate: fencer.Gate{Exclusive: e.Settings.PrimaryLease, HandOverTimeout: handOverTimeout, HoldTimeout: holdTimeout}, Now: timer.Now, Released: e.controlClient.ReportNow,
+		Gate: fencer.Gate{Exclusive: e.Settings.PrimaryLease, HandOverTimeout: handOverTimeout, HoldTimeout: holdTimeout}, Now: timer.Now, Released: e.controlClient.ReportNow, Evacuations: e.evacuations,
 	}
 	if e.Settings.PrimaryLease {
 		e.gate.HoldsLease = e.controlClient.HoldsLease
@@ -172,7 +179,7 @@
 	e.upstreams.StatusChanged = e.controlClient.ReportNow
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
-		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
+		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, Gate: e.gate, Evacuations: e.evacuations, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
 		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
 	}
 	e.sampler = &sampler.Sampler{
@@ -183,7 +190,7 @@
 	if e.Settings.Descriptors > 0 {
 		e.server.MaxSessions = max(1, e.Settings.Descriptors-reservedDescriptors)
 	}
-	e.entryMetrics.registerGauges(e.server, e.set)
+	e.entryMetrics.registerGauges(e.server, e.set, e.evacuations)
 }
 
 // organisation returns an organisation of the current configuration.
@@ -242,6 +249,7 @@
 
 // applyView updates the components for a new view.
 func (e *EntryHost) applyView(view *keeper.View) {
+	e.evacuations.SetTopology(view)
 	e.gate.SetTopology(view)
 	e.upstreams.Update(view.Upstreams)
 	e.assignments.update(view)
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -43,12 +43,13 @@
 }
 
 // registerGauges registers the gauges that are read at each scrape.
-func (m *entryMetrics) registerGauges(server *transactor.Server, set *connector.PoolSet) {
+func (m *entryMetrics) registerGauges(server *transactor.Server, set *connector.PoolSet, evacuations *transactor.Evacuations) {
 	m.registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_sessions", Help: "Open sessions of callers."},
 			func() float64 { return float64(server.Sessions()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_upstream_connections_opened", Help: "Connections opened to the upstreams of now."},
 			func() float64 { return float64(set.Opened()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: evacuatedMetric, Help: evacuatedHelp}, func() float64 { return float64(evacuations.Count()) }),
 	)
 }
 
--- a/internal/transactor/gate.go
+++ b/internal/transactor/gate.go
@@ -20,6 +20,9 @@
 	// Now returns the time of a clock that keeps running while the machine is
 	// suspended.
 	Now func() time.Time
+	// Evacuations extends planned changes of primaries that are evacuated, up to the
+	// limit of the evacuation; nil extends none.
+	Evacuations *Evacuations
 	// Released is called when this host has let go of a primary that hands over.
 	Released func()
 
@@ -36,7 +39,7 @@
 		primary := view.Primaries[service]
 		var h *fencer.HandOver
 		if p, ok := view.Promotion(service); ok {
-			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned}
+			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned, Timeout: g.Evacuations.remaining(view.Upstreams[primary])}
 			// The candidate was chosen by what it had received: a later commit may be
 			// with another replica only.
 			h.AbandonsFormer = !p.Planned && !g.Gate.Exclusive && s.SyncReplicas > 0
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -24,21 +24,21 @@
 	server := r.session.server
 	if candidate := view.PromotionCandidate(r.route.Service); candidate != "" && server.Gate.holds(r.route.Service) {
 		u := view.Upstreams[candidate]
-		return u, !refusedBy[candidate] && !server.isSuspect(u)
+		return u, !refusedBy[candidate] && !r.isUnusable(u)
 	}
 	u, ok := view.Upstreams[server.Upstreams.Primary(r.route.Service, view)]
-	if ok && !refusedBy[u.ID] && !server.isSuspect(u) {
+	if ok && !refusedBy[u.ID] && !r.isUnusable(u) {
 		return u, true
 	}
 	if candidate := view.PromotionCandidate(r.route.Service); candidate != "" && !refusedBy[candidate] {
 		u = view.Upstreams[candidate]
-		return u, !server.isSuspect(u)
+		return u, !r.isUnusable(u)
 	}
 	if !ok || !refusedBy[u.ID] || server.Gate.isExclusive() {
 		return u, false
 	}
 	for _, other := range view.ByService(r.route.Service) {
-		if !refusedBy[other.ID] && !server.isSuspect(other) {
+		if !refusedBy[other.ID] && !r.isUnusable(other) {
 			return other, true
 		}
 	}
@@ -55,6 +55,9 @@
 		view, changed := server.View()
 		u, ok := r.choosePrimary(view, refusedBy)
 		if !ok {
+			if refusal := r.primaryEvacuated(view); refusal != nil {
+				return outcome{refusal: refusal, primary: true}
+			}
 			last = errors.New("the primary does not answer")
 			clear(refusedBy)
 			if !r.canWait() || !r.pause(ctx, changed, primaryPause) {
@@ -92,7 +95,7 @@
 			out.refusal.RetryAfter = retryAfter(out.refusal)
 			out.retryable = false
 			return out
-		case refuser.ReasonPrimaryReplaced:
+		case refuser.ReasonPrimaryReplaced, refuser.ReasonEvacuated:
 			refusedBy[u.ID] = true
 		}
 		server.Log.Info(logger.EventRequestRetried, r.fields(out)...)
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -72,6 +72,10 @@
 // the statement's time is over.
 func (r *request) withReplica(ctx context.Context, f func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome) outcome {
 	server := r.session.server
+	view, _ := server.View()
+	if refusal := r.replicasEvacuated(view); refusal != nil {
+		return outcome{refusal: refusal}
+	}
 	floor, refusal := r.floor(ctx)
 	if refusal != nil {
 		return outcome{refusal: refusal}
@@ -88,6 +92,9 @@
 			break
 		}
 		if i < 0 {
+			if refusal := r.replicasEvacuated(view); refusal != nil {
+				return outcome{refusal: refusal}
+			}
 			clear(excluded)
 			if !r.canWait() || !r.pause(ctx, changed, laggingPause) {
 				break
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -10,6 +10,7 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
+	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
@@ -127,6 +128,9 @@
 	if r.statement.Verb == VerbExecute {
 		b.Prepare = connector.PreparedStatement{Name: r.preparedStmt.name, Text: server.Codec.PrepareText(r.preparedStmt.name, r.preparedStmt.value)}
 	}
+	if out := r.refuseEvacuated(l.Upstream); out != nil {
+		return last, out
+	}
 	sentAt := server.Now()
 	begin := time.Now()
 	server.Upstreams.RequestStarted(l.Upstream)
@@ -179,6 +183,10 @@
 	}
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
+	var evacuatedErr *connector.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		return
+	}
 	if !errors.As(err, &queueErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
@@ -203,6 +211,10 @@
 	if errors.As(err, &queueErr) {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonPoolFull, "upstream "+upstream, err), upstream: upstream, retryable: true}
 	}
+	var evacuatedErr *connector.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		return &outcome{refusal: refuser.Wrap(refuser.ReasonEvacuated, "upstream "+upstream, err), upstream: upstream, retryable: true}
+	}
 	return &outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "statement was not sent", err), upstream: upstream, retryable: true}
 }
 
@@ -280,13 +292,16 @@
 }
 
 // candidates returns the upstreams of the route's service that may serve a
-// read.
+// read. Those of an evacuated data centre are left out as long as others may answer.
 func (r *request) candidates(view *keeper.View, excluded map[string]bool) []balancer.Candidate {
 	server := r.session.server
 	upstreams := view.ByService(r.route.Service)
 	candidates := make([]balancer.Candidate, 0, len(upstreams))
+	var avoided []balancer.Candidate
+	answering := false
 	for _, u := range upstreams {
-		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] {
+		decision := server.Evacuations.decide(u)
+		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] || decision == evacuator.Refuse {
 			continue
 		}
 		c := balancer.Candidate{
@@ -294,8 +309,16 @@
 		}
 		server.Upstreams.FillCandidate(&c)
 		c.Suspect = server.isSuspect(u)
+		if decision == evacuator.Avoid {
+			avoided = append(avoided, c)
+			continue
+		}
+		answering = answering || !c.Suspect
 		candidates = append(candidates, c)
 	}
+	if !answering {
+		candidates = append(candidates, avoided...)
+	}
 	return candidates
 }
 
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -61,6 +61,9 @@
 	Upstreams        *UpstreamTracker
 	// Gate keeps work from primaries that are being replaced; nil lets all pass.
 	Gate *PrimaryGate
+	// Evacuations keeps work from upstreams of evacuated data centres; nil lets all
+	// pass.
+	Evacuations *Evacuations
 	// View returns the current view, and a channel that is closed when there is
 	// a newer one.
 	View func() (*keeper.View, <-chan struct{})
--- a/internal/transactor/transaction.go
+++ b/internal/transactor/transaction.go
@@ -55,6 +55,10 @@
 	a, failed := t.runRetryingBusy(ctx, r)
 	if failed != nil {
 		t.rollBack()
+		if failed.refusal.Reason == refuser.ReasonEvacuated {
+			failed.refusal = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+failed.upstream, failed.refusal)
+			return *failed
+		}
 		return transactionLost(*failed)
 	}
 	return outcome{answer: a, upstream: t.lease.Upstream, primary: t.primary}
--- a/pkg/fencer/gate.go
+++ b/pkg/fencer/gate.go
@@ -61,6 +61,9 @@
 	Former string
 	// Planned is true if the former primary still serves.
 	Planned bool
+	// Timeout is how long work that began at the former primary may go on, if that is
+	// longer than HandOverTimeout of the gate.
+	Timeout time.Duration
 	// AbandonsFormer is true if what the former primary commits from now on may be lost
 	// and must not be acknowledged.
 	AbandonsFormer bool
@@ -97,13 +100,13 @@
 	}
 	wait := time.Duration(0)
 	if h.Planned {
-		wait = g.HandOverTimeout
+		wait = max(g.HandOverTimeout, h.Timeout)
 	}
 	s.handOver = &handOver{HandOver: *h, releaseAt: now.Add(wait), holdUntil: now}
 	// Another candidate does not give back a primary that was released.
 	s.handOver.released = last != nil && last.released && last.Former == h.Former
 	if h.Planned || h.AbandonsFormer || g.Exclusive {
-		s.handOver.holdUntil = now.Add(g.HoldTimeout)
+		s.handOver.holdUntil = now.Add(g.HoldTimeout + max(0, wait-g.HandOverTimeout))
 	}
 	if h.AbandonsFormer {
 		s.generation++
--- a/pkg/refuser/reason.go
+++ b/pkg/refuser/reason.go
@@ -28,6 +28,7 @@
 	ReasonStatementTimeout  Reason = "statement_timeout"
 	ReasonUpstreamFailed    Reason = "upstream_failed"
 	ReasonInternalError     Reason = "internal_error"
+	ReasonEvacuated         Reason = "evacuated"
 )
 
 type response struct {
@@ -59,6 +60,7 @@
 	ReasonStatementTimeout:  {"57014", MayHaveRun, "upstream ended the statement at its time limit", "Check the outcome before repeating the request.", false},
 	ReasonUpstreamFailed:    {"08007", MayHaveRun, "upstream reports that the statement failed", "Check the outcome before repeating the request.", false},
 	ReasonInternalError:     {"XX000", MayHaveRun, "unexpected error in the proxy", "Check the outcome before repeating the request.", false},
+	ReasonEvacuated:         {"57P03", NotRun, "only upstreams in evacuated data centres could run the request", "Retry later.", false},
 	ReasonShuttingDown:      {"57P01", NotRun, "host is shutting down", "Reconnect.", true},
 }
 
