--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -16,6 +16,9 @@
 	failureConnect = "connect"
 	failureLost    = "lost"
 	failureRegion  = "region"
+	// failureEvacuated is not known to hosts of an earlier build: they take the work for
+	// lost and not sent.
+	failureEvacuated = "evacuated"
 )
 
 func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
@@ -71,9 +74,12 @@
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
 	var regionErr *connector.RegionError
+	var evacuatedErr *connector.EvacuatedError
 	switch {
 	case errors.As(err, &regionErr):
 		result.Failure = failureRegion
+	case errors.As(err, &evacuatedErr):
+		result.Failure = failureEvacuated
 	case errors.As(err, &queueErr):
 		result.Failure, result.ExpectedMs = failureQueue, milliseconds(queueErr.ExpectedWait)
 	case errors.As(err, &connectErr):
@@ -97,6 +103,8 @@
 		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
 	case failureRegion:
 		return answers, &connector.RunError{Err: &connector.RegionError{Upstream: upstream}}
+	case failureEvacuated:
+		return answers, &connector.RunError{Err: &connector.EvacuatedError{Upstream: upstream}}
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -72,8 +72,11 @@
 // the statement's time is over.
 func (r *request) withReplica(ctx context.Context, f func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome) outcome {
 	server := r.session.server
-	first, _ := server.View()
-	if refusal := r.checkRegions(first); refusal != nil {
+	view, _ := server.View()
+	if refusal := r.checkRegions(view); refusal != nil {
+		return outcome{refusal: refusal}
+	}
+	if refusal := r.replicasEvacuated(view); refusal != nil {
 		return outcome{refusal: refusal}
 	}
 	floor, refusal := r.floor(ctx)
@@ -95,6 +98,9 @@
 			break
 		}
 		if i < 0 {
+			if refusal := r.replicasEvacuated(view); refusal != nil {
+				return outcome{refusal: refusal}
+			}
 			clear(excluded)
 			if !r.canWait() || !r.pause(ctx, changed, laggingPause) {
 				break
