Queue of an upstream: fair shares, objectives and deadlines

Cause: The queue refused a statement whose expected wait was a third of its objective, granted slots in order of arrival to whichever organisation sent most, ran waiters whose time was over, and told all refused callers the same time of at least 250 ms. Change: queuer.Queue shares slots by the organisations' rates, counts openings and kinds in the expected wait, admits what fits the objective, lets waiters that have missed theirs be passed, and expires those past their deadline. Refusals carry the time until there is room; retry delays have a random part. A read that finds all upstreams full waits at the one with the shortest queue.

--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -21,7 +21,7 @@
 	work := &messenger.LentWork{
 		TimeMs: milliseconds(time.Until(limits.Deadline)), ReserveMs: milliseconds(limits.TimeReserve),
 		MaxWaitMs: milliseconds(limits.MaxWait), Priority: uint32(max(0, limits.Priority)), Values: b.Values,
-		PrepareName: b.Prepare.Name, PrepareText: b.Prepare.Text, Last: b.EndsLease, Reads: b.ReadOnly, Probe: b.PositionOnly,
+		PrepareName: b.Prepare.Name, PrepareText: b.Prepare.Text, Last: b.EndsLease, Reads: b.ReadOnly, Probe: b.PositionOnly, Patient: limits.Patient, AnswerMs: milliseconds(limits.AnswerWithin),
 	}
 	for _, q := range b.Requests {
 		work.Requests = append(work.Requests, &messenger.LentRequest{
@@ -39,6 +39,9 @@
 		TimeReserve: time.Duration(work.GetReserveMs()) * time.Millisecond,
 		MaxWait:     time.Duration(work.GetMaxWaitMs()) * time.Millisecond,
 		Priority:    int(work.GetPriority()),
+		Patient:     work.GetPatient(),
+
+		AnswerWithin: time.Duration(work.GetAnswerMs()) * time.Millisecond,
 	}
 	b := connector.Batch{
 		Values: work.GetValues(), EndsLease: work.GetLast(), ReadOnly: work.GetReads(), PositionOnly: work.GetProbe(),
@@ -71,7 +74,7 @@
 	var connectErr *connector.ConnectError
 	switch {
 	case errors.As(err, &queueErr):
-		result.Failure, result.ExpectedMs = failureQueue, milliseconds(queueErr.ExpectedWait)
+		result.Failure, result.ExpectedMs, result.RoomMs, result.MayWait = failureQueue, milliseconds(queueErr.ExpectedWait), milliseconds(queueErr.RoomIn), queueErr.MayWait
 	case errors.As(err, &connectErr):
 		result.Failure, result.Refused = failureConnect, string(connectErr.Failure)
 	}
@@ -90,7 +93,10 @@
 	case "":
 		return answers, nil
 	case failureQueue:
-		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
+		return answers, &connector.RunError{Err: &connector.QueueError{
+			Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond, MayWait: result.GetMayWait(),
+			RoomIn: time.Duration(result.GetRoomMs()) * time.Millisecond,
+		}}
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestWorkSurvivesEncoding(t *testing.T) {
-	limits := connector.Limits{Deadline: time.Now().Add(time.Minute), TimeReserve: 50 * time.Millisecond, MaxWait: 300 * time.Millisecond, Priority: 2}
+	limits := connector.Limits{Deadline: time.Now().Add(time.Minute), TimeReserve: 50 * time.Millisecond, MaxWait: 300 * time.Millisecond, Priority: 2, AnswerWithin: 700 * time.Millisecond, Patient: true}
 	batch := connector.Batch{
 		Values: map[string]string{"a": "1", "b": ""}, Prepare: connector.PreparedStatement{Name: "p1", Text: "p1 READ q"}, EndsLease: true, ReadOnly: true, PositionOnly: true,
 		Requests: []connector.Request{
@@ -32,6 +32,8 @@
 	qt.Assert(t, gotLimits.TimeReserve, qt.Equals, limits.TimeReserve)
 	qt.Assert(t, gotLimits.MaxWait, qt.Equals, limits.MaxWait)
 	qt.Assert(t, gotLimits.Priority, qt.Equals, limits.Priority)
+	qt.Assert(t, gotLimits.AnswerWithin, qt.Equals, limits.AnswerWithin)
+	qt.Assert(t, gotLimits.Patient, qt.IsTrue)
 	// The deadline is sent as the remaining time, rounded down.
 	qt.Assert(t, time.Until(gotLimits.Deadline) > 50*time.Second, qt.IsTrue)
 	qt.Assert(t, time.Until(gotLimits.Deadline) <= time.Minute, qt.IsTrue)
@@ -48,7 +50,7 @@
 		sent bool
 	}{
 		{"none", nil, false},
-		{"full queue", &connector.RunError{Err: &connector.QueueError{Upstream: "u", ExpectedWait: 400 * time.Millisecond}}, false},
+		{"full queue", &connector.RunError{Err: &connector.QueueError{Upstream: "u", ExpectedWait: 400 * time.Millisecond, MayWait: true, RoomIn: 150 * time.Millisecond}}, false},
 		{"no connection", &connector.RunError{Err: &connector.ConnectError{Upstream: "u", Failure: connector.FailureTooManyConnections, Err: errors.New("full")}}, false},
 		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
 		{"sent", &connector.RunError{MayHaveRun: true, Err: errors.New("no answer")}, true},
@@ -73,6 +75,8 @@
 			qt.Assert(t, errors.As(err, &queueErr), qt.Equals, errors.As(test.err, &wantQueueErr))
 			if queueErr != nil {
 				qt.Assert(t, queueErr.ExpectedWait, qt.Equals, wantQueueErr.ExpectedWait)
+				qt.Assert(t, queueErr.RoomIn, qt.Equals, wantQueueErr.RoomIn)
+				qt.Assert(t, queueErr.MayWait, qt.Equals, wantQueueErr.MayWait)
 			}
 			var connectErr, wantConnectErr *connector.ConnectError
 			qt.Assert(t, errors.As(err, &connectErr), qt.Equals, errors.As(test.err, &wantConnectErr))
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
 
 // PreparedStatement is a prepared statement that a batch needs on its connection.
@@ -69,8 +71,17 @@
 	// MaxWait is the expected wait above which the batch is refused at once;
 	// zero means no limit. It does not apply to an open transaction.
 	MaxWait time.Duration
+	// AnswerWithin is the time within which the batch must have run to meet the
+	// caller's latency objective; zero means none. A batch that would miss it is
+	// refused at once, unless it belongs to an open transaction.
+	AnswerWithin time.Duration
+	// Patient is true if the batch may miss AnswerWithin while the queue is
+	// draining.
+	Patient bool
 	// Priority orders waiting batches; zero is the most urgent.
 	Priority int
+	// Kind is set from the batch.
+	Kind queuer.Kind
 }
 
 // Lease is the use of one connection to an upstream for one transaction. The
@@ -106,6 +117,9 @@
 }
 
 func (l *localLease) run(ctx context.Context, limits Limits, b Batch) ([]Answer, error) {
+	if !b.ReadOnly {
+		limits.Kind = queuer.KindWrite
+	}
 	if err := l.acquire(ctx, limits, b); err != nil {
 		return nil, &RunError{Err: err}
 	}
@@ -113,7 +127,12 @@
 		return l.conn.Run(limits.Deadline, b)
 	}
 	begin := time.Now()
-	slot, deadline := l.pool.startUse(), limits.Deadline
+	slot, deadline := l.pool.startUse(limits.Kind), limits.Deadline
+	if !begin.Before(deadline) {
+		// Opening the connection took the rest of the time.
+		slot.release()
+		return nil, &RunError{Err: &QueueError{Upstream: l.upstream}}
+	}
 	if timeout := l.pool.readTimeout(); b.ReadOnly && begin.Add(timeout).Before(deadline) {
 		deadline = begin.Add(timeout)
 	}
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -27,6 +27,9 @@
 // PoolSet holds a connection pool for each upstream. Dialer must be set.
 type PoolSet struct {
 	Dialer *Dialer
+	// Weight returns an organisation's weight when organisations compete for an
+	// upstream; nil means that all are equal. It must be safe for concurrent use.
+	Weight func(organisation string) float64
 
 	mu    sync.Mutex
 	pools map[string]*Pool
@@ -60,6 +63,7 @@
 		p := s.pools[id]
 		if p == nil {
 			p = newPool(s.Dialer, u)
+			p.queue.Weight = s.Weight
 			s.pools[id] = p
 		}
 		p.Configure(u, allow(u))
@@ -107,3 +111,26 @@
 	}
 	return n
 }
+
+// QueueStatistics describes the queues of a set of pools.
+type QueueStatistics struct {
+	// Waiting and Running count the statements at present.
+	Waiting, Running int
+	// RefusedEarly and RefusedLate count the statements refused so far on arrival
+	// and after a wait.
+	RefusedEarly, RefusedLate uint64
+}
+
+// QueueStatistics returns the statistics of the present pools.
+func (s *PoolSet) QueueStatistics() QueueStatistics {
+	var q QueueStatistics
+	for _, p := range s.all() {
+		p.mu.Lock()
+		q.Waiting += p.queue.Len()
+		q.Running += p.queue.Running()
+		q.RefusedEarly += p.refusedEarly
+		q.RefusedLate += p.refusedLate
+		p.mu.Unlock()
+	}
+	return q
+}
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -36,6 +36,9 @@
 	queue  queuer.Queue
 	closed bool
 	opened uint64
+	// refusedEarly and refusedLate count the statements refused on arrival and
+	// after a wait.
+	refusedEarly, refusedLate uint64
 	// dialBlockedUntil is when a connection may be opened again after the
 	// upstream refused one because of its limit, and dialBackoff the length of
 	// that time.
@@ -57,7 +60,7 @@
 // Acquire waits for a slot and a connection of an organisation, preferring the
 // idle connection that matches the values best.
 func (p *Pool) Acquire(ctx context.Context, organisation string, values map[string]string, limits Limits) (*Conn, error) {
-	w := &queuer.Waiter{Organisation: organisation, Priority: limits.Priority, SessionVariables: values}
+	w := &queuer.Waiter{Organisation: organisation, Kind: limits.Kind, Priority: limits.Priority, SessionVariables: values, Patient: limits.Patient}
 	grant, err := p.waitForSlot(ctx, w, limits)
 	if err != nil {
 		return nil, err
@@ -84,7 +87,7 @@
 
 // AcquireSlot waits for a slot for the next statement of an open transaction.
 func (p *Pool) AcquireSlot(ctx context.Context, c *Conn, limits Limits) error {
-	_, err := p.waitForSlot(ctx, &queuer.Waiter{Organisation: c.Organisation, InTransaction: true}, limits)
+	_, err := p.waitForSlot(ctx, &queuer.Waiter{Organisation: c.Organisation, Kind: limits.Kind, InTransaction: true}, limits)
 	return err
 }
 
@@ -97,28 +100,48 @@
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
 	}
 	w.EnqueuedAt = time.Now()
-	if expected := p.queue.ExpectedWait(w); !w.InTransaction && limits.MaxWait > 0 && expected > limits.MaxWait {
+	w.LatestStart = limits.Deadline.Add(-limits.TimeReserve)
+	w.MaxWait = limits.MaxWait
+	if limits.AnswerWithin > 0 {
+		w.AnswerBy = w.EnqueuedAt.Add(limits.AnswerWithin)
+	}
+	if d := p.queue.Offer(w.EnqueuedAt, w); !d.Admitted {
+		p.refusedEarly++
 		p.mu.Unlock()
-		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: expected}
+		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: d.ExpectedWait, MayWait: d.MayWait, RoomIn: d.RoomIn}
 	}
 	w.Granted = make(chan queuer.Grant, 1)
 	p.queue.Push(w)
 	p.dispatch()
 	p.mu.Unlock()
-	timer := time.NewTimer(time.Until(limits.Deadline) - limits.TimeReserve)
+	timer := time.NewTimer(time.Until(w.LatestStart))
 	defer timer.Stop()
 	select {
 	case g := <-w.Granted:
-		return g, nil
+		if !g.Expired {
+			return g, nil
+		}
 	case <-timer.C:
+		p.abandon(w)
 	case <-ctx.Done():
+		p.abandon(w)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.queue.Remove(w) {
-		p.returnGrant(w, <-w.Granted)
+	p.refusedLate++
+	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.EnqueuedAt), RoomIn: p.queue.RoomIn(time.Now(), w)}
+}
+
+// abandon removes a waiter that gave up.
+func (p *Pool) abandon(w *queuer.Waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Remove(w) {
+		return
+	}
+	if g := <-w.Granted; !g.Expired {
+		p.returnGrant(w, g)
 	}
-	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.EnqueuedAt)}
 }
 
 // returnGrant takes back a grant that arrived just as the waiter gave up.
@@ -144,6 +167,9 @@
 		}
 		return queuer.Unavailable
 	}
+	for _, w := range p.queue.Expire(now) {
+		w.Granted <- queuer.Grant{Expired: true}
+	}
 	for {
 		w := p.queue.Pop(now, fit)
 		if w == nil {
@@ -216,11 +242,13 @@
 
 // dial opens a connection. The connection and its slot are already counted.
 func (p *Pool) dial(ctx context.Context, organisation string) (*Conn, error) {
+	begin := time.Now()
 	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordDial(err)
 	if err == nil {
+		p.queue.ObserveOpening(time.Since(begin))
 		return c, nil
 	}
 	p.open--
--- a/internal/connector/queue_error.go
+++ b/internal/connector/queue_error.go
@@ -13,6 +13,12 @@
 	// expected wait for which the statement was refused at once.
 	Waited       time.Duration
 	ExpectedWait time.Duration
+	// MayWait is true if the statement would be admitted with Patient and without
+	// MaxWait.
+	MayWait bool
+	// RoomIn is the time after which the statement should be sent again; zero
+	// means unknown.
+	RoomIn time.Duration
 }
 
 // Error implements error.
--- a/internal/connector/slot.go
+++ b/internal/connector/slot.go
@@ -1,10 +1,15 @@
 package connector
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/queuer"
+)
 
 // slotUse is the use of one slot by a running statement.
 type slotUse struct {
 	pool  *Pool
+	kind  queuer.Kind
 	ended bool
 	timer *time.Timer
 }
@@ -12,10 +17,10 @@
 // startUse starts a timer for a granted slot. If no answer has arrived when it
 // fires, the upstream has probably executed the statement and the answer is
 // lost, so the slot counts as free again.
-func (p *Pool) startUse() *slotUse {
+func (p *Pool) startUse(kind queuer.Kind) *slotUse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	u := &slotUse{pool: p}
+	u := &slotUse{pool: p, kind: kind}
 	u.timer = time.AfterFunc(p.queue.OverdueAfter(), u.release)
 	return u
 }
@@ -40,7 +45,7 @@
 	u.timer.Stop()
 	if took > 0 {
 		u.pool.mu.Lock()
-		u.pool.queue.ObserveServiceTime(took)
+		u.pool.queue.ObserveStatement(u.kind, took)
 		u.pool.mu.Unlock()
 	}
 	u.release()
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -149,7 +149,7 @@
 	e.entryMetrics = newEntryMetrics()
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
-	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
+	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, Weight: e.organisationWeight}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
@@ -193,6 +193,13 @@
 	return o, ok
 }
 
+// organisationWeight returns the weight of an organisation in the queues of
+// upstreams: its rate.
+func (e *EntryHost) organisationWeight(name string) float64 {
+	o, _ := e.organisation(name)
+	return o.Rate
+}
+
 // primaryOwner returns the host that owns the connections to a service's primary.
 func (e *EntryHost) primaryOwner(service string) sampler.SampleHost {
 	view, _ := e.controlClient.View()
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -91,7 +91,7 @@
 	if !a.Admitted {
 		detail := fmt.Sprintf("organisation %s, rate %g, burst %g, share %.3f, tokens %.2f", o.Name, o.Rate, o.Burst, a.Share, a.Tokens)
 		refusal := refuser.New(refuser.ReasonRateExceeded, detail)
-		refusal.RetryAfter = a.RetryAfter
+		refusal.RetryAfter = s.server.jitter(a.RetryAfter)
 		return refusal
 	}
 	if a.Wait <= 0 {
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
@@ -51,6 +53,8 @@
 	server := r.session.server
 	var last error
 	refusedBy := map[string]bool{}
+	defer func(settled bool) { r.settled = settled }(r.settled)
+	r.settled = true
 	for r.remaining() > 0 {
 		view, changed := server.View()
 		u, ok := r.choosePrimary(view, refusedBy)
@@ -89,7 +93,7 @@
 		last = out.refusal
 		switch out.refusal.Reason {
 		case refuser.ReasonPoolFull:
-			out.refusal.RetryAfter = retryAfter(out.refusal)
+			out.refusal.RetryAfter = server.retryAfter(out.refusal)
 			out.retryable = false
 			return out
 		case refuser.ReasonPrimaryReplaced:
@@ -101,7 +105,7 @@
 		}
 	}
 	refusal := refuser.Wrap(refuser.ReasonNoUpstream, "service "+r.route.Service, last)
-	refusal.RetryAfter = r.route.TargetLatency / 2
+	refusal.RetryAfter = server.jitter(r.route.TargetLatency / 2)
 	return outcome{refusal: refusal, primary: true}
 }
 
@@ -118,18 +122,29 @@
 	return outcome{refusal: refusal, upstream: upstream, retryable: verdict == refuser.NotRun}
 }
 
-// minRetryAfter is the shortest retry delay for a request that found an
-// upstream's queue full. It is the duration of several statements.
-const minRetryAfter = 250 * time.Millisecond
+// defaultRetryAfter is the retry delay for a request that found a queue full
+// whose owner does not tell when there is room.
+const defaultRetryAfter = 250 * time.Millisecond
 
-// retryAfter returns the retry delay for a request that found a queue full: by
-// then the requests already waiting have been executed.
-func retryAfter(refusal *refuser.Refusal) time.Duration {
+// retryAfter returns the retry delay for a request that found a queue full: the
+// time until there is room. The owner tells its callers different times, so that
+// they do not return together.
+func (s *Server) retryAfter(refusal *refuser.Refusal) time.Duration {
 	var queueErr *connector.QueueError
-	if errors.As(refusal.Err, &queueErr) {
-		return max(minRetryAfter, queueErr.ExpectedWait)
+	if errors.As(refusal, &queueErr) && queueErr.RoomIn > 0 {
+		return s.jitter(queueErr.RoomIn)
 	}
-	return minRetryAfter
+	return s.jitter(defaultRetryAfter)
+}
+
+// jitter lengthens a retry delay by a random part, so that callers that were
+// refused together do not return together.
+func (s *Server) jitter(d time.Duration) time.Duration {
+	random := rand.Float64
+	if s.Random != nil {
+		random = s.Random
+	}
+	return queuer.Jitter(d, random())
 }
 
 // write runs a single write outside a transaction.
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -77,15 +77,24 @@
 		return outcome{refusal: refusal}
 	}
 	excluded := map[string]bool{}
+	var full fullQueues
+	defer func() { r.settled = false }()
 	last := outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "service "+r.route.Service, errors.New("no upstream answers"))}
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
 		candidates := r.candidates(view, excluded)
 		i := balancer.Choose(floor, server.Now(), candidates)
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
-			// All upstreams that have reached the floor are full. Refuse now
-			// rather than after a wait that would exceed the deadline.
-			break
+			// All upstreams that have reached the floor are full. Wait at the one
+			// with the shortest queue if the read can be served there in time, or
+			// else refuse now rather than after a wait.
+			id, ok := full.shortest()
+			if r.settled || !ok {
+				break
+			}
+			r.settled = true
+			delete(excluded, id)
+			continue
 		}
 		if i < 0 {
 			clear(excluded)
@@ -114,6 +123,7 @@
 			}
 		}
 		excluded[id] = true
+		full.add(id, out.refusal)
 	}
 	return r.finalReadOutcome(last)
 }
@@ -127,9 +137,9 @@
 	}
 	cause := last.refusal
 	last.refusal = refuser.Wrap(reason, "service "+r.route.Service, cause)
-	last.refusal.RetryAfter = r.route.TargetLatency / 4
+	last.refusal.RetryAfter = r.session.server.jitter(r.route.TargetLatency / 4)
 	if reason == refuser.ReasonPoolFull {
-		last.refusal.RetryAfter = retryAfter(cause)
+		last.refusal.RetryAfter = r.session.server.retryAfter(cause)
 	}
 	last.retryable = false
 	return last
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -27,9 +27,12 @@
 	// answerReserve is the part of the timeout reserved for sending the answer
 	// to the caller.
 	answerReserve = 20 * time.Millisecond
-	// queueWaitDivisor divides the latency objective to get the longest wait of
-	// an operation in an upstream's queue.
+	// queueWaitDivisor divides the latency objective to get the longest wait in
+	// an upstream's queue while another upstream may serve the read sooner.
 	queueWaitDivisor = 3
+	// wayBackDivisor divides the latency objective to get the part of it that is
+	// reserved for the way between the hosts and to the caller.
+	wayBackDivisor = 8
 	// publicOrganisation is the organisation name sent to upstreams for public
 	// routes.
 	publicOrganisation = "public"
@@ -55,6 +58,8 @@
 	// preparedStmt is set for VerbExecute.
 	preparedStmt preparedStatement
 	attempts     int
+	// settled is true once no other upstream can serve the statement sooner.
+	settled bool
 	// use is the work at the primary in the current attempt; nil at replicas.
 	use *primaryUse
 }
@@ -149,18 +154,31 @@
 	return last, nil
 }
 
-// limits returns the time limits of a run. An operation that would spend too
-// much of its objective in a queue is refused at once: the caller may retry,
-// and the requests already waiting stay within their objective.
+// limits returns the time limits of a run. A read that would spend much of its
+// objective in one upstream's queue is refused there at once, and tries the
+// others. At the last, or at the primary, it waits for as long as its objective
+// allows, or longer while the queue is draining: a refusal would make the caller
+// repeat the whole operation.
 func (r *request) limits(l *connector.Lease, deadline time.Time) connector.Limits {
 	objective := r.route.TargetLatency
 	if objective <= 0 {
 		objective = defaultTimeout
 	}
-	maxWait := min(objective/queueWaitDivisor, time.Until(deadline)/2)
-	return connector.Limits{
-		Deadline: deadline, TimeReserve: r.session.server.Upstreams.TimeReserve(l.Upstream), MaxWait: max(maxWait, time.Millisecond), Priority: r.route.Priority,
+	limits := connector.Limits{
+		Deadline: deadline, TimeReserve: r.session.server.Upstreams.TimeReserve(l.Upstream), Priority: r.route.Priority, Patient: r.settled,
 	}
+	if !r.settled {
+		limits.MaxWait = max(min(objective/queueWaitDivisor, time.Until(deadline)/2), time.Millisecond)
+	}
+	answer := objective - objective/wayBackDivisor - time.Since(r.startedAt)
+	if r.session.tx != nil && r.session.tx.lease == nil {
+		// The other statements of the transaction need time too.
+		answer /= 2
+	}
+	// A statement that had to wait for a promotion still gets as much time as any
+	// other would at first.
+	limits.AnswerWithin = max(answer, objective/queueWaitDivisor)
+	return limits
 }
 
 // recordRun updates the upstream tracker with the result of a run.
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -77,6 +77,9 @@
 	// Now returns the time of a clock that keeps running while the machine is
 	// suspended.
 	Now func() time.Time
+	// Random returns random numbers from 0 up to 1 that spread retry delays; nil
+	// means those of the process. It must be safe for concurrent use.
+	Random func() float64
 	// Location is the location of this host, from which the distance to upstreams
 	// is determined.
 	Location Location
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -3,37 +3,62 @@
 //
 // An upstream runs a few statements at once and queues the rest itself, first
 // come, first served. So no more are sent than it can run. The others wait
-// here, where a statement that cannot be served in time is refused at once,
-// before it has cost anything. Statements of open transactions go first, as
-// they hold resources that others need; then those of routes with a high
-// priority; then by time of arrival. A connection belongs to one organisation
-// and opening one costs a handshake, so an idle connection of an organisation
-// is used before the first waiter opens a new one, unless that waiter has
-// waited for long.
+// here. A statement that would miss its latency objective is refused before it
+// has cost anything, unless its caller has time left and the queue is draining.
+//
+// Statements of open transactions go first, as they hold resources that others
+// need; then those of routes with a high priority, writes before reads. One that
+// others pass for long gets every fourth grant. Within a rank, organisations
+// share the upstream by their weights (start-time fair queueing), so that one of
+// them cannot fill the queue for the others. A waiter that has missed its
+// objective lets those pass that can still meet theirs; otherwise a queue that
+// is once too long would make every statement late. A waiter whose caller can no
+// longer be answered in time is not run.
+//
+// A connection belongs to one organisation and opening one costs a handshake, so
+// an idle connection of an organisation is used before the first waiter opens a
+// new one, unless that waiter has waited for long.
 //
 // # Usage
 //
 //	q := queuer.Queue{Slots: 5}
-//	if wait := q.ExpectedWait(w); wait > maxWait { ... }   // refuse
+//	if d := q.Offer(now, w); !d.Admitted { ... }   // refuse
 //	q.Push(w)
+//	expired := q.Expire(now)                       // refuse
 //	next := q.Pop(now, fit)
-//	q.ObserveServiceTime(33 * time.Millisecond)
+//	q.ObserveStatement(queuer.KindRead, 33 * time.Millisecond)
 //
 // A Queue is not safe for concurrent use: callers must serialise the calls.
 package queuer
 
 import (
 	"container/list"
+	"math"
 	"time"
 )
 
 const (
 	// maxSkip is how long a waiter that needs a new connection may be skipped
-	// in favour of one that has an idle connection.
-	maxSkip = 40 * time.Millisecond
+	// in favour of one that has an idle connection. A waiter with an objective may
+	// be skipped for longer, until 1/skipDivisor of its time is over: in a long
+	// queue everyone waits for more than maxSkip, and opening connections in order
+	// of arrival would take a third of the slots' time.
+	maxSkip     = 40 * time.Millisecond
+	skipDivisor = 3
+	// maxPassed is how long a waiter may be passed by those of a higher rank.
+	// After that it gets one of agedShare grants.
+	maxPassed = 100 * time.Millisecond
+	agedShare = 4
 	// serviceWeight is the weight of the newest statement in the moving average
 	// of service times.
 	serviceWeight = 0.05
+	// kindWeight is the weight of the newest statement in the averages by kind,
+	// and openingWeight of the newest grant in the share of openings and of the
+	// newest opening in their duration.
+	kindWeight    = 0.1
+	openingWeight = 0.05
+	// weightWeight is the weight of the newest waiter in the mean weight.
+	weightWeight = 0.02
 	// defaultService is the service time assumed before the first measurement.
 	defaultService = 20 * time.Millisecond
 	// overdueFactor times the mean service time is the time after which a
@@ -73,10 +98,26 @@
 	// Slots is the number of statements that the upstream runs at once; zero
 	// means no limit.
 	Slots int
+	// Weight returns the weight of an organisation; nil, or a result that is not
+	// positive, means that it is unknown. It counts as average then.
+	Weight func(organisation string) float64
 
 	waiters     list.List
 	running     int
 	meanService time.Duration
+	kindService map[Kind]average
+	// openingTime is the mean duration of an opening, and openingShare the share
+	// of grants that needed one.
+	openingTime  average
+	openingShare float64
+	// meanWeight is the mean weight of the newest waiters of known weight.
+	meanWeight float64
+	accounts   accounts
+	demand     demandMeter
+	// passed counts the grants by which waiters were passed for too long.
+	passed int
+	// nextReturn is when the next refused caller should return.
+	nextReturn time.Time
 }
 
 // Len returns the number of waiters.
@@ -102,6 +143,54 @@
 	q.meanService += time.Duration(serviceWeight * float64(took-q.meanService))
 }
 
+// ObserveStatement records the service time of a statement of a kind.
+func (q *Queue) ObserveStatement(kind Kind, took time.Duration) {
+	q.ObserveServiceTime(took)
+	if q.kindService == nil {
+		q.kindService = map[Kind]average{}
+	}
+	a := q.kindService[kind]
+	a.observe(took, kindWeight)
+	q.kindService[kind] = a
+}
+
+// ObserveOpening records the time in which a connection was opened.
+func (q *Queue) ObserveOpening(took time.Duration) { q.openingTime.observe(took, openingWeight) }
+
+// ServiceTime returns the expected service time of a statement of a kind.
+func (q *Queue) ServiceTime(kind Kind) time.Duration {
+	a := q.kindService[kind]
+	return a.or(average(q.meanService).or(defaultService))
+}
+
+// cost returns the time of a slot that a waiter is expected to take, with its
+// part of the openings.
+func (q *Queue) cost(w *Waiter) time.Duration {
+	cost := q.ServiceTime(w.Kind)
+	if !w.InTransaction {
+		cost += time.Duration(q.openingShare * float64(q.openingTime))
+	}
+	return cost
+}
+
+func (q *Queue) weight(organisation string) float64 {
+	weight := 0.0
+	if q.Weight != nil {
+		weight = q.Weight(organisation)
+	}
+	switch {
+	case weight > 0 && q.meanWeight == 0:
+		q.meanWeight = weight
+	case weight > 0:
+		q.meanWeight += weightWeight * (weight - q.meanWeight)
+	case q.meanWeight > 0:
+		return q.meanWeight
+	default:
+		return 1
+	}
+	return weight
+}
+
 // OverdueAfter returns the time after which a statement without an answer has
 // probably ended.
 func (q *Queue) OverdueAfter() time.Duration { return max(minOverdue, overdueFactor*q.meanService) }
@@ -114,26 +203,52 @@
 	q.ObserveServiceTime(timeoutFactor * max(q.meanService, defaultService))
 }
 
-// ExpectedWait returns the expected waiting time of w.
+// isLate reports whether a waiter has missed its objective. Statements of open
+// transactions never count as late, as they hold up others.
+func (q *Queue) isLate(w *Waiter, now time.Time) bool {
+	return !w.InTransaction && !w.AnswerBy.IsZero() && now.Add(q.ServiceTime(w.Kind)).After(w.AnswerBy)
+}
+
+// ExpectedWait returns the expected waiting time of w if it arrived at
+// w.EnqueuedAt: the work of those that go before it, by rank and by the shares
+// of the organisations, and the opening of connections.
 func (q *Queue) ExpectedWait(w *Waiter) time.Duration {
 	if q.Slots <= 0 || (q.HasSlot() && q.waiters.Len() == 0) {
 		return 0
 	}
-	before := 1
+	now := w.EnqueuedAt
+	if w.weight == 0 {
+		w.weight = q.weight(w.Organisation)
+	}
+	own := q.accounts.tag(w.Organisation)
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
-		if !w.precedes(e.Value.(*Waiter)) {
-			before++
+		if o := e.Value.(*Waiter); o.Organisation == w.Organisation && o.rank() <= w.rank() && !q.isLate(o, now) {
+			own += q.cost(o).Seconds() / o.weight
 		}
 	}
-	meanService := q.meanService
-	if meanService == 0 {
-		meanService = defaultService
+	before := average(q.meanService).or(defaultService)
+	tags := map[string]float64{}
+	for e := q.waiters.Front(); e != nil; e = e.Next() {
+		o := e.Value.(*Waiter)
+		if w.precedes(o) || q.isLate(o, now) {
+			continue
+		}
+		tag, ok := tags[o.Organisation]
+		if !ok {
+			tag = q.accounts.tag(o.Organisation)
+		}
+		cost := q.cost(o)
+		tags[o.Organisation] = tag + cost.Seconds()/o.weight
+		if o.rank() < w.rank() || o.Organisation == w.Organisation || tag <= own {
+			before += cost
+		}
 	}
-	return time.Duration(before) * meanService / time.Duration(q.Slots)
+	return before / time.Duration(q.Slots)
 }
 
 // Push inserts a waiter behind those of the same or a higher priority.
 func (q *Queue) Push(w *Waiter) {
+	w.weight = q.weight(w.Organisation)
 	for e := q.waiters.Back(); e != nil; e = e.Prev() {
 		if !w.precedes(e.Value.(*Waiter)) {
 			w.element = q.waiters.InsertAfter(w, e)
@@ -153,34 +268,118 @@
 	return true
 }
 
+// Expire removes and returns the waiters that can no longer be answered in time.
+func (q *Queue) Expire(now time.Time) []*Waiter {
+	var expired []*Waiter
+	for e := q.waiters.Front(); e != nil; {
+		w := e.Value.(*Waiter)
+		e = e.Next()
+		if w.isExpired(now) {
+			q.Remove(w)
+			expired = append(expired, w)
+		}
+	}
+	return expired
+}
+
 // Pop removes and returns the waiter that runs next, or nil if no slot is free
 // or no waiter can get a connection. fit returns the way in which a waiter
-// could get one.
+// could get one. Waiters whose time is over are passed over.
 func (q *Queue) Pop(now time.Time, fit func(w *Waiter) Availability) *Waiter {
 	if !q.HasSlot() {
 		return nil
 	}
-	var chosen *Waiter
+	var first, withIdle, aged choice
+	minTag := math.Inf(1)
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
 		w := e.Value.(*Waiter)
-		if chosen != nil && w.rank() > chosen.rank() {
-			break
+		c := choice{waiter: w, late: q.isLate(w, now), tag: q.accounts.tag(w.Organisation)}
+		isAged := !c.late && now.Sub(w.EnqueuedAt) >= maxPassed && (aged.waiter == nil || w.EnqueuedAt.Before(aged.waiter.EnqueuedAt))
+		minTag = min(minTag, c.tag)
+		if w.isExpired(now) || (!isAged && !c.before(first) && !c.before(withIdle)) {
+			continue
 		}
-		switch f := fit(w); {
-		case w.InTransaction || f == IdleAvailable:
-			q.Remove(w)
-			return w
-		case f == Unavailable:
+		c.availability = IdleAvailable
+		if !w.InTransaction {
+			c.availability = fit(w)
+		}
+		if c.availability == Unavailable {
 			continue
-		case now.Sub(w.EnqueuedAt) >= maxSkip && chosen == nil:
-			q.Remove(w)
-			return w
-		case chosen == nil:
-			chosen = w
+		}
+		if isAged {
+			aged = c
+		}
+		if c.before(first) {
+			first = c
+		}
+		if c.availability == IdleAvailable && c.before(withIdle) {
+			withIdle = c
+		}
+	}
+	if first.waiter == nil {
+		return nil
+	}
+	chosen := first
+	if withIdle.waiter != nil && !first.rankBefore(withIdle) && now.Sub(first.waiter.EnqueuedAt) < skipLimit(first.waiter) {
+		chosen = withIdle
+	}
+	if aged.waiter != nil && chosen.rankBefore(aged) {
+		if q.passed++; q.passed >= agedShare {
+			chosen, q.passed = aged, 0
 		}
 	}
-	if chosen != nil {
-		q.Remove(chosen)
+	q.accounts.advance(minTag)
+	q.grant(chosen)
+	return chosen.waiter
+}
+
+// skipLimit returns how long a waiter that needs a new connection may be skipped.
+func skipLimit(w *Waiter) time.Duration {
+	if w.AnswerBy.IsZero() {
+		return maxSkip
+	}
+	return max(maxSkip, w.AnswerBy.Sub(w.EnqueuedAt)/skipDivisor)
+}
+
+// grant removes a waiter and charges it to its organisation.
+func (q *Queue) grant(c choice) {
+	w := c.waiter
+	q.Remove(w)
+	cost := q.ServiceTime(w.Kind)
+	if !w.InTransaction {
+		opened := 0.0
+		if c.availability == OpenAllowed {
+			opened = 1
+			cost += time.Duration(q.openingTime)
+		}
+		q.openingShare += openingWeight * (opened - q.openingShare)
+	}
+	q.accounts.charge(w.Organisation, cost, w.weight)
+}
+
+// choice is a waiter that may be granted the next slot.
+type choice struct {
+	waiter       *Waiter
+	availability Availability
+	late         bool
+	// tag is the service that the waiter's organisation has attained.
+	tag float64
+}
+
+// before reports whether c goes before a waiter that is ahead of it in the
+// queue. Any waiter goes before none.
+func (c choice) before(ahead choice) bool {
+	if ahead.waiter == nil || c.rankBefore(ahead) {
+		return true
+	}
+	return !ahead.rankBefore(c) && c.tag < ahead.tag
+}
+
+// rankBefore reports whether c goes before another waiter whatever their
+// organisations have attained.
+func (c choice) rankBefore(other choice) bool {
+	if c.late != other.late {
+		return other.late
 	}
-	return chosen
+	return c.waiter.rank() < other.waiter.rank()
 }
