Check evacuations with processes, in the soak and at the control hosts

Cause: whether an order is kept can only be seen at the upstreams. Change: the stand-in upstreams are in data centres and count callers' statements by data centre and time. The soak's report reads the shared counts under their locks.

--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -37,6 +37,10 @@
 	// address of the platform's API.
 	addressCount    int
 	platformAddress string
+	// zones holds the data centres of hosts that are not in data centre a, by address.
+	zones map[string]string
+	// evacuateMS is the setting of the same name; zero leaves it out.
+	evacuateMS int
 }
 
 // Indexes into fleet.ports. All hosts use the same ports.
@@ -88,9 +92,16 @@
 	for _, s := range seeds {
 		quoted = append(quoted, `"`+f.address(s, portControl)+`"`)
 	}
+	zone, bounds := "a", ""
+	if other, ok := f.zones[p.ip]; ok {
+		zone = other
+	}
+	if f.evacuateMS > 0 {
+		bounds = fmt.Sprintf("evacuate_ms = %d\n", f.evacuateMS)
+	}
 	text := fmt.Sprintf(`node = "node-%s"
 ip = "%s"
-zone = "a"
+zone = "%s"
 region = "r"
 internal_ports = [%d,%d]
 seeds = [%s]
@@ -98,6 +109,8 @@
 data_dir = "%s"
 [zones]
 a = "r"
+b = "r"
+c = "r"
 [listen]
 front = "%s"
 ready = "%s"
@@ -109,10 +122,10 @@
 machines = 1
 [bounds]
 grace_s = 4
-[cloud]
+%s[cloud]
 address = "%s"
-`, p.ip, p.ip, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, p.ip),
-		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), f.platformAddress)
+`, p.ip, p.ip, zone, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, p.ip),
+		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), bounds, f.platformAddress)
 	qt.Assert(f.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
 
--- a/cmd/shallotstage-host/soak_callers_test.go
+++ b/cmd/shallotstage-host/soak_callers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,13 @@
 	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
 }
 
+// allViolations returns the violations so far.
+func (l *history) allViolations() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.violations)
+}
+
 // recordWrite records the answer to a write.
 func (l *history) recordWrite(id, answer string) {
 	l.mu.Lock()
--- a/cmd/shallotstage-host/soak_test.go
+++ b/cmd/shallotstage-host/soak_test.go
@@ -27,9 +27,8 @@
 )
 
 const (
-	soakControls  = 3
-	soakUpstreams = 3
-	soakCallers   = 24
+	soakControls = 3
+	soakCallers  = 24
 	// recoveryLimit is the time within which the fleet must serve all callers
 	// after the last fault.
 	recoveryLimit = 15 * time.Second
@@ -47,6 +46,10 @@
 	// the latest that was acknowledged.
 	version      int
 	acknowledged atomic.Int64
+	// entryCount is the number of entry hosts, evacuations that of evacuations so far.
+	entryCount, evacuations int
+	// served counts the operations of each caller that succeeded.
+	served []atomic.Int64
 }
 
 func soakIP(i int) string { return fmt.Sprintf("127.0.0.%d", i+2) }
@@ -118,7 +121,7 @@
 func (s *soak) injectFault() {
 	entry, control := s.entries[s.rnd.IntN(len(s.entries))], s.controls[s.rnd.IntN(soakControls)]
 	pause := time.Duration(200+s.rnd.IntN(1300)) * time.Millisecond
-	switch kind := s.rnd.IntN(14); kind {
+	switch kind := s.rnd.IntN(15); kind {
 	case 0, 1:
 		s.kill(entry, syscall.SIGKILL)
 		s.restart("entry", entry)
@@ -158,6 +161,8 @@
 	case 10:
 		s.sendGarbage(entry, portPeer, portMetrics, portCaller, portReady)
 		s.sendGarbage(control, portPeer, portMetrics, portControl)
+	case 11:
+		s.evacuate(soakZones[s.rnd.IntN(len(soakZones))])
 	default:
 		s.configure()
 		s.checkConfiguration()
@@ -235,41 +240,74 @@
 // TestSoak runs a fleet of processes under random faults: single hosts are killed,
 // stopped or suspended, all control hosts are killed at once, primaries crash or
 // announce their end, settings change during shutdowns, garbage is sent to all ports,
-// and configurations are submitted twice. Replaced primaries go on until they are told. It checks the answers to callers and
+// data centres are evacuated, and configurations are submitted twice. Replaced primaries go on until they are told. It checks the answers to callers and
 // operators, and that all callers are served again after the faults.
 //
 //	go test ./cmd/shallotstage-host -run Soak -args -soak 10m -soak-entries 24 -soak-seed 7
 func TestSoak(t *testing.T) {
+	s := newSoak(t, *soakEntries, soakZones)
+	s.evacuateMS = soakEvacuateMS
+	end := s.startFleet()
+	defer end()
+	s.waitFor("all callers to be served", s.allServed)
+	// At least one evacuation, whatever faults the seed selects.
+	s.evacuate(soakZones[s.rnd.IntN(len(soakZones))])
+	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
+		s.injectFault()
+	}
+	begin := time.Now()
+	s.waitForCallers("all callers to be served after the faults")
+	took := time.Since(begin)
+	end()
+	s.check()
+	s.checkLogs()
+	s.group.mu.Lock()
+	t.Logf("seed %d: %d writes committed, answers %v, %d promotions, %d commits at replaced primaries, %d demotions, %d evacuations, all callers served %s after the last fault",
+		*soakSeed, len(s.history.committed), s.history.answers, s.group.promotions, s.group.strayCommits, s.group.demotions, s.evacuations, took)
+	s.group.mu.Unlock()
+	qt.Assert(t, s.history.allViolations(), qt.HasLen, 0)
+	qt.Assert(t, took < recoveryLimit, qt.IsTrue, qt.Commentf("%s", took))
+}
+
+// newSoak returns a fleet that is not started yet, with an upstream in each of the given
+// data centres.
+func newSoak(t *testing.T, entries int, zones []string) *soak {
 	s := &soak{
-		fleet: newFleetOfSize(t, soakControls+*soakEntries), rnd: rand.New(rand.NewPCG(*soakSeed, 5)),
-		history: &history{committed: map[string]bool{}, rejected: map[string]bool{}, answers: map[string]int{}},
+		fleet: newFleetOfSize(t, soakControls+entries), rnd: rand.New(rand.NewPCG(*soakSeed, 5)),
+		history:    &history{committed: map[string]bool{}, rejected: map[string]bool{}, answers: map[string]int{}},
+		entryCount: entries, served: make([]atomic.Int64, soakCallers),
 	}
-	s.group = newFakeGroup(t, soakUpstreams, s.history)
+	s.group = newFakeGroup(t, zones, s.history)
 	platform := httptest.NewServer(http.HandlerFunc(s.group.promote))
-	defer platform.Close()
+	t.Cleanup(platform.Close)
 	s.platformAddress = strings.TrimPrefix(platform.URL, "http://")
+	return s
+}
+
+// startFleet starts the processes, the announcements and the callers. end stops the
+// announcements and the callers.
+func (s *soak) startFleet() (end func()) {
 	for i := range soakControls {
 		s.controls = append(s.controls, s.start("control", soakIP(i)))
 	}
 	var addresses []string
-	for i := range *soakEntries {
+	for i := range s.entryCount {
 		p := s.start("entry", soakIP(soakControls+i))
 		s.entries = append(s.entries, p)
 		addresses = append(addresses, s.address(p.ip, portCaller))
 	}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	end := sync.OnceFunc(func() {
+	end = sync.OnceFunc(func() {
 		close(stop)
 		wg.Wait()
 	})
-	defer end()
+	s.t.Cleanup(end)
 	s.waitFor("the first configuration", func() bool {
 		s.configure()
 		return s.acknowledged.Load() > 0
 	})
 	wg.Go(func() { s.announce(stop) })
-	served := make([]atomic.Int64, soakCallers)
 	for i := range soakCallers {
 		c := &soakCaller{name: fmt.Sprintf("c%d", i), route: []string{"all", "own"}[i%2], addresses: addresses, history: s.history, rnd: rand.New(rand.NewPCG(*soakSeed, uint64(i)))}
 		wg.Go(func() {
@@ -280,34 +318,29 @@
 				case <-time.After(5 * time.Millisecond):
 				}
 				if c.step() {
-					served[i].Add(1)
+					s.served[i].Add(1)
 				}
 			}
 		})
 	}
-	allServed := func() bool {
-		for i := range served {
-			if served[i].Load() == 0 {
-				return false
-			}
+	return end
+}
+
+// allServed reports whether each caller was served since the counts were last reset.
+func (s *soak) allServed() bool {
+	for i := range s.served {
+		if s.served[i].Load() == 0 {
+			return false
 		}
-		return true
 	}
-	s.waitFor("all callers to be served", allServed)
-	for end := time.Now().Add(*soakDuration); time.Now().Before(end); {
-		s.injectFault()
-	}
-	for i := range served {
-		served[i].Store(0)
+	return true
+}
+
+// waitForCallers waits until each caller is served from now on.
+func (s *soak) waitForCallers(what string) {
+	s.t.Helper()
+	for i := range s.served {
+		s.served[i].Store(0)
 	}
-	begin := time.Now()
-	s.waitFor("all callers to be served after the faults", allServed)
-	took := time.Since(begin)
-	end()
-	s.check()
-	s.checkLogs()
-	t.Logf("seed %d: %d writes committed, answers %v, %d promotions, %d commits at replaced primaries, %d demotions, all callers served %s after the last fault",
-		*soakSeed, len(s.history.committed), s.history.answers, s.group.promotions, s.group.strayCommits, s.group.demotions, took)
-	qt.Assert(t, s.history.violations, qt.HasLen, 0)
-	qt.Assert(t, took < recoveryLimit, qt.IsTrue, qt.Commentf("%s", took))
+	s.waitFor(what, s.allServed)
 }
--- a/cmd/shallotstage-host/soak_upstreams_test.go
+++ b/cmd/shallotstage-host/soak_upstreams_test.go
@@ -39,13 +39,44 @@
 	promotions   int
 	// strayCommits and demotions count what replaced primaries were asked.
 	strayCommits, demotions int
-	history                 *history
+	// statements counts the callers' statements that arrived, by data centre and by
+	// countInterval since began.
+	statements map[string]map[int64]int
+	began      time.Time
+	history    *history
+}
+
+// countInterval is the length of the intervals for which statements are counted.
+const countInterval = 50 * time.Millisecond
+
+// countStatement counts a statement that arrived in a data centre. The caller must hold
+// the lock.
+func (g *fakeGroup) countStatement(zone string) {
+	if g.statements[zone] == nil {
+		g.statements[zone] = map[int64]int{}
+	}
+	g.statements[zone][int64(time.Since(g.began)/countInterval)]++
+}
+
+// statementsBetween returns the number of callers' statements that arrived in a data centre
+// in the intervals that lie wholly between two times.
+func (g *fakeGroup) statementsBetween(zone string, from, to time.Time) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := int64((from.Sub(g.began) + countInterval - 1) / countInterval)
+	last := int64(to.Sub(g.began)/countInterval) - 1
+	n := 0
+	for i := first; i <= last; i++ {
+		n += g.statements[zone][i]
+	}
+	return n
 }
 
 // fakeUpstream is one upstream of a group.
 type fakeUpstream struct {
 	group    *fakeGroup
 	index    int
+	zone     string
 	born     int64
 	listener net.Listener
 	conns    map[net.Conn]bool
@@ -58,12 +89,14 @@
 	strays    []commit
 }
 
-func newFakeGroup(t *testing.T, n int, h *history) *fakeGroup {
-	g := &fakeGroup{term: 1, history: h}
-	for i := range n {
+// newFakeGroup starts a group with an upstream in each of the given data centres, of which
+// the first is the primary.
+func newFakeGroup(t *testing.T, zones []string, h *history) *fakeGroup {
+	g := &fakeGroup{term: 1, history: h, statements: map[string]map[int64]int{}, began: time.Now()}
+	for i, zone := range zones {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
-		u := &fakeUpstream{group: g, index: i, born: time.Now().UnixMilli(), listener: l, conns: map[net.Conn]bool{}}
+		u := &fakeUpstream{group: g, index: i, zone: zone, born: time.Now().UnixMilli(), listener: l, conns: map[net.Conn]bool{}}
 		g.upstreams = append(g.upstreams, u)
 		t.Cleanup(func() { u.crash(t) })
 		go u.accept(l)
@@ -131,7 +164,7 @@
 	if u.draining {
 		state = "draining"
 	}
-	return fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":8,"state":"%s","db_role":"%s","seq":%d,"born":%d}`, u.listener.Addr(), state, role, sequence, u.born)
+	return fmt.Sprintf(`{"service":"s","address":"%s","zone":"%s","slots":8,"state":"%s","db_role":"%s","seq":%d,"born":%d}`, u.listener.Addr(), u.zone, state, role, sequence, u.born)
 }
 
 // leads reports whether the upstream takes itself for the primary. The caller must
@@ -268,6 +301,9 @@
 
 // handle executes one statement. The caller must hold the group's lock.
 func (u *fakeUpstream) handle(s *fakeSession, id, text string) string {
+	if id != "-" {
+		u.group.countStatement(u.zone)
+	}
 	isPrimary := u.leads()
 	if tail, ok := strings.CutPrefix(text, "AFTER "); ok {
 		position, rest, _ := strings.Cut(tail, " ")
