--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -42,6 +42,7 @@
 	logger.EventOwnerLost.Number: true, logger.EventTermStarted.Number: true, logger.EventPromotionDone.Number: true,
 	logger.EventPromotionOrdered.Number: true, logger.EventPromotionAnswered.Number: true, logger.EventControlMembersChanged.Number: true,
 	logger.EventCommandApplied.Number: true, logger.EventControlStateNotStored.Number: true, logger.EventLogLinesDropped.Number: true,
+	logger.EventDataCentreEvacuated.Number: true, logger.EventEvacuationChanged.Number: true,
 }
 
 // Trace is the history of a request, sorted by time.
