Bound how long open transactions hold up a hand-over out of a data centre

Cause: with a long evacuate_ms one open transaction would hold new work of its service until the limit, and all primaries of its host once the host's lease of 10 s had ended. Result: go test -race of the tests of hand-overs, evacuations and leases in fencer and platform passes.

--- a/internal/transactor/gate.go
+++ b/internal/transactor/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
@@ -21,7 +22,7 @@
 	// suspended.
 	Now func() time.Time
 	// Evacuations extends planned changes of primaries that are evacuated, up to the
-	// limit of the evacuation; nil extends none.
+	// limit of the evacuation and maxEvacuationHandOver; nil extends none.
 	Evacuations *Evacuations
 	// Released is called when this host has let go of a primary that hands over.
 	Released func()
@@ -29,6 +30,11 @@
 	mu sync.Mutex
 }
 
+// maxEvacuationHandOver bounds how long work in progress may hold up new work while a
+// primary leaves an evacuated data centre: until the default limit. A host that lets go
+// later than its lease of 10 s ends would lose all primaries.
+const maxEvacuationHandOver = evacuator.DefaultLimit - evacuator.DeliveryMargin
+
 // SetTopology applies the primaries and promotions of a view.
 func (g *PrimaryGate) SetTopology(view *keeper.View) {
 	g.mu.Lock()
@@ -39,7 +45,7 @@
 		primary := view.Primaries[service]
 		var h *fencer.HandOver
 		if p, ok := view.Promotion(service); ok {
-			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned, Timeout: g.Evacuations.remaining(view.Upstreams[primary])}
+			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned, Timeout: min(g.Evacuations.remaining(view.Upstreams[primary]), maxEvacuationHandOver)}
 			// The candidate was chosen by what it had received: a later commit may be
 			// with another replica only.
 			h.AbandonsFormer = !p.Planned && !g.Gate.Exclusive && s.SyncReplicas > 0
--- a/pkg/fencer/gate_test.go
+++ b/pkg/fencer/gate_test.go
@@ -168,3 +168,22 @@
 	g.SetPrimary("s", "b", &HandOver{Former: "a", Token: 51, AbandonsFormer: true}, now)
 	qt.Assert(t, g.MayAcknowledge(work), qt.IsFalse, qt.Commentf("the next decision"))
 }
+
+// A change of primary may give work in progress, and the hold of new work, more time than
+// the gate's own limit.
+func TestHandOverTimeoutOfOneChange(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		timeout, want time.Duration
+	}{{0, time.Second}, {500 * time.Millisecond, time.Second}, {3 * time.Second, 3 * time.Second}} {
+		g := Gate{HandOverTimeout: time.Second, HoldTimeout: 2 * time.Second}
+		g.SetPrimary("s", "p", nil, start)
+		_, ok := g.Begin("s", "p", start)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, g.SetPrimary("s", "r", &HandOver{Token: 9, Former: "p", Planned: true, Timeout: test.timeout}, start), qt.Equals, test.want)
+		qt.Assert(t, g.Release(9, start.Add(test.want-1)), qt.Equals, uint64(8))
+		qt.Assert(t, g.Holds("s", start.Add(test.want+time.Second-1)), qt.IsTrue)
+		qt.Assert(t, g.Holds("s", start.Add(test.want+time.Second)), qt.IsFalse)
+		qt.Assert(t, g.Release(9, start.Add(test.want)), qt.Equals, uint64(9))
+	}
+}
