--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -39,6 +39,10 @@
 	// address of the platform's API.
 	addressCount    int
 	platformAddress string
+	// zones holds the data centres of hosts that are not in data centre a, by address.
+	zones map[string]string
+	// evacuateMS is the setting of the same name; zero leaves it out.
+	evacuateMS int
 }
 
 // Indexes into fleet.ports. All hosts use the same ports.
@@ -90,9 +94,16 @@
 	for _, s := range seeds {
 		quoted = append(quoted, `"`+f.address(s, portControl)+`"`)
 	}
+	zone, bounds := "a", ""
+	if other, ok := f.zones[p.ip]; ok {
+		zone = other
+	}
+	if f.evacuateMS > 0 {
+		bounds = fmt.Sprintf("evacuate_ms = %d\n", f.evacuateMS)
+	}
 	text := fmt.Sprintf(`node = "node-%s"
 ip = "%s"
-zone = "a"
+zone = "%s"
 region = "r"
 internal_ports = [%d,%d]
 seeds = [%s]
@@ -100,6 +111,8 @@
 data_dir = "%s"
 [zones]
 a = "r"
+b = "r"
+c = "r"
 [listen]
 front = "%s"
 ready = "%s"
@@ -111,10 +124,10 @@
 machines = 1
 [bounds]
 grace_s = 4
-[cloud]
+%s[cloud]
 address = "%s"
-`, p.ip, p.ip, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, p.ip),
-		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), f.platformAddress)
+`, p.ip, p.ip, zone, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, p.ip),
+		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), bounds, f.platformAddress)
 	if p.adjust != nil {
 		text = p.adjust(text)
 	}
