placer: placement by capacity, bounded connections, eviction by use

The limits of the hosts did not add up: a second owner could hold as many connections as the first, and each host of another data centre at least one.

Change: placements respect the number of connections. Regions share the smallest organisations, whose reads go to the other region if only it keeps connections for them; primaries have fewer homes. The first owner gets 0.8 of the connections, the second 0.12, one fallback host in each data centre the rest; other hosts open none and refuse at once. pkg/evictor closes the connection whose last use but one is longest ago. Position queries do not count as a use.

--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -37,8 +37,13 @@
 	// prepared holds the names of the statements prepared on the connection.
 	prepared map[string]bool
 	// broken is true if the state of the connection is uncertain.
-	broken    bool
-	idleSince time.Time
+	broken bool
+	// idleSince is when the connection was last returned to its pool, and
+	// previousUse when it was returned before that.
+	idleSince, previousUse time.Time
+	// positionOnly is true while the connection queries a position, which any
+	// connection can and which therefore does not count as a use.
+	positionOnly bool
 	// state is the transaction state in the last answer.
 	state TransactionState
 }
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/shallotstage/shallotstage/pkg/evictor"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
@@ -79,6 +81,7 @@
 	last := len(p.idle) - 1
 	c := p.idle[last]
 	p.idle = p.idle[:last]
+	c.positionOnly = true
 	return c
 }
 
@@ -96,6 +99,10 @@
 		p.mu.Unlock()
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
 	}
+	if p.limit <= 0 && !w.InTransaction {
+		p.mu.Unlock()
+		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("no host that holds its connections can be reached")}
+	}
 	w.EnqueuedAt = time.Now()
 	if expected := p.queue.ExpectedWait(w); !w.InTransaction && limits.MaxWait > 0 && expected > limits.MaxWait {
 		p.mu.Unlock()
@@ -181,14 +188,28 @@
 	return len(p.idle) > 0 && p.open <= p.limit
 }
 
-// makeRoom closes the connection that has been idle longest if a new one can be
-// opened only in its place.
+// makeRoom closes an idle connection if a new one can be opened only in its place.
 func (p *Pool) makeRoom(now time.Time) {
 	if p.open >= p.limit || now.Before(p.dialBlockedUntil) {
-		p.closeLongestIdle()
+		p.closeLeastUsed()
 	}
 }
 
+// closeLeastUsed closes the idle connection that evictor chooses.
+func (p *Pool) closeLeastUsed() {
+	uses := make([]evictor.Use, len(p.idle))
+	for i, c := range p.idle {
+		uses[i] = evictor.Use{Last: c.idleSince, Previous: c.previousUse}
+	}
+	p.closeIdle(evictor.Choose(uses))
+}
+
+func (p *Pool) closeIdle(i int) {
+	_ = p.idle[i].net.Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.open--
+}
+
 // takeIdle removes the best matching idle connection.
 func (p *Pool) takeIdle(organisation string, values map[string]string) *Conn {
 	best := -1
@@ -208,12 +229,6 @@
 	return c
 }
 
-func (p *Pool) closeLongestIdle() {
-	_ = p.idle[0].net.Close()
-	p.idle = p.idle[1:]
-	p.open--
-}
-
 // dial opens a connection. The connection and its slot are already counted.
 func (p *Pool) dial(ctx context.Context, organisation string) (*Conn, error) {
 	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
@@ -267,7 +282,10 @@
 		p.open--
 		return
 	}
-	c.idleSince = time.Now()
+	if !c.positionOnly {
+		c.previousUse, c.idleSince = c.idleSince, time.Now()
+	}
+	c.positionOnly = false
 	p.idle = append(p.idle, c)
 }
 
@@ -276,7 +294,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.idleTimeout > 0 && len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.idleTimeout {
-		p.closeLongestIdle()
+		p.closeIdle(0)
 	}
 }
 
@@ -286,7 +304,7 @@
 	defer p.mu.Unlock()
 	p.upstream, p.limit, p.idleTimeout, p.queue.Slots = u, a.MaxConnections, a.IdleTimeout, u.Slots
 	for p.open > p.limit && len(p.idle) > 0 {
-		p.closeLongestIdle()
+		p.closeLeastUsed()
 	}
 	p.dispatch()
 }
@@ -297,6 +315,6 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for len(p.idle) > 0 {
-		p.closeLongestIdle()
+		p.closeIdle(0)
 	}
 }
--- /dev/null
+++ b/internal/connector/pool_test.go
@@ -0,0 +1,65 @@
+package connector
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/shallotstage/shallotstage/pkg/keeper"
+)
+
+// idlePool returns a pool at its limit, with idle connections of the organisations
+// a, b and c, returned in this order.
+func idlePool(t *testing.T) *Pool {
+	t.Helper()
+	p := newPool(&Dialer{}, keeper.Upstream{ID: "u", Slots: 4})
+	p.limit = 3
+	for _, organisation := range []string{"a", "b", "c"} {
+		local, remote := net.Pipe()
+		t.Cleanup(func() { _ = remote.Close() })
+		p.open++
+		p.put(&Conn{Organisation: organisation, net: local, state: StateIdle})
+	}
+	return p
+}
+
+func organisationsOf(p *Pool) []string {
+	var names []string
+	for _, c := range p.idle {
+		names = append(names, c.Organisation)
+	}
+	return names
+}
+
+// A connection that is used often must stay when an organisation needs a place,
+// even if others were returned later. Queries of the position use any connection
+// and must not count.
+func TestPoolKeepsConnectionsThatAreUsedOften(t *testing.T) {
+	p := idlePool(t)
+	p.Release(p.takeIdle("a", nil))
+	p.Release(p.takeIdle("b", nil))
+	for range 3 {
+		c := p.AcquireIdle()
+		p.Release(c)
+	}
+	p.Release(p.takeIdle("c", nil))
+	p.Release(p.takeIdle("a", nil))
+	p.makeRoom(time.Now())
+	qt.Assert(t, p.open, qt.Equals, 2)
+	qt.Assert(t, organisationsOf(p), qt.DeepEquals, []string{"c", "a"})
+}
+
+// A host that may open no connections must say so at once: a wait would end only
+// at the deadline.
+func TestPoolWithoutConnectionsRefusesAtOnce(t *testing.T) {
+	p := newPool(&Dialer{}, keeper.Upstream{ID: "u", Slots: 4})
+	begin := time.Now()
+	_, err := p.Acquire(context.Background(), "a", nil, Limits{Deadline: begin.Add(time.Minute)})
+	var connectErr *ConnectError
+	qt.Assert(t, errors.As(err, &connectErr), qt.IsTrue)
+	qt.Assert(t, time.Since(begin) < 10*time.Second, qt.IsTrue)
+}
--- a/internal/launcher/assignments.go
+++ b/internal/launcher/assignments.go
@@ -20,14 +20,16 @@
 	// reservedConnections of an upstream's connections are kept for queries of
 	// control hosts.
 	reservedConnections = 2
-	// ownerFraction is the fraction of an upstream's connections that hosts of
-	// its data centre open. The rest is for hosts that cannot reach the owner,
-	// and for an owner that has restarted while the upstream still counts its
-	// earlier connections.
-	ownerFraction = 0.6
-	// remoteFraction is the fraction that the hosts of all other data centres
-	// open together.
-	remoteFraction = 0.15
+	// ownerFraction is the fraction of an upstream's connections that its first
+	// owner opens. With more organisations than connections, each one more saves
+	// openings.
+	ownerFraction = 0.8
+	// secondOwnerFraction is the fraction that the second owner opens for hosts
+	// that cannot reach the first, until all hosts know that the first is gone.
+	secondOwnerFraction = 0.12
+	// fallbackFraction is the fraction that the fallback hosts of all data
+	// centres open together.
+	fallbackFraction = 0.08
 	// nonOwnerIdleTimeout is the idle timeout of connections from a host that is
 	// not the owner.
 	nonOwnerIdleTimeout = time.Second
@@ -55,6 +57,9 @@
 	location   transactor.Location
 
 	current atomic.Pointer[connectionOwners]
+	// fallbacks maps an upstream to a host of this data centre that opens
+	// connections to it while no owner can be reached.
+	fallbacks atomic.Pointer[map[string]broker.Owner]
 	// peers and upstreamDataCentres are the inputs of the current assignment;
 	// firstOwners are the first owners of all upstreams.
 	peers               map[string]keeper.Peer
@@ -66,13 +71,14 @@
 	// sampleHosts maps a service to the hosts of this region that keep samples
 	// of its primary.
 	sampleHosts atomic.Pointer[map[string][]sampler.SampleHost]
-	// placements hold which upstreams keep connections for which organisation.
-	placements atomic.Pointer[placements]
-	// configurationVersion is the configuration for which tokenHosts and
-	// placements were computed, and primaries are the primaries for which
-	// placements were.
+	placements  atomic.Pointer[placements]
+	// configurationVersion is the configuration for which tokenHosts was
+	// computed.
 	configurationVersion uint64
-	primaries            map[string]string
+	// placementVersion and placementInputs are the configuration and the
+	// upstreams for which placements were computed.
+	placementVersion uint64
+	placementInputs  map[string]placementInput
 }
 
 // connectionOwners maps an upstream's ID to its owners, in order of preference.
@@ -84,12 +90,8 @@
 	for id, u := range view.Upstreams {
 		upstreamDataCentres[id] = u.DataCentre
 	}
-	sameUpstreams := maps.Equal(o.upstreamDataCentres, upstreamDataCentres)
-	same := maps.Equal(o.peers, view.Peers) && sameUpstreams
-	if !sameUpstreams || !maps.Equal(o.primaries, view.Primaries) || o.configurationVersion != view.Configuration.Version {
-		o.primaries = view.Primaries
-		o.placeOrganisations(view)
-	}
+	o.placeOrganisations(view)
+	same := maps.Equal(o.peers, view.Peers) && maps.Equal(o.upstreamDataCentres, upstreamDataCentres)
 	if same && o.configurationVersion == view.Configuration.Version {
 		return
 	}
@@ -106,7 +108,7 @@
 	for id, dataCentre := range o.upstreamDataCentres {
 		upstreams[dataCentre] = append(upstreams[dataCentre], id)
 	}
-	next := connectionOwners{}
+	next, fallbacks := connectionOwners{}, map[string]broker.Owner{}
 	o.firstOwners = map[string]bool{}
 	for dataCentre, ids := range upstreams {
 		for id, ranked := range placer.AssignBounded(ids, hosts[dataCentre], assignedHosts) {
@@ -116,7 +118,20 @@
 			}
 		}
 	}
+	for id, dataCentre := range o.upstreamDataCentres {
+		local := hosts[o.dataCentre]
+		if dataCentre == o.dataCentre {
+			local = slices.DeleteFunc(slices.Clone(local), func(h string) bool {
+				return slices.ContainsFunc(next[id], func(owner broker.Owner) bool { return owner.Host == h })
+			})
+		}
+		if len(local) > 0 {
+			host := local[placer.PickOwner(id, o.dataCentre, len(local))]
+			fallbacks[id] = broker.Owner{Host: host, Address: o.addressOf(host)}
+		}
+	}
 	o.current.Store(&next)
+	o.fallbacks.Store(&fallbacks)
 }
 
 // assignTokenHosts assigns the token hosts of all organisations and the sample
@@ -244,15 +259,33 @@
 	return nil
 }
 
-// poolLimits returns how many of an upstream's connections this host may hold.
+// lendersOf returns the hosts that lend connections to an upstream: its owners
+// and the fallback host of this data centre.
+func (o *assignments) lendersOf(u keeper.Upstream) []broker.Owner {
+	owners := o.ownersOf(u)
+	if fallbacks := o.fallbacks.Load(); fallbacks != nil {
+		if fallback, ok := (*fallbacks)[u.ID]; ok {
+			return append(slices.Clone(owners), fallback)
+		}
+	}
+	return owners
+}
+
+// poolLimits returns how many of an upstream's connections this host may hold. The
+// limits of all hosts together stay within the upstream's. A host that is neither
+// owner nor fallback opens none, unless there is no such host.
 func (o *assignments) poolLimits(view *keeper.View, u keeper.Upstream) connector.PoolLimits {
 	most := float64(view.Configuration.Services[u.Service].MaxConnections - reservedConnections)
-	a := connector.PoolLimits{MaxConnections: max(1, int(most*ownerFraction)), IdleTimeout: nonOwnerIdleTimeout}
-	if u.DataCentre != o.dataCentre {
-		a.MaxConnections = max(1, int(most*remoteFraction)/max(1, view.Hosts))
-	}
-	if ranked := o.ownersOf(u); len(ranked) > 0 && ranked[0].Host == o.host {
-		a.IdleTimeout = 0
+	fallback := max(1, int(most*fallbackFraction)/max(1, len(o.groupPeers(func(p keeper.Peer) string { return p.DataCentre }))))
+	lenders, owners := o.lendersOf(u), len(o.ownersOf(u))
+	rank := slices.IndexFunc(lenders, func(l broker.Owner) bool { return l.Host == o.host })
+	switch {
+	case owners > 0 && rank == 0:
+		return connector.PoolLimits{MaxConnections: max(1, int(most*ownerFraction))}
+	case rank >= 0 && rank < owners:
+		return connector.PoolLimits{MaxConnections: max(1, int(most*secondOwnerFraction)), IdleTimeout: nonOwnerIdleTimeout}
+	case rank >= 0 || len(lenders) == 0:
+		return connector.PoolLimits{MaxConnections: fallback, IdleTimeout: nonOwnerIdleTimeout}
 	}
-	return a
+	return connector.PoolLimits{IdleTimeout: nonOwnerIdleTimeout}
 }
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -152,7 +152,7 @@
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
--- a/internal/launcher/placements.go
+++ b/internal/launcher/placements.go
@@ -1,54 +1,76 @@
 package launcher
 
 import (
-	"slices"
+	"maps"
 
 	"github.com/shallotstage/shallotstage/internal/transactor"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/placer"
 )
 
-// homeFraction is the fraction of the connections of an upstream's owner that
-// are planned for organisations placed there. The rest covers simultaneous
-// statements of one organisation and requests that other upstreams could not take.
-const homeFraction = 0.8
+const (
+	// homeFraction is the fraction of an owner's connections to an upstream that
+	// is planned for organisations placed there. The rest covers simultaneous
+	// statements of one organisation, and requests that other upstreams could not
+	// take. With more, organisations displace each other; with less, more reads
+	// go to another region: docs/design/0016.
+	homeFraction = 0.86
+	// primaryHomeFraction is that fraction at a primary, which also needs
+	// connections for the writes of all organisations.
+	primaryHomeFraction = 0.74
+)
 
-// placements maps an upstream to the placement of its service and region.
+// placements holds, by service, which upstreams keep connections for which
+// organisation. A service is missing if its upstreams have connections for all.
 type placements map[string]placer.Placement
 
-// placeOrganisations decides for each service which upstreams of a region keep
-// connections for which organisation. A primary keeps its connections for writes
-// unless it is the only upstream of its service in the region.
+// placementInput is what the placement of an upstream's service depends on.
+type placementInput struct {
+	service, dataCentre string
+	primary             bool
+}
+
+// placeOrganisations recomputes the placements if the configuration, the ready
+// upstreams or their primaries have changed.
 func (o *assignments) placeOrganisations(view *keeper.View) {
-	demands := organisationDemands(view)
-	groups := map[[2]string][]string{}
+	inputs := map[string]placementInput{}
 	for id, u := range view.Upstreams {
-		key := [2]string{u.Service, o.location.Regions[u.DataCentre]}
-		groups[key] = append(groups[key], id)
+		if u.Lifecycle == keeper.LifecycleReady {
+			inputs[id] = placementInput{u.Service, u.DataCentre, view.Primaries[u.Service] == id}
+		}
 	}
-	next := placements{}
-	for key, ids := range groups {
-		service := key[0]
-		perUpstream := int(ownerConnections(view, service) * homeFraction)
-		// With fewer organisations, every upstream has connections for all.
-		if len(demands) <= perUpstream {
+	if o.placementVersion == view.Configuration.Version && maps.Equal(o.placementInputs, inputs) {
+		return
+	}
+	o.placementVersion, o.placementInputs = view.Configuration.Version, inputs
+	demands := organisationDemands(view)
+	services := map[string]map[string][]placer.Capacity{}
+	for id, input := range inputs {
+		owned := ownerConnections(view, input.service)
+		if len(demands) <= int(owned*homeFraction) {
 			continue
 		}
-		slices.Sort(ids)
-		replicas := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == view.Primaries[service] })
-		if len(replicas) == 0 {
-			continue
+		homes := int(owned * homeFraction)
+		if input.primary {
+			homes = int(owned * primaryHomeFraction)
 		}
-		p := placer.Place(service, demands, replicas, perUpstream)
-		for _, id := range ids {
-			next[id] = p
+		regions := services[input.service]
+		if regions == nil {
+			regions = map[string][]placer.Capacity{}
+			services[input.service] = regions
 		}
+		region := o.location.Regions[input.dataCentre]
+		regions[region] = append(regions[region], placer.Capacity{Upstream: id, MaxHomes: homes})
+	}
+	next := placements{}
+	for service, regions := range services {
+		next[service] = placer.Place(service, demands, regions)
 	}
 	o.placements.Store(&next)
 }
 
 // organisationDemands returns the demands of all organisations and of public
-// routes.
+// routes. The rate of an organisation stands for its demand.
 func organisationDemands(view *keeper.View) []placer.Demand {
 	organisations := view.Configuration.Organisations
 	demands := make([]placer.Demand, 0, len(organisations)+1)
@@ -61,24 +83,14 @@
 }
 
 // affinity returns the rank of an upstream for an organisation.
-func (o *assignments) affinity(view *keeper.View, u keeper.Upstream, organisation string) int {
+func (o *assignments) affinity(u keeper.Upstream, organisation string) int {
 	current := o.placements.Load()
 	if current == nil {
 		return 0
 	}
-	p, ok := (*current)[u.ID]
-	if !ok {
-		return 0
-	}
-	if view.Primaries[u.Service] == u.ID {
-		return primaryAffinity
-	}
-	return p.Rank(organisation, u.ID)
+	return (*current)[u.Service].Rank(organisation, u.ID)
 }
 
-// primaryAffinity is the rank of a primary whose region has replicas.
-const primaryAffinity = 1
-
 // ownerConnections returns how many connections to each upstream of a service
 // its owner may hold.
 func ownerConnections(view *keeper.View, service string) float64 {
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -298,7 +298,7 @@
 			ID: u.ID, Distance: server.Location.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
 		}
 		if server.Affinity != nil {
-			c.Affinity = server.Affinity(view, u, r.connectionOrganisation())
+			c.Affinity = server.Affinity(u, r.connectionOrganisation())
 		}
 		server.Upstreams.FillCandidate(&c)
 		c.Suspect = server.isSuspect(u)
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -61,7 +61,7 @@
 	Upstreams        *UpstreamTracker
 	// Affinity returns the rank of an upstream for an organisation: zero if it
 	// keeps connections for it; nil means that each upstream does.
-	Affinity func(view *keeper.View, u keeper.Upstream, organisation string) int
+	Affinity func(u keeper.Upstream, organisation string) int
 	// Gate keeps work from primaries that are being replaced; nil lets all pass.
 	Gate *PrimaryGate
 	// View returns the current view, and a channel that is closed when there is
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -13,6 +13,7 @@
 package balancer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/tracker"
@@ -34,7 +35,8 @@
 	regionCost = 6 * time.Millisecond
 	farCost    = 150 * time.Millisecond
 	// primaryCost keeps slots of the primary free for requests that only it can
-	// serve.
+	// serve. It does not apply to organisations that are placed at the primary,
+	// whose number is bounded for the same reason.
 	primaryCost = 20 * time.Millisecond
 	// staleCost is the penalty for the risk that an upstream whose last known
 	// position is below the floor has still not reached it.
@@ -46,6 +48,12 @@
 	// rankCost separates the upstreams that keep no connections for an
 	// organisation, so that its requests share the same one of them.
 	rankCost = 2 * time.Millisecond
+	// displacementCost is the penalty for opening a connection at an upstream
+	// whose connections are all meant for other organisations, while one in
+	// another region keeps some for this one. The opening displaces a connection
+	// that must be opened again, so both cost twice what a statement needs of a
+	// slot. It is higher than farCost by what a longer queue there may cost.
+	displacementCost = farCost + 30*time.Millisecond
 )
 
 // Candidate is the host's view of an upstream.
@@ -81,11 +89,19 @@
 // there is none that is neither suspect nor lagging behind the floor.
 func Choose(floor tracker.Position, now time.Time, candidates []Candidate) int {
 	best, bestCost := -1, time.Duration(0)
+	opening := openingCost(floor, now, candidates)
+	placed := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Affinity > 0 })
 	for i, c := range candidates {
 		if c.Suspect || c.isLagging(floor, now) {
 			continue
 		}
 		cost := c.cost(floor)
+		if c.Affinity > 0 {
+			cost += opening
+		}
+		if c.Primary && (!placed || c.Affinity > 0) {
+			cost += primaryCost
+		}
 		if best < 0 || cost < bestCost || (cost == bestCost && c.ID < candidates[best].ID) {
 			best, bestCost = i, cost
 		}
@@ -93,6 +109,27 @@
 	return best
 }
 
+// openingCost returns the penalty for an upstream that keeps no connections for
+// the organisation: the opening itself, and displacementCost if only upstreams in
+// another region keep some.
+func openingCost(floor tracker.Position, now time.Time, candidates []Candidate) time.Duration {
+	near, far := false, false
+	for _, c := range candidates {
+		if c.Affinity > 0 || c.Suspect || c.isLagging(floor, now) {
+			continue
+		}
+		if c.Distance == DistanceFar {
+			far = true
+		} else {
+			near = true
+		}
+	}
+	if far && !near {
+		return openingTime + displacementCost
+	}
+	return openingTime
+}
+
 // cost returns the estimated response time of the candidate, plus penalties for
 // what its use costs other requests.
 func (c Candidate) cost(floor tracker.Position) time.Duration {
@@ -109,13 +146,10 @@
 	}
 	cost += service * time.Duration(1+c.InFlight) / time.Duration(max(1, c.Slots))
 	if c.Affinity > 0 {
-		cost += openingTime + openingTime*time.Duration(1+c.InFlight)/time.Duration(max(1, c.Slots))
+		cost += openingTime * time.Duration(1+c.InFlight) / time.Duration(max(1, c.Slots))
 		cost += rankCost * time.Duration(c.Affinity-1)
 	}
-	if c.Primary {
-		return cost + primaryCost
-	}
-	if c.Position.Less(floor) {
+	if !c.Primary && c.Position.Less(floor) {
 		cost += staleCost
 	}
 	return cost
--- a/pkg/placer/placement.go
+++ b/pkg/placer/placement.go
@@ -3,13 +3,27 @@
 import (
 	"cmp"
 	"container/heap"
+	"maps"
 	"slices"
 )
 
-// maxImbalance is how far the demand and the number of organisations placed at
-// an upstream may exceed an even distribution, unless every upstream is full.
+// maxImbalance is how far the demand placed at an upstream may exceed its share,
+// unless all upstreams have theirs.
 const maxImbalance = 1.1
 
+// Demand is the demand of an organisation in any unit.
+type Demand struct {
+	Organisation string
+	Weight       float64
+}
+
+// Capacity is the number of organisations for which an upstream can keep
+// connections.
+type Capacity struct {
+	Upstream string
+	MaxHomes int
+}
+
 // Placement is the ranking of upstreams for organisations. The zero value ranks
 // all upstreams first.
 type Placement struct {
@@ -17,69 +31,95 @@
 	ranks map[string]map[string]int
 }
 
-// Demand is the demand of an organisation in any unit.
-type Demand struct {
-	Organisation string
-	Weight       float64
-}
+// Rank returns the rank of an upstream for an organisation. Upstreams with rank 0
+// keep connections for it.
+func (p Placement) Rank(organisation, upstream string) int { return p.ranks[organisation][upstream] }
 
-// Place decides which of a group of upstreams keep connections for which
-// organisation. Each organisation has at least one upstream of rank 0, its home;
-// the organisations with the highest demand have several, as long as no upstream
-// is home to more than perUpstream of them on average. The other upstreams follow
-// in the order of a rendezvous hash, so that all hosts send the requests that the
-// homes cannot take to the same upstream.
+// Place decides which upstreams of a service keep connections for which
+// organisations. Those upstreams are the homes of the organisation and have rank 0.
+// Each group of upstreams, such as those of a region, distributes its homes by
+// demand: the largest organisations have several there, and if the capacities are
+// too small for all, the smallest have none. A group first accepts the
+// organisations that have no home in a group of higher capacity, so that none is
+// without any home unless all groups are full. The other upstreams of a group
+// follow in the order of a rendezvous hash, so that all hosts send the requests
+// that the homes cannot take to the same upstream.
 //
 // Every host computes the same placement from the same arguments. Adding or
 // removing an upstream moves the homes that it gains or loses, and those few that
 // an even distribution requires.
-func Place(service string, demands []Demand, upstreams []string, perUpstream int) Placement {
+func Place(service string, demands []Demand, groups map[string][]Capacity) Placement {
 	p := Placement{ranks: make(map[string]map[string]int, len(demands))}
-	if len(upstreams) == 0 {
-		return p
-	}
 	ordered := slices.Clone(demands)
 	slices.SortFunc(ordered, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Organisation, b.Organisation))
 	})
-	homes := countHomes(ordered, len(upstreams), perUpstream)
-	totalWeight, totalHomes := 0.0, 0
+	for _, d := range ordered {
+		p.ranks[d.Organisation] = map[string]int{}
+	}
+	names := slices.SortedFunc(maps.Keys(groups), func(a, b string) int {
+		return cmp.Or(cmp.Compare(seatsOf(groups[b], len(ordered)), seatsOf(groups[a], len(ordered))), cmp.Compare(a, b))
+	})
+	placed := make([]bool, len(ordered))
+	for _, name := range names {
+		p.placeGroup(service, ordered, placed, groups[name])
+	}
+	return p
+}
+
+// seatsOf returns how many homes a group of upstreams offers.
+func seatsOf(capacities []Capacity, organisations int) int {
+	seats := 0
+	for _, c := range capacities {
+		seats += max(0, min(c.MaxHomes, organisations))
+	}
+	return seats
+}
+
+// placeGroup distributes the homes of one group. placed tells which organisations
+// have a home in an earlier group.
+func (p Placement) placeGroup(service string, ordered []Demand, placed []bool, capacities []Capacity) {
+	seats, totalWeight := seatsOf(capacities, len(ordered)), 0.0
+	homes := countHomes(ordered, placed, len(capacities), seats)
 	for i, d := range ordered {
-		totalWeight += d.Weight
-		totalHomes += homes[i]
+		if homes[i] > 0 {
+			totalWeight += d.Weight
+		}
 	}
-	b := bounds{
-		weight: totalWeight / float64(len(upstreams)) * maxImbalance, homes: float64(totalHomes) / float64(len(upstreams)) * maxImbalance,
-		load: make([]upstreamLoad, len(upstreams)),
+	rooms := make([]room, len(capacities))
+	for i, c := range capacities {
+		most := seatsOf(capacities[i:i+1], len(ordered))
+		rooms[i] = room{upstream: c.Upstream, homes: most, weight: totalWeight * float64(most) / float64(max(1, seats)) * maxImbalance}
 	}
 	for i, d := range ordered {
-		p.ranks[d.Organisation] = b.rank(service, d, upstreams, homes[i])
+		rank(service, d, rooms, homes[i], p.ranks[d.Organisation])
+		placed[i] = placed[i] || homes[i] > 0
 	}
-	return p
 }
 
-// Rank returns the rank of an upstream for an organisation. Upstreams with rank 0
-// keep connections for it.
-func (p Placement) Rank(organisation, upstream string) int { return p.ranks[organisation][upstream] }
-
-// countHomes returns the number of homes of each organisation. Those beyond one
-// are distributed by the highest average: each goes to the organisation with the
-// highest demand per home.
-func countHomes(ordered []Demand, upstreams, perUpstream int) []int {
+// countHomes distributes seats, first one to each organisation that is not placed
+// yet and then by the highest average: each goes to the organisation with the
+// highest demand per home, counting the new one. The result is the number of homes
+// of each organisation, at most one at each upstream.
+func countHomes(ordered []Demand, placed []bool, upstreams, seats int) []int {
 	homes := make([]int, len(ordered))
 	averages := make(averageHeap, 0, len(ordered))
+	unplaced := slices.Contains(placed, true)
 	for i, d := range ordered {
-		homes[i] = 1
-		averages = append(averages, average{index: i, weight: d.Weight, homes: 1})
+		if unplaced && !placed[i] && seats > 0 && upstreams > 0 {
+			homes[i] = 1
+			seats--
+		}
+		if homes[i] < upstreams {
+			averages = append(averages, average{index: i, weight: d.Weight, divisor: float64(homes[i] + 1)})
+		}
 	}
 	heap.Init(&averages)
-	for free := upstreams*perUpstream - len(ordered); free > 0 && len(averages) > 0; free-- {
+	for ; seats > 0 && len(averages) > 0 && upstreams > 0; seats-- {
 		top := &averages[0]
-		if top.homes < upstreams {
-			top.homes++
-			homes[top.index]++
-		}
-		if top.homes == upstreams {
+		homes[top.index]++
+		top.divisor++
+		if homes[top.index] == upstreams {
 			heap.Pop(&averages)
 		} else {
 			heap.Fix(&averages, 0)
@@ -88,11 +128,11 @@
 	return homes
 }
 
-// average is the demand per home of an organisation.
+// average is the demand per home of an organisation with one home more.
 type average struct {
-	index  int
-	weight float64
-	homes  int
+	index   int
+	weight  float64
+	divisor float64
 }
 
 // averageHeap has the highest average first.
@@ -100,7 +140,7 @@
 
 func (h averageHeap) Len() int { return len(h) }
 func (h averageHeap) Less(i, j int) bool {
-	a, b := h[i].weight*float64(h[j].homes), h[j].weight*float64(h[i].homes)
+	a, b := h[i].weight*h[j].divisor, h[j].weight*h[i].divisor
 	return a > b || (a == b && h[i].index < h[j].index)
 }
 func (h averageHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
@@ -111,47 +151,65 @@
 	return last
 }
 
-// upstreamLoad is what has been placed at an upstream.
-type upstreamLoad struct {
-	weight, homes float64
+// room is what can still be placed at an upstream.
+type room struct {
+	upstream string
+	homes    int
+	weight   float64
 }
 
-// bounds limits what is placed at each upstream.
-type bounds struct {
-	weight, homes float64
-	load          []upstreamLoad
+// choice is an upstream considered for an organisation.
+type choice struct {
+	scoredHost
+	room *room
+	// full is true if no home is left, crowded if the upstream has its share of
+	// the demand.
+	full, crowded bool
 }
 
-// rank places one organisation at n upstreams and ranks all.
-func (b *bounds) rank(service string, d Demand, upstreams []string, n int) map[string]int {
-	candidates := make([]candidate, len(upstreams))
-	weight := d.Weight / float64(n)
-	for i, u := range upstreams {
-		full := b.load[i].homes+1 > b.homes || b.load[i].weight+weight > b.weight
-		candidates[i] = candidate{scoredHost{u, score(service+"\x00"+d.Organisation, u)}, i, full}
+// compareChoices orders the upstreams for an organisation, best first.
+func compareChoices(a, b choice) int {
+	switch {
+	case a.full != b.full:
+		return compareBool(a.full, b.full)
+	case a.crowded != b.crowded:
+		return compareBool(a.crowded, b.crowded)
+	case a.crowded && a.room.weight != b.room.weight:
+		return cmp.Compare(b.room.weight, a.room.weight)
+	case a.ranksBefore(b.scoredHost):
+		return -1
 	}
-	slices.SortFunc(candidates, func(x, y candidate) int {
-		if x.full != y.full {
-			if x.full {
-				return 1
-			}
-			return -1
-		}
-		if x.full && b.load[x.index].weight != b.load[y.index].weight {
-			return cmp.Compare(b.load[x.index].weight, b.load[y.index].weight)
-		}
-		if x.ranksBefore(y.scoredHost) {
-			return -1
-		}
+	return 1
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
 		return 1
-	})
-	ranks := make(map[string]int, len(upstreams))
-	for i, c := range candidates {
-		ranks[c.host] = max(0, i-n+1)
-		if i < n {
-			b.load[c.index].weight += weight
-			b.load[c.index].homes++
+	}
+	return -1
+}
+
+// rank places an organisation at n upstreams and stores the ranks of all.
+func rank(service string, d Demand, rooms []room, n int, ranks map[string]int) {
+	weight := d.Weight / float64(max(1, n))
+	choices := make([]choice, len(rooms))
+	for i := range rooms {
+		r := &rooms[i]
+		choices[i] = choice{scoredHost{r.upstream, score(service+"\x00"+d.Organisation, r.upstream)}, r, r.homes == 0, weight > r.weight}
+	}
+	slices.SortFunc(choices, compareChoices)
+	next := 0
+	for i, c := range choices {
+		if i < n && !c.full {
+			c.room.homes--
+			c.room.weight -= weight
+			continue
 		}
+		next++
+		ranks[c.host] = next
 	}
-	return ranks
 }
