--- a/pkg/queuer/admission.go
+++ b/pkg/queuer/admission.go
@@ -10,19 +10,17 @@
 	// patientDivisor divides the time left before the deadline to get the longest
 	// expected wait of a patient statement that misses its objective.
 	patientDivisor = 2
-	// drainingShare is the demand, as a share of the slots, below which the queue
-	// counts as draining.
-	drainingShare = 0.9
 	// minSpare is the least share of the slots that is assumed to work off the
-	// queue when callers are told when to return. Overload is usually a burst.
+	// queue: overload is usually a burst.
 	minSpare = 0.25
 	// minRoomIn is the shortest time until there is room, a few statements.
 	minRoomIn = 25 * time.Millisecond
-	// maxRoomDivisor divides the time left before the deadline to get the longest
-	// time after which a refused caller is told to return. It leaves the caller
-	// time for two more attempts.
+	// maxRoomDivisor divides the time left before the objective to get the longest
+	// time after which a refused caller is told to return: an attempt then can
+	// still meet the objective. Callers that return later are late anyway, and
+	// take the place of others after the burst in which they were refused.
 	maxRoomDivisor = 4
-	// defaultMaxRoomIn is that time for a statement without a deadline.
+	// defaultMaxRoomIn is that time for a statement without an objective.
 	defaultMaxRoomIn = time.Second
 )
 
@@ -46,6 +44,14 @@
 	}
 	q.demand.add(now, q.cost(w))
 	expected := q.ExpectedWait(w)
+	d := q.decide(now, w, expected)
+	if d.Admitted {
+		q.classes.add(now, w, q.cost(w))
+	}
+	return d
+}
+
+func (q *Queue) decide(now time.Time, w *Waiter, expected time.Duration) Decision {
 	d := Decision{Admitted: true, ExpectedWait: expected}
 	if w.InTransaction {
 		return d
@@ -61,7 +67,7 @@
 		return d
 	}
 	d.Admitted = false
-	if !d.MayWait {
+	if !fits {
 		d.RoomIn = q.roomIn(now, w, expected-limit)
 	}
 	return d
@@ -89,13 +95,12 @@
 
 const maxDuration = time.Duration(1<<63 - 1)
 
-// mayBeLate reports whether a statement may wait beyond its objective: the queue
-// is draining, and the statement would be served well before its deadline.
+// mayBeLate reports whether a statement may wait beyond its objective: it would
+// be served well before its deadline. A statement that waits is passed by those
+// that meet their objective, so it takes nothing from them, while the retries of
+// a refused one would.
 func (q *Queue) mayBeLate(now time.Time, w *Waiter) bool {
-	if w.LatestStart.IsZero() || q.load(now) > drainingShare {
-		return false
-	}
-	return q.lateWait(now) <= w.LatestStart.Sub(now)/patientDivisor
+	return !w.LatestStart.IsZero() && q.lateWait(now) <= w.LatestStart.Sub(now)/patientDivisor
 }
 
 // load returns the demand as a share of the slots.
@@ -111,7 +116,7 @@
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
 		work += q.cost(e.Value.(*Waiter))
 	}
-	spare := max(1-drainingShare, 1-q.load(now))
+	spare := max(minSpare, 1-q.load(now))
 	return time.Duration(float64(work) / float64(q.Slots) / spare)
 }
 
@@ -121,8 +126,8 @@
 // not return together.
 func (q *Queue) roomIn(now time.Time, w *Waiter, excess time.Duration) time.Duration {
 	longest := defaultMaxRoomIn
-	if !w.LatestStart.IsZero() {
-		longest = max(minRoomIn, w.LatestStart.Sub(now)/maxRoomDivisor)
+	if !w.AnswerBy.IsZero() {
+		longest = max(minRoomIn, w.AnswerBy.Sub(now)/maxRoomDivisor)
 	}
 	spare := max(minSpare, 1-q.load(now))
 	at := now.Add(max(minRoomIn, time.Duration(float64(excess)/spare)))
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -113,7 +113,12 @@
 	// meanWeight is the mean weight of the newest waiters of known weight.
 	meanWeight float64
 	accounts   accounts
-	demand     demandMeter
+	// waiting counts the waiters by organisation; waitingWeight is the sum of the
+	// organisations' weights.
+	waiting       map[string]int
+	waitingWeight float64
+	classes       classes
+	demand        demandMeter
 	// passed counts the grants by which waiters were passed for too long.
 	passed int
 	// nextReturn is when the next refused caller should return.
@@ -210,8 +215,8 @@
 }
 
 // ExpectedWait returns the expected waiting time of w if it arrived at
-// w.EnqueuedAt: the work of those that go before it, by rank and by the shares
-// of the organisations, and the opening of connections.
+// w.EnqueuedAt: the work of the waiters that go before it, and of those that will
+// arrive meanwhile and go before it, with the opening of connections.
 func (q *Queue) ExpectedWait(w *Waiter) time.Duration {
 	if q.Slots <= 0 || (q.HasSlot() && q.waiters.Len() == 0) {
 		return 0
@@ -222,10 +227,12 @@
 	}
 	own := q.accounts.tag(w.Organisation)
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
-		if o := e.Value.(*Waiter); o.Organisation == w.Organisation && o.rank() <= w.rank() && !q.isLate(o, now) {
+		o := e.Value.(*Waiter)
+		if o.Organisation == w.Organisation && !w.precedes(o) && !q.isLate(o, now) && !w.due().Before(o.due()) {
 			own += q.cost(o).Seconds() / o.weight
 		}
 	}
+	ownDue := w.due().Add(q.lead(own))
 	before := average(q.meanService).or(defaultService)
 	tags := map[string]float64{}
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
@@ -239,16 +246,29 @@
 		}
 		cost := q.cost(o)
 		tags[o.Organisation] = tag + cost.Seconds()/o.weight
-		if o.rank() < w.rank() || o.Organisation == w.Organisation || tag <= own {
+		if o.rank() < w.rank() || !ownDue.Before(o.due().Add(q.lead(tag))) {
 			before += cost
 		}
 	}
-	return before / time.Duration(q.Slots)
+	return q.classes.extend(now, w, before, q.Slots)
+}
+
+// lead returns the time in which an organisation that has attained the service of
+// a tag works off its lead over the others at its share of the slots.
+func (q *Queue) lead(tag float64) time.Duration {
+	lead := (tag - q.accounts.virtualTime) * q.waitingWeight / float64(q.Slots)
+	return time.Duration(max(0, lead) * float64(time.Second))
 }
 
 // Push inserts a waiter behind those of the same or a higher priority.
 func (q *Queue) Push(w *Waiter) {
 	w.weight = q.weight(w.Organisation)
+	if q.waiting == nil {
+		q.waiting = map[string]int{}
+	}
+	if q.waiting[w.Organisation]++; q.waiting[w.Organisation] == 1 {
+		q.waitingWeight += w.weight
+	}
 	for e := q.waiters.Back(); e != nil; e = e.Prev() {
 		if !w.precedes(e.Value.(*Waiter)) {
 			w.element = q.waiters.InsertAfter(w, e)
@@ -265,6 +285,13 @@
 	}
 	q.waiters.Remove(w.element)
 	w.element = nil
+	if q.waiting[w.Organisation]--; q.waiting[w.Organisation] == 0 {
+		delete(q.waiting, w.Organisation)
+		q.waitingWeight -= w.weight
+	}
+	if len(q.waiting) == 0 {
+		q.waitingWeight = 0
+	}
 	return true
 }
 
@@ -293,9 +320,10 @@
 	minTag := math.Inf(1)
 	for e := q.waiters.Front(); e != nil; e = e.Next() {
 		w := e.Value.(*Waiter)
-		c := choice{waiter: w, late: q.isLate(w, now), tag: q.accounts.tag(w.Organisation)}
+		tag := q.accounts.tag(w.Organisation)
+		c := choice{waiter: w, late: q.isLate(w, now), due: w.due().Add(q.lead(tag))}
 		isAged := !c.late && now.Sub(w.EnqueuedAt) >= maxPassed && (aged.waiter == nil || w.EnqueuedAt.Before(aged.waiter.EnqueuedAt))
-		minTag = min(minTag, c.tag)
+		minTag = min(minTag, tag)
 		if w.isExpired(now) || (!isAged && !c.before(first) && !c.before(withIdle)) {
 			continue
 		}
@@ -362,8 +390,8 @@
 	waiter       *Waiter
 	availability Availability
 	late         bool
-	// tag is the service that the waiter's organisation has attained.
-	tag float64
+	// due is when the answer is due, later by the lead of its organisation.
+	due time.Time
 }
 
 // before reports whether c goes before a waiter that is ahead of it in the
@@ -372,7 +400,7 @@
 	if ahead.waiter == nil || c.rankBefore(ahead) {
 		return true
 	}
-	return !ahead.rankBefore(c) && c.tag < ahead.tag
+	return !ahead.rankBefore(c) && c.due.Before(ahead.due)
 }
 
 // rankBefore reports whether c goes before another waiter whatever their
--- a/pkg/queuer/waiter.go
+++ b/pkg/queuer/waiter.go
@@ -77,3 +77,15 @@
 func (w *Waiter) isExpired(now time.Time) bool {
 	return !w.LatestStart.IsZero() && now.After(w.LatestStart)
 }
+
+// defaultAllowance is the time to the answer that orders statements without an
+// objective.
+const defaultAllowance = time.Second
+
+// due returns when the answer is due.
+func (w *Waiter) due() time.Time {
+	if w.AnswerBy.IsZero() {
+		return w.EnqueuedAt.Add(defaultAllowance)
+	}
+	return w.AnswerBy
+}
