--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -15,6 +15,10 @@
 	failureQueue   = "queue"
 	failureConnect = "connect"
 	failureLost    = "lost"
+	failureRegion  = "region"
+	// failureEvacuated is not known to hosts of an earlier build: they take the work for
+	// lost and not sent.
+	failureEvacuated = "evacuated"
 )
 
 func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
@@ -72,7 +76,13 @@
 	result.Sent = !errors.As(err, &runErr) || runErr.MayHaveRun
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
+	var regionErr *connector.RegionError
+	var evacuatedErr *connector.EvacuatedError
 	switch {
+	case errors.As(err, &regionErr):
+		result.Failure = failureRegion
+	case errors.As(err, &evacuatedErr):
+		result.Failure = failureEvacuated
 	case errors.As(err, &queueErr):
 		result.Failure, result.ExpectedMs, result.RoomMs, result.MayWait = failureQueue, milliseconds(queueErr.ExpectedWait), milliseconds(queueErr.RoomIn), queueErr.MayWait
 	case errors.As(err, &connectErr):
@@ -97,6 +107,10 @@
 			Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond, MayWait: result.GetMayWait(),
 			RoomIn: time.Duration(result.GetRoomMs()) * time.Millisecond,
 		}}
+	case failureRegion:
+		return answers, &connector.RunError{Err: &connector.RegionError{Upstream: upstream}}
+	case failureEvacuated:
+		return answers, &connector.RunError{Err: &connector.EvacuatedError{Upstream: upstream}}
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -21,6 +21,9 @@
 // Batch is a sequence of requests executed on one connection, up to the first
 // that fails.
 type Batch struct {
+	// Route is the route as the caller requested it. Another host that runs the batch
+	// applies its restrictions.
+	Route string
 	// Values are all session values that must be set on the connection.
 	Values map[string]string
 	// Prepare is prepared first; the zero value means nothing.
@@ -117,6 +120,9 @@
 }
 
 func (l *localLease) run(ctx context.Context, limits Limits, b Batch) ([]Answer, error) {
+	if b.HasForward() && !l.mayForward() {
+		return nil, &RunError{Err: &EvacuatedError{Upstream: l.upstream}}
+	}
 	if !b.ReadOnly {
 		limits.Kind = queuer.KindWrite
 	}
@@ -169,9 +175,24 @@
 		return err
 	}
 	l.conn = conn
+	l.conn.mayForward = l.mayForward
 	return nil
 }
 
+// mayForward reports whether a caller's statement may be sent to the upstream.
+func (l *localLease) mayForward() bool {
+	if l.set.MayForward == nil {
+		return true
+	}
+	pool := l.pool
+	if pool == nil {
+		if pool = l.set.Pool(l.upstream); pool == nil {
+			return true
+		}
+	}
+	return l.set.MayForward(pool.currentUpstream())
+}
+
 func (l *localLease) end() {
 	if l.conn == nil {
 		return
@@ -193,6 +214,9 @@
 }
 
 func (c *Conn) run(deadline time.Time, b Batch) ([]Answer, error) {
+	if b.HasForward() && !c.allowsForward() {
+		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
+	}
 	if !b.PositionOnly {
 		if err := c.ApplyValues(deadline, b.Values); err != nil {
 			return nil, &RunError{Err: err}
@@ -208,6 +232,9 @@
 			send = b.Requests[i:]
 		}
 		forwarded := send[0].Verb == VerbForward
+		if forwarded && !c.allowsForward() {
+			return answers, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
+		}
 		if err := c.Send(deadline, send...); err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
@@ -227,6 +254,8 @@
 	return answers, nil
 }
 
+func (c *Conn) allowsForward() bool { return c.mayForward == nil || c.mayForward() }
+
 // receiveRollback reads the answer to a rollback. It only decides whether the
 // connection can be reused.
 func (c *Conn) receiveRollback() {
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -72,6 +72,13 @@
 // the statement's time is over.
 func (r *request) withReplica(ctx context.Context, f func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome) outcome {
 	server := r.session.server
+	view, _ := server.View()
+	if refusal := r.checkRegions(view); refusal != nil {
+		return outcome{refusal: refusal}
+	}
+	if refusal := r.replicasEvacuated(view); refusal != nil {
+		return outcome{refusal: refusal}
+	}
 	floor, refusal := r.floor(ctx)
 	if refusal != nil {
 		return outcome{refusal: refusal}
@@ -82,6 +89,9 @@
 	last := outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "service "+r.route.Service, errors.New("no upstream answers"))}
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
+		if refusal := r.checkRegions(view); refusal != nil {
+			return outcome{refusal: refusal}
+		}
 		candidates := r.candidates(view, excluded)
 		i := balancer.Choose(floor, server.Now(), candidates)
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
@@ -97,6 +107,9 @@
 			continue
 		}
 		if i < 0 {
+			if refusal := r.replicasEvacuated(view); refusal != nil {
+				return outcome{refusal: refusal}
+			}
 			clear(excluded)
 			if !r.canWait() || !r.pause(ctx, changed, laggingPause) {
 				break
@@ -132,6 +145,10 @@
 // read has no lasting effect, so failed attempts do not matter.
 func (r *request) finalReadOutcome(last outcome) outcome {
 	reason := last.refusal.Reason
+	if reason == refuser.ReasonRegionForbidden {
+		last.retryable = false
+		return last
+	}
 	if reason != refuser.ReasonNoFloor && reason != refuser.ReasonPoolFull {
 		reason = refuser.ReasonNoUpstream
 	}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -10,7 +10,9 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
+	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/permitter"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
@@ -33,9 +35,9 @@
 	// wayBackDivisor divides the latency objective to get the part of it that is
 	// reserved for the way between the hosts and to the caller.
 	wayBackDivisor = 8
-	// publicOrganisation is the organisation name sent to upstreams for public
+	// PublicOrganisation is the organisation name sent to upstreams for public
 	// routes.
-	publicOrganisation = "public"
+	PublicOrganisation = "public"
 )
 
 // request is a statement being executed.
@@ -44,6 +46,8 @@
 	statement    Statement
 	route        keeper.Route
 	organisation string
+	// permitted are the regions in which the request may run.
+	permitted permitter.Set
 	// arrived is when the statement was read, by a clock that keeps running
 	// while the machine is suspended.
 	arrived  time.Time
@@ -114,24 +118,37 @@
 
 // lease returns a lease of a connection to an upstream.
 func (r *request) lease(u keeper.Upstream) *connector.Lease {
-	organisation := r.organisation
-	if organisation == "" {
-		organisation = publicOrganisation
-	}
-	l := r.session.server.Lease(u, organisation)
+	l := r.session.server.Lease(u, r.connectionOrganisation())
 	r.session.lease = l
 	return l
 }
 
+// connectionOrganisation returns the organisation whose connections serve the
+// request.
+func (r *request) connectionOrganisation() string {
+	if r.organisation == "" {
+		return PublicOrganisation
+	}
+	return r.organisation
+}
+
 // run executes requests on a lease after applying the session's values and
 // preparing the statement if needed. It returns the last answer; failed is set
 // unless all requests succeeded.
 func (r *request) run(ctx context.Context, l *connector.Lease, deadline time.Time, requests ...connector.Request) (last connector.Answer, failed *outcome) {
 	server := r.session.server
-	b := connector.Batch{Values: r.session.values, Requests: requests, EndsLease: r.endsLease(), ReadOnly: r.reads && r.session.tx == nil, PositionOnly: r.isProbe}
-	if r.statement.Verb == VerbExecute {
+	b := connector.Batch{Route: r.session.startup.Route, Requests: requests, EndsLease: r.endsLease(), ReadOnly: r.reads && r.session.tx == nil, PositionOnly: r.isProbe}
+	if !r.isProbe {
+		// A query of the position may go to a region in which the caller's values and
+		// statements must not appear.
+		b.Values = r.session.values
+	}
+	if r.statement.Verb == VerbExecute && !r.isProbe {
 		b.Prepare = connector.PreparedStatement{Name: r.preparedStmt.name, Text: server.Codec.PrepareText(r.preparedStmt.name, r.preparedStmt.value)}
 	}
+	if out := r.refuseEvacuated(l.Upstream); out != nil {
+		return last, out
+	}
 	sentAt := server.Now()
 	begin := time.Now()
 	server.Upstreams.RequestStarted(l.Upstream)
@@ -197,7 +214,12 @@
 	}
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
-	if !errors.As(err, &queueErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
+	var evacuatedErr *connector.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		return
+	}
+	var regionErr *connector.RegionError
+	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
 	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
@@ -217,10 +239,18 @@
 	if errors.As(err, &runErr) && runErr.MayHaveRun {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+upstream, err), upstream: upstream, retryable: r.reads}
 	}
+	var regionErr *connector.RegionError
+	if errors.As(err, &regionErr) {
+		return &outcome{refusal: regionRefusal(err.Error()), upstream: upstream, retryable: true}
+	}
 	var queueErr *connector.QueueError
 	if errors.As(err, &queueErr) {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonPoolFull, "upstream "+upstream, err), upstream: upstream, retryable: true}
 	}
+	var evacuatedErr *connector.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		return &outcome{refusal: refuser.Wrap(refuser.ReasonEvacuated, "upstream "+upstream, err), upstream: upstream, retryable: true}
+	}
 	return &outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "statement was not sent", err), upstream: upstream, retryable: true}
 }
 
@@ -298,22 +328,36 @@
 }
 
 // candidates returns the upstreams of the route's service that may serve a
-// read.
+// read. Those of an evacuated data centre are left out as long as others may answer.
 func (r *request) candidates(view *keeper.View, excluded map[string]bool) []balancer.Candidate {
 	server := r.session.server
 	upstreams := view.ByService(r.route.Service)
 	candidates := make([]balancer.Candidate, 0, len(upstreams))
+	var avoided []balancer.Candidate
+	answering := false
 	for _, u := range upstreams {
-		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] {
+		decision := server.Evacuations.decide(u)
+		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] || decision == evacuator.Refuse || !r.mayRunAt(u) {
 			continue
 		}
 		c := balancer.Candidate{
 			ID: u.ID, Distance: server.Location.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
 		}
+		if server.Affinity != nil {
+			c.Affinity = server.Affinity(view, u, r.connectionOrganisation())
+		}
 		server.Upstreams.FillCandidate(&c)
 		c.Suspect = server.isSuspect(u)
+		if decision == evacuator.Avoid {
+			avoided = append(avoided, c)
+			continue
+		}
+		answering = answering || !c.Suspect
 		candidates = append(candidates, c)
 	}
+	if !answering {
+		candidates = append(candidates, avoided...)
+	}
 	return candidates
 }
 
