Announce replicas again while tests of evacuations wait

Cause: replicas that have not announced themselves for 3 s are no candidates; on a busy machine the tests of hand-overs at the control hosts could wait for a request for ever. Change: they announce the replicas each second while they wait.

--- a/internal/coordinator/evacuation_test.go
+++ b/internal/coordinator/evacuation_test.go
@@ -44,6 +44,21 @@
 	})
 }
 
+// awaitRequest returns the next promotion request. It announces replicas meanwhile: silent
+// ones are no candidates, and a busy machine may take long.
+func (f *controlFleet) awaitRequest(replicas ...string) PromotionRequest {
+	for sequence := uint64(100); ; sequence++ {
+		select {
+		case r := <-f.promotionRequests:
+			return r
+		case <-time.After(time.Second):
+			for _, id := range replicas {
+				f.announceSpread(id, keeper.RoleReplica, sequence)
+			}
+		}
+	}
+}
+
 func (f *controlFleet) evacuate(dataCentre string) {
 	f.onLeader("the evacuation of "+dataCentre, func(ctx context.Context, h *controlHost) error { return h.Evacuate(ctx, dataCentre) })
 }
@@ -57,7 +72,7 @@
 		f := newSpreadFleet(t, primaryLease)
 		f.noRequest(2 * decisionInterval)
 		f.evacuate("1")
-		qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r1")
+		qt.Assert(t, f.awaitRequest("r1", "r2").Candidate, qt.Equals, "r1")
 		f.upstreams.set("r1", true, 4, 100)
 		f.announceSpread("r1", keeper.RolePrimary, 2)
 		f.evacuate("1")
@@ -74,14 +89,14 @@
 	f.noRequest(5 * decisionInterval)
 	f.upstreams.set("r2", false, 3, 100)
 	f.evacuate("1")
-	first := <-f.promotionRequests
+	first := f.awaitRequest("r1", "r2")
 	qt.Assert(t, first.Candidate, qt.Equals, "r2")
 	f.upstreams.set("r2", true, 4, 100)
 	f.announceSpread("r2", keeper.RolePrimary, 2)
 	f.endEvacuation("2")
 	f.upstreams.set("r1", false, 4, 100)
 	f.evacuate("3")
-	second := <-f.promotionRequests
+	second := f.awaitRequest("r1")
 	qt.Assert(t, second.Candidate, qt.Equals, "r1")
 	qt.Assert(t, second.Token > first.Token, qt.IsTrue)
 }
@@ -92,12 +107,14 @@
 	f := newSpreadFleet(t, true)
 	f.upstreams.set("r2", false, 3, 100)
 	h := f.startLeaseHolder()
+	f.announceSpread("r1", keeper.RoleReplica, 2)
+	f.announceSpread("r2", keeper.RoleReplica, 2)
 	f.evacuate("1")
 	waitFor(t, "the decision", func() bool { view, _ := h.View(); return view.PromotionCandidate("s") == "r1" })
 	f.evacuate("2")
 	h.mayRelease.Store(true)
 	h.ReportNow()
-	qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r2")
+	qt.Assert(t, f.awaitRequest("r1", "r2").Candidate, qt.Equals, "r2")
 }
 
 // Without a candidate elsewhere the primary stays, and the leader says why.
@@ -110,7 +127,7 @@
 	f.noRequest(5 * decisionInterval)
 	f.endEvacuation("3")
 	f.upstreams.set("r2", false, 3, 100)
-	qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r2")
+	qt.Assert(t, f.awaitRequest("r1", "r2").Candidate, qt.Equals, "r2")
 }
 
 // A candidate that is behind a primary that goes on lacks acknowledged commits: it is
@@ -125,7 +142,7 @@
 			f.announceSpread("r2", keeper.RoleReplica, sequence)
 		}
 		f.upstreams.set("r2", false, 3, 100)
-		qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r2")
+		qt.Assert(t, f.awaitRequest("r1", "r2").Candidate, qt.Equals, "r2")
 	}
 }
 
@@ -135,7 +152,7 @@
 	f := newSpreadFleet(t, true)
 	f.upstreams.setSilent("p")
 	f.evacuate("1")
-	qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r1")
+	qt.Assert(t, f.awaitRequest("r1", "r2").Candidate, qt.Equals, "r1")
 }
 
 // The leader changes between the order and the hand-over.
@@ -147,8 +164,7 @@
 	waitFor(t, "a decision without a candidate", f.undecided)
 	f.stop(f.leader())
 	f.endEvacuation("2")
-	f.announceSpread("r1", keeper.RoleReplica, 2)
-	qt.Assert(t, (<-f.promotionRequests).Candidate, qt.Equals, "r1")
+	qt.Assert(t, f.awaitRequest("r1", "r2").Candidate, qt.Equals, "r1")
 }
 
 // An order survives a loss of all processes, from the log and from a snapshot.
--- a/pkg/failoverplanner/failoverplanner.go
+++ b/pkg/failoverplanner/failoverplanner.go
@@ -144,8 +144,8 @@
 	Reason    string
 	// Planned is true if the present primary still serves and hands over.
 	Planned bool
-	// Undecided is why the service needs another primary if no upstream can become it
-	// because of evacuations, or empty.
+	// Undecided is why the service needs another primary, and why none becomes it yet,
+	// if evacuations have a part in that; empty otherwise.
 	Undecided string
 }
 
