--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -33,9 +33,14 @@
 	// Weight returns an organisation's weight when organisations compete for an
 	// upstream; nil means that all are equal. It must be safe for concurrent use.
 	Weight func(organisation string) float64
+	// OnOverload is called when the queue of an upstream begins or ceases to
+	// refuse statements; nil disables it.
+	OnOverload func(c OverloadChange)
 
 	mu    sync.Mutex
 	pools map[string]*Pool
+
+	refusals refusals
 }
 
 // PoolLimits limits the connections of a host to one upstream.
@@ -66,7 +71,7 @@
 		p := s.pools[id]
 		if p == nil {
 			p = newPool(s.Dialer, u)
-			p.queue.Weight = s.Weight
+			p.queue.Weight, p.refusals = s.Weight, &s.refusals
 			s.pools[id] = p
 		}
 		p.Configure(u, allow(u))
@@ -76,7 +81,7 @@
 // sweepInterval is the time between checks for expired idle connections.
 const sweepInterval = 500 * time.Millisecond
 
-// Sweep closes expired idle connections until ctx is done.
+// Sweep closes expired idle connections and reports overloads until ctx is done.
 func (s *PoolSet) Sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -87,6 +92,9 @@
 		case now := <-ticker.C:
 			for _, p := range s.all() {
 				p.sweep(now)
+				if c, ok := p.overloadChange(now); ok && s.OnOverload != nil {
+					s.OnOverload(c)
+				}
 			}
 		}
 	}
@@ -114,26 +122,3 @@
 	}
 	return n
 }
-
-// QueueStatistics describes the queues of a set of pools.
-type QueueStatistics struct {
-	// Waiting and Running count the statements at present.
-	Waiting, Running int
-	// RefusedEarly and RefusedLate count the statements refused so far on arrival
-	// and after a wait.
-	RefusedEarly, RefusedLate uint64
-}
-
-// QueueStatistics returns the statistics of the present pools.
-func (s *PoolSet) QueueStatistics() QueueStatistics {
-	var q QueueStatistics
-	for _, p := range s.all() {
-		p.mu.Lock()
-		q.Waiting += p.queue.Len()
-		q.Running += p.queue.Running()
-		q.RefusedEarly += p.refusedEarly
-		q.RefusedLate += p.refusedLate
-		p.mu.Unlock()
-	}
-	return q
-}
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -31,14 +31,14 @@
 	// ever.
 	idleTimeout time.Duration
 	// open is the number of connections that are in use, idle or being opened.
-	open   int
-	idle   []*Conn
-	queue  queuer.Queue
-	closed bool
-	opened uint64
-	// refusedEarly and refusedLate count the statements refused on arrival and
-	// after a wait.
-	refusedEarly, refusedLate uint64
+	open     int
+	idle     []*Conn
+	queue    queuer.Queue
+	closed   bool
+	opened   uint64
+	overload overload
+	// refusals are the counters of the set; nil without a set.
+	refusals *refusals
 	// dialBlockedUntil is when a connection may be opened again after the
 	// upstream refused one because of its limit, and dialBackoff the length of
 	// that time.
@@ -113,7 +113,7 @@
 		w.AnswerBy = w.EnqueuedAt.Add(limits.AnswerWithin)
 	}
 	if d := p.queue.Offer(w.EnqueuedAt, w); !d.Admitted {
-		p.refusedEarly++
+		p.recordRefusal(true)
 		p.mu.Unlock()
 		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: d.ExpectedWait, MayWait: d.MayWait, RoomIn: d.RoomIn}
 	}
@@ -135,7 +135,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refusedLate++
+	p.recordRefusal(false)
 	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.EnqueuedAt), RoomIn: p.queue.RoomIn(time.Now(), w)}
 }
 
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -158,6 +158,7 @@
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
 	e.evacuations = &transactor.Evacuations{Evacuator: evacuator.Evacuator{Limit: e.Settings.EvacuationLimit}, Now: timer.Now, Log: e.Log}
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Weight: e.organisationWeight}
+	e.set.OnOverload = e.logOverload
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Check: e.checkLentWork, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
@@ -194,6 +195,13 @@
 	e.entryMetrics.registerGauges(e.server, e.set, e.evacuations)
 }
 
+// logOverload logs that the queue of an upstream has begun or ceased to refuse
+// statements.
+func (e *EntryHost) logOverload(c connector.OverloadChange) {
+	e.Log.Warn(logger.EventUpstreamOverloaded, zap.String("upstream", c.Upstream), zap.Bool("overloaded", c.Overloaded), zap.Int("waiting", c.Waiting),
+		zap.Uint64("refused_early", c.RefusedEarly), zap.Uint64("refused_late", c.RefusedLate), zap.Duration("lasted", c.Lasted))
+}
+
 // organisation returns an organisation of the current configuration.
 func (e *EntryHost) organisation(name string) (keeper.Organisation, bool) {
 	view, _ := e.controlClient.View()
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -49,10 +49,25 @@
 			func() float64 { return float64(server.Sessions()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_upstream_connections_opened", Help: "Connections opened to the upstreams of now."},
 			func() float64 { return float64(set.Opened()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_queue_waiting", Help: "Statements that wait for a slot of an upstream whose connections this host holds."},
+			func() float64 { return float64(set.QueueStatistics().Waiting) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "shallotstage_entry_queue_running", Help: "Statements that occupy a slot of an upstream whose connections this host holds."},
+			func() float64 { return float64(set.QueueStatistics().Running) }),
+		queueRefusals("arrival", func() uint64 { return set.QueueStatistics().RefusedEarly }),
+		queueRefusals("waiting", func() uint64 { return set.QueueStatistics().RefusedLate }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: evacuatedMetric, Help: evacuatedHelp}, func() float64 { return float64(evacuations.Count()) }),
 	)
 }
 
+// queueRefusals returns the counter of statements that an upstream's queue refused
+// on arrival or while they were waiting.
+func queueRefusals(when string, read func() uint64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shallotstage_entry_queue_refusals_total", Help: "Statements refused by the queues of upstreams whose connections this host holds, on arrival or while waiting.",
+		ConstLabels: prometheus.Labels{"when": when},
+	}, func() float64 { return float64(read()) })
+}
+
 func (m *entryMetrics) observe(o transactor.Observation) {
 	m.statements.WithLabelValues(string(o.Verb)).Inc()
 	m.latency.WithLabelValues(string(o.Verb)).Observe(o.Latency.Seconds())
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -40,6 +40,7 @@
 	EventSampleFailed             = Event{1312, "sample_failed"}
 	EventPrimaryLeaseGained       = Event{1313, "primary_lease_gained"}
 	EventDataCentreEvacuated      = Event{1314, "data_centre_evacuated"}
+	EventUpstreamOverloaded       = Event{1316, "upstream_overloaded"}
 	EventEvacuationChanged        = Event{1421, "evacuation_changed"}
 	EventPrimaryDemoted           = Event{1418, "primary_demoted"}
 	EventListenerFailed           = Event{1008, "part_failed"}
@@ -87,6 +88,6 @@
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventCancelNotDelivered,
-		EventDataCentreEvacuated, EventEvacuationChanged,
+		EventDataCentreEvacuated, EventEvacuationChanged, EventUpstreamOverloaded,
 	}
 }
--- a/pkg/queuer/account.go
+++ b/pkg/queuer/account.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxAccounts is the number of accounts from which those without an effect are
-// evicted.
+// evicted, or all if none is: a lead that is forgotten once does no harm.
 const maxAccounts = 512
 
 // accounts holds the attained service of organisations for start-time fair
@@ -32,6 +32,9 @@
 				delete(a.service, o)
 			}
 		}
+		if len(a.service) >= maxAccounts {
+			clear(a.service)
+		}
 	}
 	a.service[organisation] = a.tag(organisation) + work.Seconds()/weight
 }
