transactor: refuse by load reports without a hop

Cause: An entry host asked the next upstream after a refusal, or sent a write to the primary, although a fresh report of the owner may already show that its queue is full. Change: Server.Load gives the last load report of an upstream. Upstreams that would refuse are left out of a read's candidates; if there are no others, and at the primary, the statement is refused at once. Such refusals are counted.

--- a/internal/connector/queue_error.go
+++ b/internal/connector/queue_error.go
@@ -13,6 +13,9 @@
 	// expected wait for which the statement was refused at once.
 	Waited       time.Duration
 	ExpectedWait time.Duration
+	// Early is true if the statement was not sent to the owner of the connections
+	// because a load report shows that it would be refused.
+	Early bool
 	// MayWait is true if the statement would be admitted with Patient and without
 	// MaxWait.
 	MayWait bool
@@ -23,6 +26,9 @@
 
 // Error implements error.
 func (e *QueueError) Error() string {
+	if e.Early {
+		return fmt.Sprintf("connector: the queue of upstream %s is full by its last report", e.Upstream)
+	}
 	if e.ExpectedWait > 0 {
 		return fmt.Sprintf("connector: the wait for upstream %s would be %s", e.Upstream, e.ExpectedWait.Round(time.Millisecond))
 	}
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -16,6 +16,7 @@
 	registry   *prometheus.Registry
 	statements *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
+	early      prometheus.Counter
 	latency    *prometheus.HistogramVec
 	objectives *prometheus.CounterVec
 }
@@ -29,6 +30,9 @@
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotstage_entry_refusals_total", Help: "Statements refused, by reason.",
 		}, []string{"reason"}),
+		early: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstage_entry_early_refusals_total", Help: "Statements refused because of a load report of the upstream's owner, without being sent to it. They are part of the refusals with reason pool_full.",
+		}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "shallotstage_entry_statement_seconds", Help: "Time from a statement's arrival to its answer, in seconds.",
 			Buckets: []float64{0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5},
@@ -38,7 +42,7 @@
 		Name: "shallotstage_entry_objective_statements_total",
 		Help: "Statements against their route's latency objective, by kind of route and outcome: good, slow, or refused. The burn of a service level is the share that is not good.",
 	}, []string{"kind", "outcome"})
-	m.registry.MustRegister(m.statements, m.refusals, m.latency, m.objectives)
+	m.registry.MustRegister(m.statements, m.refusals, m.early, m.latency, m.objectives)
 	return m
 }
 
@@ -78,6 +82,9 @@
 	if o.RefusalReason != "" {
 		outcome = "refused"
 		m.refusals.WithLabelValues(o.RefusalReason).Inc()
+		if o.RefusedEarly {
+			m.early.Inc()
+		}
 	}
 	m.objectives.WithLabelValues(string(o.Kind), outcome).Inc()
 }
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -72,6 +72,10 @@
 		if !r.mayRunAt(u) {
 			return outcome{refusal: r.primaryRegionRefusal(u), upstream: u.ID, primary: true}
 		}
+		if refusal := r.refusedEarly(u.ID); refusal != nil {
+			refusal.RetryAfter = server.retryAfter(refusal)
+			return outcome{refusal: refusal, upstream: u.ID, primary: true}
+		}
 		l, use, ok := server.Gate.guard(r.route.Service, r.lease(u))
 		if !ok {
 			last = errors.New("this host may not act at the primary: no lease, or a change of primary is under way")
@@ -139,11 +143,16 @@
 // time until there is room. The owner tells its callers different times, so that
 // they do not return together.
 func (s *Server) retryAfter(refusal *refuser.Refusal) time.Duration {
+	return s.jitter(roomIn(refusal))
+}
+
+// roomIn returns the time until there is room in the queue that refused a request.
+func roomIn(refusal *refuser.Refusal) time.Duration {
 	var queueErr *connector.QueueError
 	if errors.As(refusal, &queueErr) && queueErr.RoomIn > 0 {
-		return s.jitter(queueErr.RoomIn)
+		return queueErr.RoomIn
 	}
-	return s.jitter(defaultRetryAfter)
+	return defaultRetryAfter
 }
 
 // jitter lengthens a retry delay by a random part, so that callers that were
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -93,6 +93,12 @@
 			return outcome{refusal: refusal}
 		}
 		candidates := r.candidates(view, excluded)
+		if !r.settled {
+			var refusal *refuser.Refusal
+			if candidates, refusal = r.withRoom(candidates); refusal != nil {
+				last = outcome{refusal: refusal, upstream: last.upstream, retryable: true}
+			}
+		}
 		i := balancer.Choose(floor, server.Now(), candidates)
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
 			// All upstreams that have reached the floor are full. Wait at the one
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -187,6 +187,17 @@
 	if !r.settled {
 		limits.MaxWait = max(min(objective/queueWaitDivisor, time.Until(deadline)/2), time.Millisecond)
 	}
+	limits.AnswerWithin = r.answerWithin()
+	return limits
+}
+
+// answerWithin returns the time within which an upstream's owner must have run the
+// statement to meet the latency objective.
+func (r *request) answerWithin() time.Duration {
+	objective := r.route.TargetLatency
+	if objective <= 0 {
+		objective = defaultTimeout
+	}
 	answer := objective - objective/wayBackDivisor - time.Since(r.startedAt)
 	if r.session.tx != nil && r.session.tx.lease == nil {
 		// The other statements of the transaction need time too.
@@ -194,8 +205,7 @@
 	}
 	// A statement that had to wait for a promotion still gets as much time as any
 	// other would at first.
-	limits.AnswerWithin = max(answer, objective/queueWaitDivisor)
-	return limits
+	return max(answer, objective/queueWaitDivisor)
 }
 
 // recordRun updates the upstream tracker with the result of a run.
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -31,6 +31,7 @@
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/recoverer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
 
@@ -83,6 +84,9 @@
 	// Now returns the time of a clock that keeps running while the machine is
 	// suspended.
 	Now func() time.Time
+	// Load returns the last load report of the owner of an upstream's connections
+	// and its age; nil means that there are none.
+	Load func(upstream, organisation string) (queuer.Load, time.Duration)
 	// Random returns random numbers from 0 up to 1 that spread retry delays; nil
 	// means those of the process. It must be safe for concurrent use.
 	Random func() float64
@@ -118,6 +122,9 @@
 	Latency time.Duration
 	// Objective is the route's latency objective; zero means none.
 	Objective time.Duration
+	// RefusedEarly is true if the statement was refused because of a load report,
+	// without being sent to another host.
+	RefusedEarly bool
 	// RefusalReason is the reason of a refusal, or empty.
 	RefusalReason string
 }
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -256,6 +256,8 @@
 	o := Observation{Kind: route.Consistency, Verb: st.Verb, Latency: took, Objective: route.TargetLatency}
 	if r.Refusal != nil {
 		o.RefusalReason = string(r.Refusal.Reason)
+		var queueErr *connector.QueueError
+		o.RefusedEarly = errors.As(r.Refusal, &queueErr) && queueErr.Early
 	}
 	s.server.Observe(o)
 }
--- a/pkg/queuer/admission.go
+++ b/pkg/queuer/admission.go
@@ -58,6 +58,9 @@
 	}
 	inTime := w.LatestStart.IsZero() || !now.Add(expected).After(w.LatestStart)
 	limit := q.admittedWait(now, w)
+	if !w.LatestStart.IsZero() {
+		limit = min(limit, w.LatestStart.Sub(now))
+	}
 	fits := inTime && expected <= limit
 	if fits && (w.MaxWait <= 0 || expected <= w.MaxWait) {
 		return d
--- a/pkg/queuer/early.go
+++ b/pkg/queuer/early.go
@@ -13,15 +13,16 @@
 )
 
 // RefuseEarly decides from an owner's load report of an age whether a statement
-// that must be answered within a time would be refused there, so that it need
-// not be sent. If so, it returns the time after which the statement should be
-// tried again. It assumes that the queue has only become shorter since.
-func RefuseEarly(load Load, age, answerWithin time.Duration) (roomIn time.Duration, refuse bool) {
+// would be refused there, so that it need not be sent. answerWithin is the time to
+// its objective, and left that to its deadline, for which a patient statement may
+// wait. If it is refused, RefuseEarly returns the time after which it should be
+// tried again. It assumes that the queue has only become shorter since the report.
+func RefuseEarly(load Load, age, answerWithin, left time.Duration) (roomIn time.Duration, refuse bool) {
 	if load.Slots <= 0 || load.MeanServiceTime <= 0 || answerWithin <= 0 || age < 0 || age > maxLoadAge {
 		return 0, false
 	}
 	wait := time.Duration(load.Queued)*load.MeanServiceTime/time.Duration(load.Slots) - age
-	limit := earlyMargin * answerWithin
+	limit := max(earlyMargin*answerWithin, left/patientDivisor)
 	if wait <= limit {
 		return 0, false
 	}
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -256,10 +256,16 @@
 // lead returns the time in which an organisation that has attained the service of
 // a tag works off its lead over the others at its share of the slots.
 func (q *Queue) lead(tag float64) time.Duration {
+	if q.Slots <= 0 || tag <= q.accounts.virtualTime {
+		return 0
+	}
 	lead := (tag - q.accounts.virtualTime) * q.waitingWeight / float64(q.Slots)
-	return time.Duration(max(0, lead) * float64(time.Second))
+	return time.Duration(min(lead, maxLead.Seconds()) * float64(time.Second))
 }
 
+// maxLead bounds the lead of an organisation with a very small weight.
+const maxLead = time.Hour
+
 // Push inserts a waiter behind those of the same or a higher priority.
 func (q *Queue) Push(w *Waiter) {
 	w.weight = q.weight(w.Organisation)
