broker: load reports of owners in their answers

Cause: a host knew only its own statements at an upstream. The queue that others fill, and whether a connection is idle, only its owner knows.

Change: LentResult has an optional LentLoad (slots, running, queued, opening, mean service time, idle connection of the organisation); the owner's own work reports in the same way. UpstreamTracker keeps the newest report with its age (Load). A report counts fully for 500 ms and fades until one second; then the host's own estimate applies as before. Where reported queues decide, ChooseSpread takes the second best upstream with a probability by the lengths of the queues. Metric shallotstage_entry_read_choices_total counts reads by placement and distance.

A result without a report decodes as none; a message without the field skips it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -31,6 +31,7 @@
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/messenger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
 
 const (
@@ -63,7 +64,10 @@
 	// Owners returns the hosts that may own an upstream, in order of
 	// preference. An owner without an address is this host.
 	Owners func(u keeper.Upstream) []Owner
-	Log    *logger.Logger
+	// ObserveLoad is called with each report of an upstream's load for an
+	// organisation; nil disables it.
+	ObserveLoad func(upstream, organisation string, load queuer.Load)
+	Log         *logger.Logger
 	// Backoffer tracks the owners to skip: by host, or by host and upstream when
 	// the owner cannot reach only that upstream.
 	Backoffer backoffer.Backoffer
@@ -75,7 +79,21 @@
 	if o, ok := b.owner(u); ok {
 		return b.borrow(u, organisation, o)
 	}
-	return b.LocalConnections.Lease(u.ID, organisation)
+	return b.observeLocal(b.LocalConnections.Lease(u.ID, organisation), organisation)
+}
+
+// observeLocal makes a lease of this host's own connections report the load as an
+// owner does.
+func (b *Broker) observeLocal(l *connector.Lease, organisation string) *connector.Lease {
+	run := l.Run
+	l.Run = func(ctx context.Context, limits connector.Limits, batch connector.Batch) ([]connector.Answer, error) {
+		answers, err := run(ctx, limits, batch)
+		if load, ok := b.LocalConnections.Load(l.Upstream, organisation); ok && b.ObserveLoad != nil {
+			b.ObserveLoad(l.Upstream, organisation, load)
+		}
+		return answers, err
+	}
+	return l
 }
 
 // CanBorrow reports whether connections to the upstream can be borrowed from
@@ -180,6 +198,9 @@
 		l.broker.markUnreachable(l.owner, err)
 		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: fmt.Errorf("broker: read result of %s: %w", l.owner.Host, err)}
 	}
+	if load := result.GetLoad(); load != nil && l.broker.ObserveLoad != nil {
+		l.broker.ObserveLoad(l.upstream.ID, l.organisation, decodeLoad(load))
+	}
 	answers, err := decodeResult(l.upstream.ID, &result)
 	var connectErr *connector.ConnectError
 	if errors.As(err, &connectErr) && connectErr.Failure == connector.FailureNone && l.broker.Backoffer.RecordFailure(backoffKey(l.owner, l.upstream)) {
@@ -205,6 +226,9 @@
 		r := bufio.NewReaderSize(stream, readBufferSize)
 		for work := &first; ; {
 			result := b.runWork(ctx, lease, work)
+			if load, ok := b.LocalConnections.Load(first.GetUpstream(), first.GetOrganisation()); ok {
+				result.Load = encodeLoad(load)
+			}
 			if _, err := protodelim.MarshalTo(stream, result); err != nil || work.GetLast() {
 				return
 			}
--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -97,3 +98,29 @@
 	}
 	return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: fmt.Errorf("broker: owner of %s: %s", upstream, result.GetDetail())}
 }
+
+// loadUnit is the unit of LentLoad.mean_service.
+const loadUnit = 100 * time.Microsecond
+
+// The largest values in a LentLoad: those that take one and two bytes.
+const (
+	maxOneByte = 1<<7 - 1
+	maxTwoByte = 1<<14 - 1
+)
+
+func encodeLoad(l queuer.Load) *messenger.LentLoad {
+	bounded := func(n, most int) uint32 { return uint32(max(0, min(n, most))) }
+	return &messenger.LentLoad{
+		Slots: bounded(l.Slots, maxTwoByte), Running: bounded(l.Running, maxTwoByte), Queued: bounded(l.Queued, maxTwoByte), Opening: bounded(l.Opening, maxOneByte),
+		MeanService: bounded(int((l.MeanServiceTime+loadUnit/2)/loadUnit), maxTwoByte), HasIdle: l.HasIdle,
+	}
+}
+
+// decodeLoad decodes a report of another host, which may be of another build.
+func decodeLoad(l *messenger.LentLoad) queuer.Load {
+	bounded := func(n uint32) int { return int(min(n, maxTwoByte)) }
+	return queuer.Load{
+		Slots: bounded(l.GetSlots()), Running: bounded(l.GetRunning()), Queued: bounded(l.GetQueued()), Opening: bounded(l.GetOpening()),
+		MeanServiceTime: time.Duration(bounded(l.GetMeanService())) * loadUnit, HasIdle: l.GetHasIdle(),
+	}
+}
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -7,9 +7,11 @@
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/emptypb"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -82,3 +84,27 @@
 		})
 	}
 }
+
+// A report travels with each answer over links of 2 Mbit/s.
+func TestLoadReportIsSmall(t *testing.T) {
+	size := func(l queuer.Load) int {
+		return proto.Size(&messenger.LentResult{Load: encodeLoad(l)}) - proto.Size(&messenger.LentResult{})
+	}
+	typical := size(queuer.Load{Slots: 4, Running: 3, Queued: 12, Opening: 1, MeanServiceTime: 18 * time.Millisecond, HasIdle: true})
+	huge := size(queuer.Load{Slots: 1 << 40, Running: 1 << 40, Queued: 1 << 40, Opening: 1 << 40, MeanServiceTime: time.Hour, HasIdle: true})
+	t.Logf("%d bytes typically, at most %d", typical, huge)
+	qt.Assert(t, typical < 24, qt.IsTrue)
+	qt.Assert(t, huge < 24, qt.IsTrue)
+}
+
+func TestLoadReportSurvivesEncoding(t *testing.T) {
+	load := queuer.Load{Slots: 4, Running: 5, Queued: 130, Opening: 2, MeanServiceTime: 18300 * time.Microsecond, HasIdle: true}
+	qt.Assert(t, decodeLoad(encodeLoad(load)), qt.Equals, load)
+	qt.Assert(t, decodeLoad(&messenger.LentLoad{Queued: 1 << 31, MeanService: 1 << 31}).Queued, qt.Equals, maxTwoByte, qt.Commentf("another build may send more"))
+	// An owner of an earlier build sends none. A host of an earlier build skips the
+	// field, as it does here with a message that has no fields.
+	qt.Assert(t, (&messenger.LentResult{}).GetLoad(), qt.IsNil)
+	body, err := proto.Marshal(&messenger.LentResult{Load: encodeLoad(load)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, proto.Unmarshal(body, &emptypb.Empty{}), qt.IsNil)
+}
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
 
 // PoolSet holds a connection pool for each upstream. Dialer must be set.
@@ -98,6 +99,16 @@
 	return s.pools[id]
 }
 
+// Load returns the state of an upstream's queue for an organisation, or false if
+// the upstream is unknown.
+func (s *PoolSet) Load(id, organisation string) (queuer.Load, bool) {
+	p := s.Pool(id)
+	if p == nil {
+		return queuer.Load{}, false
+	}
+	return p.Load(organisation), true
+}
+
 // Opened returns the number of connections that the present pools have opened
 // so far.
 func (s *PoolSet) Opened() uint64 {
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -33,11 +33,13 @@
 	// ever.
 	idleTimeout time.Duration
 	// open is the number of connections that are in use, idle or being opened.
-	open   int
-	idle   []*Conn
-	queue  queuer.Queue
-	closed bool
-	opened uint64
+	open int
+	// opening is the number of connections being opened.
+	opening int
+	idle    []*Conn
+	queue   queuer.Queue
+	closed  bool
+	opened  uint64
 	// dialBlockedUntil is when a connection may be opened again after the
 	// upstream refused one because of its limit, and dialBackoff the length of
 	// that time.
@@ -56,6 +58,15 @@
 	return p.opened
 }
 
+// Load returns the state of the queue for an organisation.
+func (p *Pool) Load(organisation string) queuer.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.queue.Load()
+	l.Opening, l.HasIdle = p.opening, p.hasIdle(organisation)
+	return l
+}
+
 // Acquire waits for a slot and a connection of an organisation, preferring the
 // idle connection that matches the values best.
 func (p *Pool) Acquire(ctx context.Context, organisation string, values map[string]string, limits Limits) (*Conn, error) {
@@ -135,6 +146,7 @@
 		p.put(c)
 	} else if !w.InTransaction {
 		p.open--
+		p.opening--
 	}
 	p.dispatch()
 }
@@ -164,6 +176,7 @@
 			} else {
 				p.makeRoom(now)
 				p.open++
+				p.opening++
 			}
 		}
 		w.Granted <- grant
@@ -234,6 +247,7 @@
 	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.opening--
 	p.recordDial(err)
 	if err == nil {
 		return c, nil
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -152,7 +152,7 @@
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, ObserveLoad: e.upstreams.RecordLoad, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -173,7 +173,7 @@
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Affinity: e.assignments.affinity, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
-		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
+		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe, ObserveChoice: e.entryMetrics.observeChoice,
 	}
 	e.sampler = &sampler.Sampler{
 		Forwarder: e.forwarder, SampleHosts: e.assignments.sampleHostsOf, Owner: e.primaryOwner, QueryPrimary: e.server.SamplePrimary, Latest: e.upstreams.Latest, StoreSample: e.upstreams.AddSample,
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/transactor"
+	"github.com/shallotstage/shallotstage/pkg/balancer"
 )
 
 // entryMetrics holds an entry host's metrics. The number of series does not
@@ -18,6 +19,7 @@
 	refusals   *prometheus.CounterVec
 	latency    *prometheus.HistogramVec
 	objectives *prometheus.CounterVec
+	choices    *prometheus.CounterVec
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -38,7 +40,11 @@
 		Name: "shallotstage_entry_objective_statements_total",
 		Help: "Statements against their route's latency objective, by kind of route and outcome: good, slow, or refused. The burn of a service level is the share that is not good.",
 	}, []string{"kind", "outcome"})
-	m.registry.MustRegister(m.statements, m.refusals, m.latency, m.objectives)
+	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "shallotstage_entry_read_choices_total",
+		Help: "Attempts at reads, by placement of the organisation at the chosen upstream (home, next, or other) and by distance (data_centre, region, or far).",
+	}, []string{"placement", "distance"})
+	m.registry.MustRegister(m.statements, m.refusals, m.latency, m.objectives, m.choices)
 	return m
 }
 
@@ -66,6 +72,17 @@
 	m.objectives.WithLabelValues(string(o.Kind), outcome).Inc()
 }
 
+func (m *entryMetrics) observeChoice(c balancer.Candidate) {
+	placement := "other"
+	switch c.Affinity {
+	case 0:
+		placement = "home"
+	case 1:
+		placement = "next"
+	}
+	m.choices.WithLabelValues(placement, string(c.Distance)).Inc()
+}
+
 func (m *entryMetrics) handler() http.Handler { return metricsHandler(m.registry) }
 
 // metricsHandler returns the handler that serves a registry's metrics.
--- /dev/null
+++ b/internal/transactor/load_reports.go
@@ -0,0 +1,71 @@
+package transactor
+
+import (
+	"math"
+	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/queuer"
+)
+
+const (
+	// idleReportAge is how long a report of an idle connection is believed.
+	idleReportAge = 500 * time.Millisecond
+	// maxIdleReports bounds the organisations whose reports are kept for one
+	// upstream.
+	maxIdleReports = 512
+)
+
+// loadReports holds the newest reports of the load of one upstream.
+type loadReports struct {
+	load queuer.Load
+	at   time.Time
+	// idleAt is when an idle connection of an organisation was last reported. An
+	// organisation that had none in its newest report is missing.
+	idleAt map[string]time.Time
+}
+
+func (r *loadReports) record(organisation string, load queuer.Load, now time.Time) {
+	r.load, r.at = load, now
+	if !load.HasIdle {
+		delete(r.idleAt, organisation)
+		return
+	}
+	if r.idleAt == nil || len(r.idleAt) >= maxIdleReports {
+		r.idleAt = map[string]time.Time{}
+	}
+	r.idleAt[organisation] = now
+}
+
+// latest returns the newest report for an organisation and its age. Without one, it
+// returns the zero value and the highest age.
+func (r *loadReports) latest(organisation string, now time.Time) (queuer.Load, time.Duration) {
+	if r.at.IsZero() {
+		return queuer.Load{}, math.MaxInt64
+	}
+	load := r.load
+	at, ok := r.idleAt[organisation]
+	load.HasIdle = ok && now.Sub(at) <= idleReportAge
+	return load, max(0, now.Sub(r.at))
+}
+
+// RecordLoad records a report of an upstream's owner about its queue, with
+// HasIdle for the given organisation.
+func (t *UpstreamTracker) RecordLoad(id, organisation string, load queuer.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.upstreams[id]; s != nil {
+		s.loads.record(organisation, load, t.Now())
+	}
+}
+
+// Load returns the newest report of an upstream's queue, with HasIdle for an
+// organisation, and the age of the report. Without a report it returns the zero
+// value and the highest age.
+func (t *UpstreamTracker) Load(id, organisation string) (load queuer.Load, age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.upstreams[id]; s != nil {
+		return s.loads.latest(organisation, t.Now())
+	}
+	return queuer.Load{}, math.MaxInt64
+}
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -81,7 +81,7 @@
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
 		candidates := r.candidates(view, excluded)
-		i := balancer.Choose(floor, server.Now(), candidates)
+		i := balancer.ChooseSpread(floor, server.Now(), candidates, server.random())
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
 			// All upstreams that have reached the floor are full. Refuse now
 			// rather than after a wait that would exceed the deadline.
@@ -96,6 +96,9 @@
 		}
 		id := candidates[i].ID
 		r.attempts++
+		if server.ObserveChoice != nil {
+			server.ObserveChoice(candidates[i])
+		}
 		l := r.lease(view.Upstreams[id])
 		out := f(l, floor, r.attemptDeadline())
 		out.upstream, out.floor, out.primary = id, floor, candidates[i].Primary
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -301,6 +301,7 @@
 			c.Affinity = server.Affinity(u, r.connectionOrganisation())
 		}
 		server.Upstreams.FillCandidate(&c)
+		c.Load, c.LoadAge = server.Upstreams.Load(u.ID, r.connectionOrganisation())
 		c.Suspect = server.isSuspect(u)
 		candidates = append(candidates, c)
 	}
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -19,6 +19,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -30,6 +31,7 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/recoverer"
+	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
@@ -88,6 +90,12 @@
 	Log         *logger.Logger
 	// Observe is called for each answered statement; nil disables it.
 	Observe func(Observation)
+	// ObserveChoice is called with the upstream chosen for each attempt at a read;
+	// nil disables it.
+	ObserveChoice func(balancer.Candidate)
+	// Random returns a number in [0, 1), with which reads are spread over equally
+	// good upstreams; nil means a random source of the process.
+	Random func() float64
 
 	sessions atomic.Int64
 	draining atomic.Bool
@@ -116,6 +124,13 @@
 	RefusalReason string
 }
 
+func (s *Server) random() float64 {
+	if s.Random != nil {
+		return s.Random()
+	}
+	return rand.Float64()
+}
+
 // Serve accepts sessions until ctx is done or the listener is closed.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/transactor/upstream_status.go
+++ b/internal/transactor/upstream_status.go
@@ -19,6 +19,7 @@
 	laggedUntil time.Time
 	lagBackoff  time.Duration
 	meanLatency time.Duration
+	loads       loadReports
 	// outstanding is the number of requests without an answer; silentSince is
 	// when the upstream last answered a request or accepted a probe, or when
 	// the first of these requests was sent.
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -9,13 +9,14 @@
 //
 //	i := balancer.Choose(floor, now, candidates)
 //
-// Choose is a pure function: the same arguments give the same choice.
+// Choose and ChooseSpread are pure functions: the same arguments give the same choice.
 package balancer
 
 import (
 	"slices"
 	"time"
 
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -48,6 +49,9 @@
 	// rankCost separates the upstreams that keep no connections for an
 	// organisation, so that its requests share the same one of them.
 	rankCost = 2 * time.Millisecond
+	// freshReportAge is the age up to which a report of an upstream's load counts
+	// fully. It then fades and counts no more at twice that age.
+	freshReportAge = 500 * time.Millisecond
 	// displacementCost is the penalty for opening a connection at an upstream
 	// whose connections are all meant for other organisations, while one in
 	// another region keeps some for this one. The opening displaces a connection
@@ -81,6 +85,10 @@
 	// upstream of rank 0 keeps connections for it; at others one must probably be
 	// opened.
 	Affinity int
+	// Load is the last report of the upstream's owner, and LoadAge its age. The
+	// zero value means that there is none.
+	Load    queuer.Load
+	LoadAge time.Duration
 	// Suspect is true when the upstream has recently failed to answer.
 	Suspect bool
 }
@@ -88,25 +96,66 @@
 // Choose returns the index of the candidate with the lowest cost, or -1 if
 // there is none that is neither suspect nor lagging behind the floor.
 func Choose(floor tracker.Position, now time.Time, candidates []Candidate) int {
-	best, bestCost := -1, time.Duration(0)
+	best, _ := chooseTwo(floor, now, candidates)
+	return best.index
+}
+
+// ChooseSpread returns the same as Choose, or the second best candidate if the
+// queues, as their owners have reported them, decide between the two. Otherwise all
+// hosts with the same reports would send their requests to the same upstream until
+// the next reports. The shorter the second queue, the higher is its probability.
+// random is a random number in [0, 1).
+func ChooseSpread(floor tracker.Position, now time.Time, candidates []Candidate, random float64) int {
+	best, second := chooseTwo(floor, now, candidates)
+	if second.index < 0 {
+		return best.index
+	}
+	a, b := candidates[best.index], candidates[second.index]
+	if a.reportWeight() == 0 || b.reportWeight() == 0 || second.cost-best.cost > max(a.wait(), b.wait()) {
+		return best.index
+	}
+	// A queue may have grown by a statement of each slot since it was reported.
+	waitA, waitB := a.wait()+a.serviceTime(), b.wait()+b.serviceTime()
+	if random < float64(waitA)/float64(waitA+waitB) {
+		return second.index
+	}
+	return best.index
+}
+
+// ranked is a candidate with its cost.
+type ranked struct {
+	index int
+	cost  time.Duration
+}
+
+// chooseTwo returns the two candidates with the lowest costs. The index is -1 where
+// there is none.
+func chooseTwo(floor tracker.Position, now time.Time, candidates []Candidate) (best, second ranked) {
+	best, second = ranked{index: -1}, ranked{index: -1}
 	opening := openingCost(floor, now, candidates)
 	placed := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Affinity > 0 })
+	precedes := func(r, other ranked) bool {
+		return other.index < 0 || r.cost < other.cost || (r.cost == other.cost && candidates[r.index].ID < candidates[other.index].ID)
+	}
 	for i, c := range candidates {
 		if c.Suspect || c.isLagging(floor, now) {
 			continue
 		}
-		cost := c.cost(floor)
-		if c.Affinity > 0 {
-			cost += opening
+		r := ranked{i, c.cost(floor)}
+		if c.Affinity > 0 && !c.Load.HasIdle {
+			r.cost += opening
 		}
 		if c.Primary && (!placed || c.Affinity > 0) {
-			cost += primaryCost
+			r.cost += primaryCost
 		}
-		if best < 0 || cost < bestCost || (cost == bestCost && c.ID < candidates[best].ID) {
-			best, bestCost = i, cost
+		switch {
+		case precedes(r, best):
+			best, second = r, best
+		case precedes(r, second):
+			second = r
 		}
 	}
-	return best
+	return best, second
 }
 
 // openingCost returns the penalty for an upstream that keeps no connections for
@@ -133,21 +182,18 @@
 // cost returns the estimated response time of the candidate, plus penalties for
 // what its use costs other requests.
 func (c Candidate) cost(floor tracker.Position) time.Duration {
-	cost := time.Duration(0)
+	cost := c.wait()
 	switch c.Distance {
 	case DistanceRegion:
 		cost += regionCost
 	case DistanceFar:
 		cost += farCost
 	}
-	service := c.MeanServiceTime
-	if service == 0 {
-		service = defaultService
-	}
-	cost += service * time.Duration(1+c.InFlight) / time.Duration(max(1, c.Slots))
 	if c.Affinity > 0 {
-		cost += openingTime * time.Duration(1+c.InFlight) / time.Duration(max(1, c.Slots))
-		cost += rankCost * time.Duration(c.Affinity-1)
+		cost += rankCost * time.Duration(c.Affinity)
+		if !c.Load.HasIdle {
+			cost += time.Duration(float64(openingTime) * (1 + c.busy()) / c.slots())
+		}
 	}
 	if !c.Primary && c.Position.Less(floor) {
 		cost += staleCost
@@ -155,6 +201,48 @@
 	return cost
 }
 
+// wait returns the time that the upstream's slots need for the statements before
+// this one and for this one itself.
+func (c Candidate) wait() time.Duration {
+	opening := c.reportWeight() * float64(c.Load.Opening) * float64(openingTime)
+	return time.Duration((float64(c.serviceTime())*(1+c.busy()) + opening) / c.slots())
+}
+
+// serviceTime returns the mean service time that the owner has reported, or else
+// that which the host has observed.
+func (c Candidate) serviceTime() time.Duration {
+	switch {
+	case c.reportWeight() > 0 && c.Load.MeanServiceTime > 0:
+		return c.Load.MeanServiceTime
+	case c.MeanServiceTime > 0:
+		return c.MeanServiceTime
+	}
+	return defaultService
+}
+
+// busy returns the number of statements at the upstream: those that the owner has
+// reported, as far as the report counts, and otherwise those of this host.
+func (c Candidate) busy() float64 {
+	own, weight := float64(c.InFlight), c.reportWeight()
+	return weight*max(own, float64(c.Load.Running+c.Load.Queued)) + (1-weight)*own
+}
+
+// slots returns the number of statements that the upstream runs at once.
+func (c Candidate) slots() float64 {
+	if c.Slots > 0 {
+		return float64(c.Slots)
+	}
+	return float64(max(1, c.Load.Slots))
+}
+
+// reportWeight returns how far the owner's report counts, from 0 to 1.
+func (c Candidate) reportWeight() float64 {
+	if c.Load == (queuer.Load{}) || c.LoadAge >= 2*freshReportAge {
+		return 0
+	}
+	return min(1, 2-float64(c.LoadAge)/float64(freshReportAge))
+}
+
 // isLagging reports whether the candidate is assumed not to have reached the
 // floor.
 func (c Candidate) isLagging(floor tracker.Position, now time.Time) bool {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -1,11 +1,13 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -41,6 +43,16 @@
 		{"only the far one keeps connections and is slow", func(n, r, f *Candidate) { n.Affinity, r.Affinity, f.InFlight = 1, 2, 20 }, "near"},
 		{"the far one that keeps connections does not answer", func(n, r, f *Candidate) { n.Affinity, r.Affinity, f.Suspect = 1, 2, true }, "near"},
 		{"all are equally bad", func(n, r, f *Candidate) { n.Affinity, r.Affinity, f.Affinity = 1, 1, 1 }, "near"},
+		{"the owner of the nearest reports a queue", func(n, _, _ *Candidate) { n.Load = queuer.Load{Running: 4, Queued: 4} }, "region"},
+		{"the report of a queue is old", func(n, _, _ *Candidate) {
+			n.Load, n.LoadAge = queuer.Load{Running: 4, Queued: 4}, 2*freshReportAge
+		}, "near"},
+		{"the report of an idle upstream is old", func(n, _, _ *Candidate) {
+			n.InFlight, n.Load, n.LoadAge = 10, queuer.Load{Slots: 5}, 2*freshReportAge
+		}, "region"},
+		{"the owner reports long statements", func(n, _, _ *Candidate) { n.Load = queuer.Load{MeanServiceTime: 100 * time.Millisecond} }, "region"},
+		{"connections are being opened", func(n, _, _ *Candidate) { n.Load = queuer.Load{Opening: 4} }, "region"},
+		{"one that keeps no connections has one", func(n, _, _ *Candidate) { n.Affinity, n.Load = 1, queuer.Load{HasIdle: true} }, "near"},
 		{"only the far upstream answers", func(n, r, _ *Candidate) { n.Suspect, r.Suspect = true, true }, "far"},
 		{"no upstream answers", func(n, r, f *Candidate) { n.Suspect, r.Suspect, f.Suspect = true, true, true }, ""},
 	}
@@ -57,3 +69,36 @@
 		})
 	}
 }
+
+// All hosts receive a report that one upstream is idle while the others have a
+// queue. If all went there, its queue would be the longest at the next report.
+func TestHostsSpreadOverTheSameReports(t *testing.T) {
+	const hosts = 80
+	rnd := rand.New(rand.NewPCG(1, 1))
+	chosen := map[string]int{}
+	for range hosts {
+		candidates := []Candidate{
+			{ID: "idle", Distance: DistanceRegion, Load: queuer.Load{Slots: 4, Running: 1, MeanServiceTime: defaultService}, Slots: 4},
+			{ID: "busy", Distance: DistanceRegion, Load: queuer.Load{Slots: 4, Running: 4, Queued: 8, MeanServiceTime: defaultService}, Slots: 4},
+			{ID: "busier", Distance: DistanceRegion, Load: queuer.Load{Slots: 4, Running: 4, Queued: 16, MeanServiceTime: defaultService}, Slots: 4},
+		}
+		chosen[candidates[ChooseSpread(tracker.Position{}, time.Time{}, candidates, rnd.Float64())].ID]++
+	}
+	qt.Assert(t, chosen["idle"] > hosts/2, qt.IsTrue, qt.Commentf("%v", chosen))
+	qt.Assert(t, chosen["busy"] > hosts/10, qt.IsTrue, qt.Commentf("%v", chosen))
+	qt.Assert(t, chosen["busier"], qt.Equals, 0)
+}
+
+// Chance must not send reads away from an upstream that is not busy: to another
+// data centre, to another region, or to one that must open a connection.
+func TestSpreadingKeepsReadsNear(t *testing.T) {
+	idle := queuer.Load{Slots: 4, Running: 1, MeanServiceTime: defaultService}
+	near := Candidate{ID: "near", Distance: DistanceDataCentre, Load: idle, Slots: 4}
+	for name, other := range map[string]Candidate{
+		"far":     {ID: "other", Distance: DistanceFar, Load: idle, Slots: 4},
+		"opening": {ID: "other", Distance: DistanceDataCentre, Load: idle, Slots: 4, Affinity: 1},
+		"unknown": {ID: "other", Distance: DistanceDataCentre, Slots: 4, InFlight: 1},
+	} {
+		qt.Assert(t, ChooseSpread(tracker.Position{}, time.Time{}, []Candidate{other, near}, 0), qt.Equals, 1, qt.Commentf("%s", name))
+	}
+}
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -95,11 +95,13 @@
 	evictByUse bool
 	// ownerConnections are the limits of the first and the second owner.
 	ownerConnections [2]int
+	// reports are the owners' load reports.
+	reports bool
 }
 
 var (
 	// current are the decisions as launcher makes them.
-	current = decisions{placement: true, replicaHomes: 46, primaryHomes: 40, evictByUse: true, ownerConnections: [2]int{54, 8}}
+	current = decisions{placement: true, replicaHomes: 46, primaryHomes: 40, evictByUse: true, ownerConnections: [2]int{54, 8}, reports: true}
 	// earlier are those without placement.
 	earlier = decisions{ownerConnections: [2]int{40, 40}}
 )
@@ -180,6 +182,15 @@
 	inFlight   []int
 	latency    []time.Duration
 	suspect    []bool
+	reports    []loadReport
+}
+
+// loadReport is the newest report of an owner.
+type loadReport struct {
+	load queuer.Load
+	at   time.Duration
+	// idle is the organisation that the report is for.
+	idle string
 }
 
 type organisation struct {
@@ -255,7 +266,7 @@
 		}
 	}
 	for i := range d.hosts {
-		s.hostList = append(s.hostList, &host{dataCentre: i % dataCentres, inFlight: make([]int, len(s.upstreams)), latency: make([]time.Duration, len(s.upstreams)), suspect: make([]bool, len(s.upstreams))})
+		s.hostList = append(s.hostList, &host{dataCentre: i % dataCentres, inFlight: make([]int, len(s.upstreams)), latency: make([]time.Duration, len(s.upstreams)), suspect: make([]bool, len(s.upstreams)), reports: make([]loadReport, len(s.upstreams))})
 	}
 	s.run()
 	return s
@@ -380,7 +391,7 @@
 		candidates = append(candidates, s.candidate(st, u))
 		chosen = append(chosen, u)
 	}
-	if i := balancer.Choose(tracker.Position{}, s.time(), candidates); i >= 0 && !st.kind.primary {
+	if i := balancer.ChooseSpread(tracker.Position{}, s.time(), candidates, s.rnd.Float64()); i >= 0 && !st.kind.primary {
 		return chosen[i]
 	}
 	return nil
@@ -400,6 +411,10 @@
 	default:
 		c.Distance = balancer.DistanceFar
 	}
+	if r := st.host.reports[u.index]; s.reports {
+		c.Load, c.LoadAge = r.load, s.now-r.at
+		c.Load.HasIdle = r.load.HasIdle && r.idle == st.organisation.name && c.LoadAge <= 500*time.Millisecond
+	}
 	if s.placement {
 		c.Affinity = s.placements[st.service].Rank(st.organisation.name, u.id)
 	}
@@ -570,7 +585,12 @@
 		c.use = evictor.Use{Last: s.time(), Previous: c.use.Last}
 		p.idle = append(p.idle, c)
 		s.dispatch(p)
-		s.after(hop, func() { s.answer(st, u, sent) })
+		load := p.queue.Load()
+		load.HasIdle = slices.ContainsFunc(p.idle, func(c *connection) bool { return c.organisation == st.organisation.name })
+		s.after(hop, func() {
+			st.host.reports[u.index] = loadReport{load, s.now, st.organisation.name}
+			s.answer(st, u, sent)
+		})
 	})
 }
 
--- a/pkg/queuer/load.go
+++ b/pkg/queuer/load.go
@@ -18,3 +18,8 @@
 	// that the report is for.
 	HasIdle bool
 }
+
+// Load returns the state of the queue. Opening and HasIdle are not known to it.
+func (q *Queue) Load() Load {
+	return Load{Slots: q.Slots, Running: q.running, Queued: q.waiters.Len(), MeanServiceTime: q.meanService}
+}
