transactor: log queue refusals, failed connects and late answers as such

Cause: event 1206 upstream_connection_lost was also logged when the queue refused the statement, when no connection could be opened and when a deadline passed.

Change: events 1207 upstream_queue_refused, 1208 upstream_connect_failed and 1209 upstream_answer_late. Owners report late answers and failed setups as failures of their own; hosts of an earlier build treat them as before.

Result: go test -race of internal/{broker,transactor,logger,connector} passes; platform and cmd/shallotstage-host pass without -race.

--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
@@ -15,6 +16,8 @@
 const (
 	failureQueue   = "queue"
 	failureConnect = "connect"
+	failureSetup   = "setup"
+	failureLate    = "late"
 	failureLost    = "lost"
 )
 
@@ -70,11 +73,16 @@
 	result.Sent = !errors.As(err, &runErr) || runErr.MayHaveRun
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
+	var setupErr *connector.SetupError
 	switch {
 	case errors.As(err, &queueErr):
 		result.Failure, result.ExpectedMs = failureQueue, milliseconds(queueErr.ExpectedWait)
 	case errors.As(err, &connectErr):
 		result.Failure, result.Refused = failureConnect, string(connectErr.Failure)
+	case errors.As(err, &setupErr):
+		result.Failure, result.Refused, result.Detail = failureSetup, string(setupErr.Failure), setupErr.Operation+": "+setupErr.Detail
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		result.Failure = failureLate
 	}
 	return result
 }
@@ -95,7 +103,12 @@
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
+	case failureSetup:
+		return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: &connector.SetupError{Upstream: upstream, Operation: "setup by its owner", Failure: connector.Failure(result.GetRefused()), Detail: result.GetDetail()}}
+	case failureLate:
+		return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: fmt.Errorf("broker: owner of %s: %s: %w", upstream, result.GetDetail(), os.ErrDeadlineExceeded)}
 	}
+	// Hosts of an earlier build treat an unknown failure like this one.
 	return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: fmt.Errorf("broker: owner of %s: %s", upstream, result.GetDetail())}
 }
 
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -54,6 +56,9 @@
 		{"no connection", &connector.RunError{Err: &connector.ConnectError{Upstream: "u", Failure: connector.FailureTooManyConnections, Err: errors.New("full")}}, false},
 		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
 		{"sent", &connector.RunError{MayHaveRun: true, Err: errors.New("no answer")}, true},
+		{"sent and late", &connector.RunError{MayHaveRun: true, Err: fmt.Errorf("read: %w", os.ErrDeadlineExceeded)}, true},
+		{"late before it was sent", &connector.RunError{Err: fmt.Errorf("prepare: %w", os.ErrDeadlineExceeded)}, false},
+		{"session values refused", &connector.RunError{Err: &connector.SetupError{Upstream: "u", Operation: "set", Failure: connector.FailureOther, Detail: "no such value"}}, false},
 		{"unknown kind", errors.New("unknown"), true},
 	}
 	for _, test := range tests {
@@ -81,6 +86,12 @@
 			if connectErr != nil {
 				qt.Assert(t, connectErr.Failure, qt.Equals, wantConnectErr.Failure)
 			}
+			var setupErr, wantSetupErr *connector.SetupError
+			qt.Assert(t, errors.As(err, &setupErr), qt.Equals, errors.As(test.err, &wantSetupErr))
+			if setupErr != nil {
+				qt.Assert(t, setupErr.Failure, qt.Equals, wantSetupErr.Failure)
+			}
+			qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.Equals, errors.Is(test.err, os.ErrDeadlineExceeded))
 		})
 	}
 }
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -25,6 +25,9 @@
 	EventUpstreamSuspect          = Event{1204, "upstream_suspect"}
 	EventUpstreamRecovered        = Event{1205, "upstream_back"}
 	EventUpstreamConnectionLost   = Event{1206, "upstream_connection_lost"}
+	EventUpstreamQueueRefused     = Event{1207, "upstream_queue_refused"}
+	EventUpstreamConnectFailed    = Event{1208, "upstream_connect_failed"}
+	EventUpstreamAnswerLate       = Event{1209, "upstream_answer_late"}
 	EventSettingsRead             = Event{1004, "settings_read"}
 	EventSettingsRefused          = Event{1005, "settings_refused"}
 	EventLogLinesDropped          = Event{1006, "log_lines_dropped"}
@@ -81,7 +84,7 @@
 		EventVoteClearancePending,
 		EventSessionRefused, EventSessionBroken, EventTransactionExpired,
 		EventRequestServed, EventRequestRefused, EventRequestRetried,
-		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
+		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost, EventUpstreamQueueRefused, EventUpstreamConnectFailed, EventUpstreamAnswerLate,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventCancelNotDelivered,
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -187,7 +188,23 @@
 	if !errors.As(err, &queueErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
-	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
+	r.session.server.Log.Info(failureEvent(err), zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
+}
+
+// failureEvent returns the event for the error of a run.
+func failureEvent(err error) logger.Event {
+	var queueErr *connector.QueueError
+	var connectErr *connector.ConnectError
+	var setupErr *connector.SetupError
+	switch {
+	case errors.As(err, &queueErr):
+		return logger.EventUpstreamQueueRefused
+	case errors.As(err, &connectErr), errors.As(err, &setupErr):
+		return logger.EventUpstreamConnectFailed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return logger.EventUpstreamAnswerLate
+	}
+	return logger.EventUpstreamConnectionLost
 }
 
 // recordSample stores a position whose answer proves that the upstream was the
