--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -14,6 +16,8 @@
 const (
 	failureQueue   = "queue"
 	failureConnect = "connect"
+	failureSetup   = "setup"
+	failureLate    = "late"
 	failureLost    = "lost"
 	failureRegion  = "region"
 	// failureEvacuated is not known to hosts of an earlier build: they take the work for
@@ -78,6 +82,7 @@
 	var connectErr *connector.ConnectError
 	var regionErr *connector.RegionError
 	var evacuatedErr *connector.EvacuatedError
+	var setupErr *connector.SetupError
 	switch {
 	case errors.As(err, &regionErr):
 		result.Failure = failureRegion
@@ -87,6 +92,10 @@
 		result.Failure, result.ExpectedMs, result.RoomMs, result.MayWait = failureQueue, milliseconds(queueErr.ExpectedWait), milliseconds(queueErr.RoomIn), queueErr.MayWait
 	case errors.As(err, &connectErr):
 		result.Failure, result.Refused = failureConnect, string(connectErr.Failure)
+	case errors.As(err, &setupErr):
+		result.Failure, result.Refused, result.Detail = failureSetup, string(setupErr.Failure), setupErr.Operation+": "+setupErr.Detail
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		result.Failure = failureLate
 	}
 	return result
 }
@@ -114,6 +123,37 @@
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
+	case failureSetup:
+		return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: &connector.SetupError{Upstream: upstream, Operation: "setup by its owner", Failure: connector.Failure(result.GetRefused()), Detail: result.GetDetail()}}
+	case failureLate:
+		return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: fmt.Errorf("broker: owner of %s: %s: %w", upstream, result.GetDetail(), os.ErrDeadlineExceeded)}
 	}
+	// Hosts of an earlier build treat an unknown failure like this one.
 	return answers, &connector.RunError{MayHaveRun: result.GetSent(), Err: fmt.Errorf("broker: owner of %s: %s", upstream, result.GetDetail())}
 }
+
+// loadUnit is the unit of LentLoad.mean_service.
+const loadUnit = 100 * time.Microsecond
+
+// The largest values in a LentLoad: those that take one and two bytes.
+const (
+	maxOneByte = 1<<7 - 1
+	maxTwoByte = 1<<14 - 1
+)
+
+func encodeLoad(l queuer.Load) *messenger.LentLoad {
+	bounded := func(n, most int) uint32 { return uint32(max(0, min(n, most))) }
+	return &messenger.LentLoad{
+		Slots: bounded(l.Slots, maxTwoByte), Running: bounded(l.Running, maxTwoByte), Queued: bounded(l.Queued, maxTwoByte), Opening: bounded(l.Opening, maxOneByte),
+		MeanService: bounded(int((l.MeanServiceTime+loadUnit/2)/loadUnit), maxTwoByte), HasIdle: l.HasIdle,
+	}
+}
+
+// decodeLoad decodes a report of another host, which may be of another build.
+func decodeLoad(l *messenger.LentLoad) queuer.Load {
+	bounded := func(n uint32) int { return int(min(n, maxTwoByte)) }
+	return queuer.Load{
+		Slots: bounded(l.GetSlots()), Running: bounded(l.GetRunning()), Queued: bounded(l.GetQueued()), Opening: bounded(l.GetOpening()),
+		MeanServiceTime: time.Duration(bounded(l.GetMeanService())) * loadUnit, HasIdle: l.GetHasIdle(),
+	}
+}
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"errors"
+	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/emptypb"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/messenger"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -55,6 +59,9 @@
 		{"region not permitted", &connector.RunError{Err: &connector.RegionError{Upstream: "u"}}, false},
 		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
 		{"sent", &connector.RunError{MayHaveRun: true, Err: errors.New("no answer")}, true},
+		{"sent and late", &connector.RunError{MayHaveRun: true, Err: fmt.Errorf("read: %w", os.ErrDeadlineExceeded)}, true},
+		{"late before it was sent", &connector.RunError{Err: fmt.Errorf("prepare: %w", os.ErrDeadlineExceeded)}, false},
+		{"session values refused", &connector.RunError{Err: &connector.SetupError{Upstream: "u", Operation: "set", Failure: connector.FailureOther, Detail: "no such value"}}, false},
 		{"unknown kind", errors.New("unknown"), true},
 	}
 	for _, test := range tests {
@@ -86,6 +93,36 @@
 			if connectErr != nil {
 				qt.Assert(t, connectErr.Failure, qt.Equals, wantConnectErr.Failure)
 			}
+			var setupErr, wantSetupErr *connector.SetupError
+			qt.Assert(t, errors.As(err, &setupErr), qt.Equals, errors.As(test.err, &wantSetupErr))
+			if setupErr != nil {
+				qt.Assert(t, setupErr.Failure, qt.Equals, wantSetupErr.Failure)
+			}
+			qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.Equals, errors.Is(test.err, os.ErrDeadlineExceeded))
 		})
 	}
 }
+
+// A report travels with each answer over links of 2 Mbit/s.
+func TestLoadReportIsSmall(t *testing.T) {
+	size := func(l queuer.Load) int {
+		return proto.Size(&messenger.LentResult{Load: encodeLoad(l)}) - proto.Size(&messenger.LentResult{})
+	}
+	typical := size(queuer.Load{Slots: 4, Running: 3, Queued: 12, Opening: 1, MeanServiceTime: 18 * time.Millisecond, HasIdle: true})
+	huge := size(queuer.Load{Slots: 1 << 40, Running: 1 << 40, Queued: 1 << 40, Opening: 1 << 40, MeanServiceTime: time.Hour, HasIdle: true})
+	t.Logf("%d bytes typically, at most %d", typical, huge)
+	qt.Assert(t, typical < 24, qt.IsTrue)
+	qt.Assert(t, huge < 24, qt.IsTrue)
+}
+
+func TestLoadReportSurvivesEncoding(t *testing.T) {
+	load := queuer.Load{Slots: 4, Running: 5, Queued: 130, Opening: 2, MeanServiceTime: 18300 * time.Microsecond, HasIdle: true}
+	qt.Assert(t, decodeLoad(encodeLoad(load)), qt.Equals, load)
+	qt.Assert(t, decodeLoad(&messenger.LentLoad{Queued: 1 << 31, MeanService: 1 << 31}).Queued, qt.Equals, maxTwoByte, qt.Commentf("another build may send more"))
+	// An owner of an earlier build sends none. A host of an earlier build skips the
+	// field, as it does here with a message that has no fields.
+	qt.Assert(t, (&messenger.LentResult{}).GetLoad(), qt.IsNil)
+	body, err := proto.Marshal(&messenger.LentResult{Load: encodeLoad(load)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, proto.Unmarshal(body, &emptypb.Empty{}), qt.IsNil)
+}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -161,7 +161,7 @@
 	e.set.OnOverload = e.logOverload
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -182,7 +182,7 @@
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Affinity: e.assignments.affinity, Upstreams: e.upstreams, Gate: e.gate, Evacuations: e.evacuations, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
-		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
+		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe, ObserveChoice: e.entryMetrics.observeChoice, Load: e.upstreams.Load,
 	}
 	e.sampler = &sampler.Sampler{
 		Forwarder: e.forwarder, SampleHosts: e.assignments.sampleHostsOf, Owner: e.primaryOwner, QueryPrimary: e.server.SamplePrimary, Latest: e.upstreams.Latest, StoreSample: e.upstreams.AddSample,
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
@@ -158,11 +157,7 @@
 // jitter lengthens a retry delay by a random part, so that callers that were
 // refused together do not return together.
 func (s *Server) jitter(d time.Duration) time.Duration {
-	random := rand.Float64
-	if s.Random != nil {
-		random = s.Random
-	}
-	return queuer.Jitter(d, random())
+	return queuer.Jitter(d, s.random())
 }
 
 // write runs a single write outside a transaction.
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -99,7 +99,7 @@
 				last = outcome{refusal: refusal, upstream: last.upstream, retryable: true}
 			}
 		}
-		i := balancer.Choose(floor, server.Now(), candidates)
+		i := balancer.ChooseSpread(floor, server.Now(), candidates, server.random())
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
 			// All upstreams that have reached the floor are full. Wait at the one
 			// with the shortest queue if the read can be served there in time, or
@@ -124,6 +124,9 @@
 		}
 		id := candidates[i].ID
 		r.attempts++
+		if server.ObserveChoice != nil {
+			server.ObserveChoice(candidates[i])
+		}
 		l := r.lease(view.Upstreams[id])
 		out := f(l, floor, r.attemptDeadline())
 		out.upstream, out.floor, out.primary = id, floor, candidates[i].Primary
