--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -33,14 +33,16 @@
 	// ever.
 	idleTimeout time.Duration
 	// open is the number of connections that are in use, idle or being opened.
-	open   int
-	idle   []*Conn
-	queue  queuer.Queue
-	closed bool
-	opened uint64
-	// refusedEarly and refusedLate count the statements refused on arrival and
-	// after a wait.
-	refusedEarly, refusedLate uint64
+	open int
+	// opening is the number of connections being opened.
+	opening  int
+	idle     []*Conn
+	queue    queuer.Queue
+	closed   bool
+	opened   uint64
+	overload overload
+	// refusals are the counters of the set; nil without a set.
+	refusals *refusals
 	// dialBlockedUntil is when a connection may be opened again after the
 	// upstream refused one because of its limit, and dialBackoff the length of
 	// that time.
@@ -66,6 +68,15 @@
 	return p.opened
 }
 
+// Load returns the state of the queue for an organisation.
+func (p *Pool) Load(organisation string) queuer.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.queue.Load()
+	l.Opening, l.HasIdle = p.opening, p.hasIdle(organisation)
+	return l
+}
+
 // Acquire waits for a slot and a connection of an organisation, preferring the
 // idle connection that matches the values best.
 func (p *Pool) Acquire(ctx context.Context, organisation string, values map[string]string, limits Limits) (*Conn, error) {
@@ -120,7 +131,7 @@
 		w.AnswerBy = w.EnqueuedAt.Add(limits.AnswerWithin)
 	}
 	if d := p.queue.Offer(w.EnqueuedAt, w); !d.Admitted {
-		p.refusedEarly++
+		p.recordRefusal(true)
 		p.mu.Unlock()
 		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: d.ExpectedWait, MayWait: d.MayWait, RoomIn: d.RoomIn}
 	}
@@ -142,7 +153,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refusedLate++
+	p.recordRefusal(false)
 	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.EnqueuedAt), RoomIn: p.queue.RoomIn(time.Now(), w)}
 }
 
@@ -165,6 +176,7 @@
 		p.put(c)
 	} else if !w.InTransaction {
 		p.open--
+		p.opening--
 	}
 	p.dispatch()
 }
@@ -197,6 +209,7 @@
 			} else {
 				p.makeRoom(now)
 				p.open++
+				p.opening++
 			}
 		}
 		w.Granted <- grant
@@ -268,6 +281,7 @@
 	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.opening--
 	p.recordDial(err)
 	if err == nil {
 		p.queue.ObserveOpening(time.Since(begin))
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -158,9 +158,10 @@
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
 	e.evacuations = &transactor.Evacuations{Evacuator: evacuator.Evacuator{Limit: e.Settings.EvacuationLimit}, Now: timer.Now, Log: e.Log}
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Weight: e.organisationWeight}
+	e.set.OnOverload = e.logOverload
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -181,7 +182,7 @@
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Affinity: e.assignments.affinity, Upstreams: e.upstreams, Gate: e.gate, Evacuations: e.evacuations, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
-		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
+		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe, ObserveChoice: e.entryMetrics.observeChoice, Load: e.upstreams.Load,
 	}
 	e.sampler = &sampler.Sampler{
 		Forwarder: e.forwarder, SampleHosts: e.assignments.sampleHostsOf, Owner: e.primaryOwner, QueryPrimary: e.server.SamplePrimary, Latest: e.upstreams.Latest, StoreSample: e.upstreams.AddSample,
@@ -194,6 +195,13 @@
 	e.entryMetrics.registerGauges(e.server, e.set, e.evacuations)
 }
 
+// logOverload logs that the queue of an upstream has begun or ceased to refuse
+// statements.
+func (e *EntryHost) logOverload(c connector.OverloadChange) {
+	e.Log.Warn(logger.EventUpstreamOverloaded, zap.String("upstream", c.Upstream), zap.Bool("overloaded", c.Overloaded), zap.Int("waiting", c.Waiting),
+		zap.Uint64("refused_early", c.RefusedEarly), zap.Uint64("refused_late", c.RefusedLate), zap.Duration("lasted", c.Lasted))
+}
+
 // organisation returns an organisation of the current configuration.
 func (e *EntryHost) organisation(name string) (keeper.Organisation, bool) {
 	view, _ := e.controlClient.View()
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -93,7 +93,13 @@
 			return outcome{refusal: refusal}
 		}
 		candidates := r.candidates(view, excluded)
-		i := balancer.Choose(floor, server.Now(), candidates)
+		if !r.settled {
+			var refusal *refuser.Refusal
+			if candidates, refusal = r.withRoom(candidates); refusal != nil {
+				last = outcome{refusal: refusal, upstream: last.upstream, retryable: true}
+			}
+		}
+		i := balancer.ChooseSpread(floor, server.Now(), candidates, server.random())
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
 			// All upstreams that have reached the floor are full. Wait at the one
 			// with the shortest queue if the read can be served there in time, or
@@ -118,6 +124,9 @@
 		}
 		id := candidates[i].ID
 		r.attempts++
+		if server.ObserveChoice != nil {
+			server.ObserveChoice(candidates[i])
+		}
 		l := r.lease(view.Upstreams[id])
 		out := f(l, floor, r.attemptDeadline())
 		out.upstream, out.floor, out.primary = id, floor, candidates[i].Primary
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -187,6 +188,17 @@
 	if !r.settled {
 		limits.MaxWait = max(min(objective/queueWaitDivisor, time.Until(deadline)/2), time.Millisecond)
 	}
+	limits.AnswerWithin = r.answerWithin()
+	return limits
+}
+
+// answerWithin returns the time within which an upstream's owner must have run the
+// statement to meet the latency objective.
+func (r *request) answerWithin() time.Duration {
+	objective := r.route.TargetLatency
+	if objective <= 0 {
+		objective = defaultTimeout
+	}
 	answer := objective - objective/wayBackDivisor - time.Since(r.startedAt)
 	if r.session.tx != nil && r.session.tx.lease == nil {
 		// The other statements of the transaction need time too.
@@ -194,8 +206,7 @@
 	}
 	// A statement that had to wait for a promotion still gets as much time as any
 	// other would at first.
-	limits.AnswerWithin = max(answer, objective/queueWaitDivisor)
-	return limits
+	return max(answer, objective/queueWaitDivisor)
 }
 
 // recordRun updates the upstream tracker with the result of a run.
@@ -222,7 +233,23 @@
 	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
-	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
+	r.session.server.Log.Info(failureEvent(err), zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
+}
+
+// failureEvent returns the event for the error of a run.
+func failureEvent(err error) logger.Event {
+	var queueErr *connector.QueueError
+	var connectErr *connector.ConnectError
+	var setupErr *connector.SetupError
+	switch {
+	case errors.As(err, &queueErr):
+		return logger.EventUpstreamQueueRefused
+	case errors.As(err, &connectErr), errors.As(err, &setupErr):
+		return logger.EventUpstreamConnectFailed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return logger.EventUpstreamAnswerLate
+	}
+	return logger.EventUpstreamConnectionLost
 }
 
 // recordSample stores a position whose answer proves that the upstream was the
@@ -347,6 +374,7 @@
 			c.Affinity = server.Affinity(u, r.connectionOrganisation())
 		}
 		server.Upstreams.FillCandidate(&c)
+		c.Load, c.LoadAge = server.Upstreams.Load(u.ID, r.connectionOrganisation())
 		c.Suspect = server.isSuspect(u)
 		if decision == evacuator.Avoid {
 			avoided = append(avoided, c)
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -19,6 +19,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,9 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/recoverer"
+	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 )
 
@@ -83,9 +86,9 @@
 	// Now returns the time of a clock that keeps running while the machine is
 	// suspended.
 	Now func() time.Time
-	// Random returns random numbers from 0 up to 1 that spread retry delays; nil
-	// means those of the process. It must be safe for concurrent use.
-	Random func() float64
+	// Load returns the last load report of the owner of an upstream's connections
+	// and its age; nil means that there are none.
+	Load func(upstream, organisation string) (queuer.Load, time.Duration)
 	// Location is the location of this host, from which the distance to upstreams
 	// is determined.
 	Location Location
@@ -94,6 +97,13 @@
 	Log         *logger.Logger
 	// Observe is called for each answered statement; nil disables it.
 	Observe func(Observation)
+	// ObserveChoice is called with the upstream chosen for each attempt at a read;
+	// nil disables it.
+	ObserveChoice func(balancer.Candidate)
+	// Random returns a number in [0, 1), with which reads are spread over equally
+	// good upstreams, and callers over the time after which they return; nil means
+	// a random source of the process. It must be safe for concurrent use.
+	Random func() float64
 
 	sessions atomic.Int64
 	draining atomic.Bool
@@ -118,10 +128,20 @@
 	Latency time.Duration
 	// Objective is the route's latency objective; zero means none.
 	Objective time.Duration
+	// RefusedEarly is true if the statement was refused because of a load report,
+	// without being sent to another host.
+	RefusedEarly bool
 	// RefusalReason is the reason of a refusal, or empty.
 	RefusalReason string
 }
 
+func (s *Server) random() float64 {
+	if s.Random != nil {
+		return s.Random()
+	}
+	return rand.Float64()
+}
+
 // Serve accepts sessions until ctx is done or the listener is closed.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
