balancer: cost of distance from measured round trips, held reads

Cause: the cost of distance was a constant, and all hosts left a region, and returned, at the same threshold.

Change: owners report how long they held the work; the rest of a host's wait is the round trip, kept by data centre. balancer takes the cost of the way from it and from a price of bytes, with the constants until a measurement. spiller's fraction decides which reads are held in the region; reads whose organisation is placed only elsewhere are not. The metric of choices has a reason. Load test with slow upstreams and a hot organisation.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -67,7 +67,10 @@
 	// ObserveLoad is called with each report of an upstream's load for an
 	// organisation; nil disables it.
 	ObserveLoad func(upstream, organisation string, load queuer.Load)
-	Log         *logger.Logger
+	// ObserveRoundTrip is called with each measured round trip to another host;
+	// nil disables it.
+	ObserveRoundTrip func(host string, d time.Duration)
+	Log              *logger.Logger
 	// Backoffer tracks the owners to skip: by host, or by host and upstream when
 	// the owner cannot reach only that upstream.
 	Backoffer backoffer.Backoffer
@@ -163,7 +166,7 @@
 	if l.local != nil {
 		return l.local.Run(ctx, limits, batch)
 	}
-	work := encodeWork(limits, batch)
+	work, begin := encodeWork(limits, batch), time.Now()
 	if l.stream == nil {
 		work.Upstream, work.Organisation, work.Born = l.upstream.ID, l.organisation, l.upstream.IncarnationStart
 		header, err := proto.Marshal(work)
@@ -186,10 +189,11 @@
 	} else if _, err := protodelim.MarshalTo(l.stream, work); err != nil {
 		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: fmt.Errorf("broker: send work to %s: %w", l.owner.Host, err)}
 	}
-	return l.receive(limits, batch)
+	return l.receive(limits, batch, begin)
 }
 
-func (l *borrowedLease) receive(limits connector.Limits, batch connector.Batch) ([]connector.Answer, error) {
+// receive reads the result of work that was sent at begin.
+func (l *borrowedLease) receive(limits connector.Limits, batch connector.Batch, begin time.Time) ([]connector.Answer, error) {
 	if err := l.stream.SetReadDeadline(limits.Deadline.Add(answerGrace)); err != nil {
 		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: err}
 	}
@@ -201,6 +205,12 @@
 	if load := result.GetLoad(); load != nil && l.broker.ObserveLoad != nil {
 		l.broker.ObserveLoad(l.upstream.ID, l.organisation, decodeLoad(load))
 	}
+	if elapsed := result.GetLoad().GetElapsed(); elapsed > 0 && l.broker.ObserveRoundTrip != nil {
+		// Another build may send more than the time that the host waited.
+		if d := time.Since(begin) - time.Duration(min(elapsed, maxTwoByte))*loadUnit; d > 0 {
+			l.broker.ObserveRoundTrip(l.owner.Host, d)
+		}
+	}
 	answers, err := decodeResult(l.upstream.ID, &result)
 	var connectErr *connector.ConnectError
 	if errors.As(err, &connectErr) && connectErr.Failure == connector.FailureNone && l.broker.Backoffer.RecordFailure(backoffKey(l.owner, l.upstream)) {
@@ -225,9 +235,11 @@
 		defer lease.Release()
 		r := bufio.NewReaderSize(stream, readBufferSize)
 		for work := &first; ; {
+			begin := time.Now()
 			result := b.runWork(ctx, lease, work)
 			if load, ok := b.LocalConnections.Load(first.GetUpstream(), first.GetOrganisation()); ok {
 				result.Load = encodeLoad(load)
+				result.Load.Elapsed = encodeElapsed(time.Since(begin))
 			}
 			if _, err := protodelim.MarshalTo(stream, result); err != nil || work.GetLast() {
 				return
--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -129,6 +129,14 @@
 	}
 }
 
+// encodeElapsed returns the time that a batch took, or zero if it is too long.
+func encodeElapsed(d time.Duration) uint32 {
+	if units := d / loadUnit; units <= maxTwoByte {
+		return uint32(max(1, units))
+	}
+	return 0
+}
+
 // decodeLoad decodes a report of another host, which may be of another build.
 func decodeLoad(l *messenger.LentLoad) queuer.Load {
 	bounded := func(n uint32) int { return int(min(n, maxTwoByte)) }
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -99,7 +99,9 @@
 // A report travels with each answer over links of 2 Mbit/s.
 func TestLoadReportIsSmall(t *testing.T) {
 	size := func(l queuer.Load) int {
-		return proto.Size(&messenger.LentResult{Load: encodeLoad(l)}) - proto.Size(&messenger.LentResult{})
+		report := encodeLoad(l)
+		report.Elapsed = encodeElapsed(time.Second)
+		return proto.Size(&messenger.LentResult{Load: report}) - proto.Size(&messenger.LentResult{})
 	}
 	typical := size(queuer.Load{Slots: 4, Running: 3, Queued: 12, Opening: 1, MeanServiceTime: 18 * time.Millisecond, HasIdle: true})
 	huge := size(queuer.Load{Slots: 1 << 40, Running: 1 << 40, Queued: 1 << 40, Opening: 1 << 40, MeanServiceTime: time.Hour, HasIdle: true})
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -152,7 +152,7 @@
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, ObserveLoad: e.upstreams.RecordLoad, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, ObserveLoad: e.upstreams.RecordLoad, ObserveRoundTrip: e.recordRoundTrip, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -193,6 +193,14 @@
 	return o, ok
 }
 
+// recordRoundTrip records a measured round trip to another entry host.
+func (e *EntryHost) recordRoundTrip(host string, d time.Duration) {
+	view, _ := e.controlClient.View()
+	if p, ok := view.Peers[host]; ok {
+		e.upstreams.RecordRoundTrip(p.DataCentre, d)
+	}
+}
+
 // primaryOwner returns the host that owns the connections to a service's primary.
 func (e *EntryHost) primaryOwner(service string) sampler.SampleHost {
 	view, _ := e.controlClient.View()
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -42,8 +42,8 @@
 	}, []string{"kind", "outcome"})
 	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "shallotstage_entry_read_choices_total",
-		Help: "Attempts at reads, by placement of the organisation at the chosen upstream (home, next, or other) and by distance (data_centre, region, or far).",
-	}, []string{"placement", "distance"})
+		Help: "Attempts at reads, by placement of the organisation at the chosen upstream (home, next, or other), by distance (data_centre, region, or far) and by reason (near, placement, only, or load).",
+	}, []string{"placement", "distance", "reason"})
 	m.registry.MustRegister(m.statements, m.refusals, m.latency, m.objectives, m.choices)
 	return m
 }
@@ -72,7 +72,7 @@
 	m.objectives.WithLabelValues(string(o.Kind), outcome).Inc()
 }
 
-func (m *entryMetrics) observeChoice(c balancer.Candidate) {
+func (m *entryMetrics) observeChoice(c balancer.Candidate, reason balancer.Reason) {
 	placement := "other"
 	switch c.Affinity {
 	case 0:
@@ -80,7 +80,7 @@
 	case 1:
 		placement = "next"
 	}
-	m.choices.WithLabelValues(placement, string(c.Distance)).Inc()
+	m.choices.WithLabelValues(placement, string(c.Distance), string(reason)).Inc()
 }
 
 func (m *entryMetrics) handler() http.Handler { return metricsHandler(m.registry) }
--- a/internal/transactor/load_reports.go
+++ b/internal/transactor/load_reports.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
 
@@ -69,3 +70,25 @@
 	}
 	return queuer.Load{}, math.MaxInt64
 }
+
+// RecordRoundTrip records a measured round trip to a data centre.
+func (t *UpstreamTracker) RecordRoundTrip(dataCentre string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.roundTrips.Record(dataCentre, t.Now(), d)
+}
+
+// hold marks the candidates for which a read is not to leave the region. random is
+// a random number in [0, 1).
+func (t *UpstreamTracker) hold(service string, candidates []balancer.Candidate, random float64) {
+	sites, ok := balancer.Sites(candidates)
+	if !ok {
+		return
+	}
+	t.mu.Lock()
+	share := t.spiller.Share(service, t.Now(), sites)
+	t.mu.Unlock()
+	for i := range candidates {
+		candidates[i].Held = candidates[i].Distance == balancer.DistanceFar && random >= share
+	}
+}
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -81,6 +81,7 @@
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
 		candidates := r.candidates(view, excluded)
+		server.Upstreams.hold(r.route.Service, candidates, server.random())
 		i := balancer.ChooseSpread(floor, server.Now(), candidates, server.random())
 		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
 			// All upstreams that have reached the floor are full. Refuse now
@@ -97,7 +98,7 @@
 		id := candidates[i].ID
 		r.attempts++
 		if server.ObserveChoice != nil {
-			server.ObserveChoice(candidates[i])
+			server.ObserveChoice(candidates[i], balancer.ReasonOf(floor, server.Now(), candidates, i))
 		}
 		l := r.lease(view.Upstreams[id])
 		out := f(l, floor, r.attemptDeadline())
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -90,9 +90,9 @@
 	Log         *logger.Logger
 	// Observe is called for each answered statement; nil disables it.
 	Observe func(Observation)
-	// ObserveChoice is called with the upstream chosen for each attempt at a read;
-	// nil disables it.
-	ObserveChoice func(balancer.Candidate)
+	// ObserveChoice is called with the upstream chosen for each attempt at a read,
+	// and why; nil disables it.
+	ObserveChoice func(balancer.Candidate, balancer.Reason)
 	// Random returns a number in [0, 1), with which reads are spread over equally
 	// good upstreams; nil means a random source of the process.
 	Random func() float64
--- a/internal/transactor/upstream_tracker.go
+++ b/internal/transactor/upstream_tracker.go
@@ -8,6 +8,7 @@
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/spiller"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -51,6 +52,8 @@
 	// confirmedPrimaries holds, by service, an upstream that accepted a request
 	// that only a primary accepts although the view names another primary.
 	confirmedPrimaries map[string]confirmedPrimary
+	roundTrips         spiller.RoundTrips
+	spiller            spiller.Spiller
 }
 
 // confirmedPrimary is an upstream that acted as the primary under the view with the given
@@ -99,6 +102,11 @@
 			delete(t.upstreams, id)
 		}
 	}
+	services := map[string]bool{}
+	for _, u := range upstreams {
+		services[u.Service] = true
+	}
+	t.spiller.Retain(func(service string) bool { return services[service] })
 	for id, u := range upstreams {
 		if s := t.upstreams[id]; s != nil {
 			s.upstream = u
@@ -217,6 +225,7 @@
 	}
 	c.Position, c.LaggedFloor, c.LaggedUntil = s.position, s.laggedFloor, s.laggedUntil
 	c.MeanServiceTime, c.InFlight = s.meanLatency, s.outstanding
+	c.RoundTrip, _ = t.roundTrips.Of(s.upstream.DataCentre)
 }
 
 // minTimeReserve is the time reserved for a statement on an upstream without
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/queuer"
+	"github.com/shallotstage/shallotstage/pkg/spiller"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -33,6 +34,7 @@
 const (
 	// regionCost and farCost are round trips of 3 and 60 ms, plus a surcharge
 	// for the traffic: the link between regions is narrow and billed by volume.
+	// They apply until a round trip has been measured.
 	regionCost = 6 * time.Millisecond
 	farCost    = 150 * time.Millisecond
 	// primaryCost keeps slots of the primary free for requests that only it can
@@ -52,19 +54,34 @@
 	// freshReportAge is the age up to which a report of an upstream's load counts
 	// fully. It then fades and counts no more at twice that age.
 	freshReportAge = 500 * time.Millisecond
-	// displacementCost is the penalty for opening a connection at an upstream
-	// whose connections are all meant for other organisations, while one in
-	// another region keeps some for this one. The opening displaces a connection
-	// that must be opened again, so both cost twice what a statement needs of a
-	// slot. It is higher than farCost by what a longer queue there may cost.
-	displacementCost = farCost + 30*time.Millisecond
+	// displacementCost plus the distance of an upstream in another region that
+	// keeps connections for the organisation is the penalty for opening one at an
+	// upstream whose connections are all meant for other organisations. The
+	// opening displaces a connection that must be opened again, so both cost twice
+	// what a statement needs of a slot. It is what a longer queue there may cost.
+	displacementCost = 30 * time.Millisecond
+	// TrafficCost is the surcharge for the traffic to another region.
+	TrafficCost = 90 * time.Millisecond
+	// regionTrafficFactor times a measured round trip within a region is its cost,
+	// like the 6 ms for 3 ms above.
+	regionTrafficFactor = 2
+	// heldCost is the penalty for leaving the region with a read that is not to
+	// leave it. It is higher than the wait in any queue that accepts the read.
+	heldCost = 5 * time.Second
 )
 
 // Candidate is the host's view of an upstream.
 type Candidate struct {
 	ID       string
 	Distance Distance
-	Primary  bool
+	// RoundTrip is the measured round trip to the upstream's data centre; zero
+	// means unknown.
+	RoundTrip time.Duration
+	// Held is true if the read is not to leave the region for this upstream unless
+	// there is no other. It does not apply where only upstreams in another region
+	// keep connections for the organisation.
+	Held    bool
+	Primary bool
 	// Position is the last known position of the upstream's log.
 	Position tracker.Position
 	// LaggedFloor is the floor of the last read that the upstream refused as
@@ -134,6 +151,7 @@
 	best, second = ranked{index: -1}, ranked{index: -1}
 	opening := openingCost(floor, now, candidates)
 	placed := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Affinity > 0 })
+	homeless := opening > openingTime
 	precedes := func(r, other ranked) bool {
 		return other.index < 0 || r.cost < other.cost || (r.cost == other.cost && candidates[r.index].ID < candidates[other.index].ID)
 	}
@@ -142,6 +160,9 @@
 			continue
 		}
 		r := ranked{i, c.cost(floor)}
+		if c.Held && (c.Affinity > 0 || !homeless) {
+			r.cost += heldCost
+		}
 		if c.Affinity > 0 && !c.Load.HasIdle {
 			r.cost += opening
 		}
@@ -162,33 +183,43 @@
 // the organisation: the opening itself, and displacementCost if only upstreams in
 // another region keep some.
 func openingCost(floor tracker.Position, now time.Time, candidates []Candidate) time.Duration {
-	near, far := false, false
+	nearest := time.Duration(-1)
 	for _, c := range candidates {
 		if c.Affinity > 0 || c.Suspect || c.isLagging(floor, now) {
 			continue
 		}
-		if c.Distance == DistanceFar {
-			far = true
-		} else {
-			near = true
+		if c.Distance != DistanceFar {
+			return openingTime
+		}
+		if nearest < 0 || c.distanceCost() < nearest {
+			nearest = c.distanceCost()
 		}
 	}
-	if far && !near {
-		return openingTime + displacementCost
+	if nearest >= 0 {
+		return openingTime + nearest + displacementCost
 	}
 	return openingTime
 }
 
+// distanceCost returns the cost of the way to the upstream.
+func (c Candidate) distanceCost() time.Duration {
+	switch {
+	case c.Distance == DistanceFar && c.RoundTrip > 0:
+		return spiller.DistanceCost(c.RoundTrip, TrafficCost)
+	case c.Distance == DistanceFar:
+		return farCost
+	case c.Distance == DistanceRegion && c.RoundTrip > 0:
+		return regionTrafficFactor * c.RoundTrip
+	case c.Distance == DistanceRegion:
+		return regionCost
+	}
+	return 0
+}
+
 // cost returns the estimated response time of the candidate, plus penalties for
 // what its use costs other requests.
 func (c Candidate) cost(floor tracker.Position) time.Duration {
-	cost := c.wait()
-	switch c.Distance {
-	case DistanceRegion:
-		cost += regionCost
-	case DistanceFar:
-		cost += farCost
-	}
+	cost := c.wait() + c.distanceCost()
 	if c.Affinity > 0 {
 		cost += rankCost * time.Duration(c.Affinity)
 		if !c.Load.HasIdle {
@@ -243,6 +274,80 @@
 	return min(1, 2-float64(c.LoadAge)/float64(freshReportAge))
 }
 
+// Sites returns what the candidates tell about the region and about other regions,
+// or false if there are none in one of these.
+func Sites(candidates []Candidate) (spiller.Sites, bool) {
+	sites := spiller.Sites{Price: TrafficCost}
+	near, far, free, slots := false, false, 0.0, 0.0
+	for _, c := range candidates {
+		switch {
+		case c.Suspect:
+		case c.Distance != DistanceFar:
+			if wait := c.wait() + c.distanceCost(); !near || wait < sites.NearWait {
+				sites.NearWait = wait
+			}
+			near = true
+		default:
+			if wait := c.wait(); !far || wait < sites.FarWait {
+				sites.FarWait = wait
+				if sites.RoundTrip = c.RoundTrip; c.RoundTrip <= 0 {
+					sites.RoundTrip = farCost - TrafficCost
+				}
+			}
+			far = true
+			if c.reportWeight() > 0 {
+				sites.FarKnown = true
+				free += max(0, c.slots()-c.busy())
+				slots += c.slots()
+			}
+		}
+	}
+	if slots > 0 {
+		sites.FarRoom = free / slots
+	}
+	return sites, near && far
+}
+
+// Reason is why a read goes to an upstream.
+type Reason string
+
+// The values of Reason.
+const (
+	// ReasonNear means that no upstream is nearer.
+	ReasonNear Reason = "near"
+	// ReasonPlacement means that a nearer one keeps no connections for the
+	// organisation.
+	ReasonPlacement Reason = "placement"
+	// ReasonOnly means that nearer ones do not answer or lag.
+	ReasonOnly Reason = "only"
+	// ReasonLoad means that a nearer one has a longer queue, or keeps its slots.
+	ReasonLoad Reason = "load"
+)
+
+// ReasonOf returns why the candidate with index i was chosen.
+func ReasonOf(floor tracker.Position, now time.Time, candidates []Candidate, i int) Reason {
+	rank := map[Distance]int{DistanceDataCentre: 0, DistanceRegion: 1, DistanceFar: 2}
+	chosen, reason := candidates[i], ReasonNear
+	for _, c := range candidates {
+		if rank[c.Distance] >= rank[chosen.Distance] {
+			continue
+		}
+		switch {
+		case c.Suspect || c.isLagging(floor, now):
+			if reason == ReasonNear {
+				reason = ReasonOnly
+			}
+		case chosen.Affinity == 0 && c.Affinity > 0:
+			if reason != ReasonLoad {
+				reason = ReasonPlacement
+			}
+		default:
+			reason = ReasonLoad
+		}
+	}
+	return reason
+}
+
 // isLagging reports whether the candidate is assumed not to have reached the
 // floor.
 func (c Candidate) isLagging(floor tracker.Position, now time.Time) bool {
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -53,6 +53,15 @@
 		{"the owner reports long statements", func(n, _, _ *Candidate) { n.Load = queuer.Load{MeanServiceTime: 100 * time.Millisecond} }, "region"},
 		{"connections are being opened", func(n, _, _ *Candidate) { n.Load = queuer.Load{Opening: 4} }, "region"},
 		{"one that keeps no connections has one", func(n, _, _ *Candidate) { n.Affinity, n.Load = 1, queuer.Load{HasIdle: true} }, "near"},
+		{"the region is measured to be far", func(n, r, _ *Candidate) { n.InFlight, r.RoundTrip = 10, 40*time.Millisecond }, "near"},
+		{"another region is measured to be near", func(n, r, f *Candidate) {
+			n.InFlight, r.InFlight, f.RoundTrip = 40, 40, 20*time.Millisecond
+		}, "far"},
+		{"the read is held in the region", func(n, r, f *Candidate) {
+			n.InFlight, r.InFlight, f.RoundTrip, f.Held = 45, 40, 20*time.Millisecond, true
+		}, "region"},
+		{"a held read finds no other upstream", func(n, r, f *Candidate) { n.Suspect, r.Suspect, f.Held = true, true, true }, "far"},
+		{"a held read whose organisation is placed elsewhere", func(n, r, f *Candidate) { n.Affinity, r.Affinity, f.Held = 1, 2, true }, "far"},
 		{"only the far upstream answers", func(n, r, _ *Candidate) { n.Suspect, r.Suspect = true, true }, "far"},
 		{"no upstream answers", func(n, r, f *Candidate) { n.Suspect, r.Suspect, f.Suspect = true, true, true }, ""},
 	}
@@ -102,3 +111,44 @@
 		qt.Assert(t, ChooseSpread(tracker.Position{}, time.Time{}, []Candidate{other, near}, 0), qt.Equals, 1, qt.Commentf("%s", name))
 	}
 }
+
+// Operators tell by the reason whether reads leave because of placement, load, or
+// upstreams that do not answer.
+func TestReasonOf(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name       string
+		near, far  Candidate
+		chosen     int
+		wantReason Reason
+	}{
+		{"near", Candidate{}, Candidate{}, 0, ReasonNear},
+		{"near without connections", Candidate{Affinity: 1}, Candidate{}, 1, ReasonPlacement},
+		{"near does not answer", Candidate{Suspect: true, Affinity: 1}, Candidate{}, 1, ReasonOnly},
+		{"near is busy", Candidate{}, Candidate{}, 1, ReasonLoad},
+		{"near is busy and has connections", Candidate{}, Candidate{Affinity: 1}, 1, ReasonLoad},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.near.Distance, test.far.Distance = DistanceDataCentre, DistanceFar
+			qt.Assert(t, ReasonOf(tracker.Position{}, now, []Candidate{test.near, test.far}, test.chosen), qt.Equals, test.wantReason)
+		})
+	}
+}
+
+// Reads must not leave for upstreams that no report shows to have room.
+func TestSites(t *testing.T) {
+	near := Candidate{Distance: DistanceRegion, Slots: 4, InFlight: 3, MeanServiceTime: 20 * time.Millisecond}
+	far := Candidate{Distance: DistanceFar, Slots: 4, RoundTrip: 60 * time.Millisecond, MeanServiceTime: 20 * time.Millisecond}
+	_, ok := Sites([]Candidate{near})
+	qt.Assert(t, ok, qt.IsFalse)
+	sites, ok := Sites([]Candidate{near, far})
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, sites.FarKnown, qt.IsFalse)
+	qt.Assert(t, sites.RoundTrip, qt.Equals, 60*time.Millisecond)
+	qt.Assert(t, sites.NearWait, qt.Equals, 20*time.Millisecond+regionCost)
+	far.Load = queuer.Load{Slots: 4, Running: 3}
+	sites, _ = Sites([]Candidate{near, far})
+	qt.Assert(t, sites.FarKnown, qt.IsTrue)
+	qt.Assert(t, sites.FarRoom, qt.Equals, 0.25)
+}
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -11,6 +11,7 @@
 	"github.com/shallotstage/shallotstage/pkg/evictor"
 	"github.com/shallotstage/shallotstage/pkg/placer"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
+	"github.com/shallotstage/shallotstage/pkg/spiller"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -95,13 +96,14 @@
 	evictByUse bool
 	// ownerConnections are the limits of the first and the second owner.
 	ownerConnections [2]int
-	// reports are the owners' load reports.
-	reports bool
+	// reports are the owners' load reports, with the round trips, and spill the
+	// decisions of spiller.
+	reports, spill bool
 }
 
 var (
 	// current are the decisions as launcher makes them.
-	current = decisions{placement: true, replicaHomes: 46, primaryHomes: 40, evictByUse: true, ownerConnections: [2]int{54, 8}, reports: true}
+	current = decisions{placement: true, replicaHomes: 46, primaryHomes: 40, evictByUse: true, ownerConnections: [2]int{54, 8}, reports: true, spill: true}
 	// earlier are those without placement.
 	earlier = decisions{ownerConnections: [2]int{40, 40}}
 )
@@ -118,11 +120,17 @@
 	upstreamLost fault = "upstream lost"
 	// upstreamAdded makes a replica of each service known only at faultBegin.
 	upstreamAdded fault = "upstream added"
+	// upstreamSlow makes a replica of each service slower by slowFactor.
+	upstreamSlow fault = "upstream slow"
+	// organisationHot makes a large organisation send hotFactor times its rate.
+	organisationHot fault = "organisation hot"
 
 	faultBegin = 30 * time.Second
 	faultEnd   = 38 * time.Second
 	detection  = 400 * time.Millisecond
 	removal    = 3 * time.Second
+	slowFactor = 6
+	hotFactor  = 5
 )
 
 type event struct {
@@ -183,6 +191,7 @@
 	latency    []time.Duration
 	suspect    []bool
 	reports    []loadReport
+	spiller    spiller.Spiller
 }
 
 // loadReport is the newest report of an owner.
@@ -337,11 +346,24 @@
 	if s.now >= burstBegin && s.now < burstEnd {
 		rate *= burstFactor
 	}
+	if s.fault == organisationHot && s.isFaulty() {
+		rate /= 1 - s.hotShare()
+	}
 	s.after(time.Duration(s.rnd.ExpFloat64()/rate*float64(time.Second)), func() { s.arrive(k) })
 	s.attempt(&statement{kind: k, organisation: s.pickOrganisation(), host: s.hostList[s.rnd.IntN(len(s.hostList))], service: s.rnd.IntN(services), arrived: s.now, excluded: map[int]bool{}})
 }
 
+// hotShare returns the fraction of the statements that a hot organisation sends in
+// addition to its usual ones.
+func (s *simulation) hotShare() float64 {
+	more := (hotFactor - 1) * s.organisations[0].weight
+	return more / (s.totalWeight + more)
+}
+
 func (s *simulation) pickOrganisation() *organisation {
+	if s.fault == organisationHot && s.isFaulty() && s.rnd.Float64() < s.hotShare() {
+		return s.organisations[0]
+	}
 	x := s.rnd.Float64() * s.totalWeight
 	for _, o := range s.organisations {
 		if x -= o.weight; x < 0 {
@@ -391,6 +413,13 @@
 		candidates = append(candidates, s.candidate(st, u))
 		chosen = append(chosen, u)
 	}
+	if sites, ok := balancer.Sites(candidates); ok && s.spill {
+		share := st.host.spiller.Share(fmt.Sprint(st.service), s.time(), sites)
+		random := s.rnd.Float64()
+		for i := range candidates {
+			candidates[i].Held = candidates[i].Distance == balancer.DistanceFar && random >= share
+		}
+	}
 	if i := balancer.ChooseSpread(tracker.Position{}, s.time(), candidates, s.rnd.Float64()); i >= 0 && !st.kind.primary {
 		return chosen[i]
 	}
@@ -413,6 +442,7 @@
 	}
 	if r := st.host.reports[u.index]; s.reports {
 		c.Load, c.LoadAge = r.load, s.now-r.at
+		c.RoundTrip = 2 * oneWay(st.host.dataCentre, u.dataCentre)
 		c.Load.HasIdle = r.load.HasIdle && r.idle == st.organisation.name && c.LoadAge <= 500*time.Millisecond
 	}
 	if s.placement {
@@ -555,6 +585,9 @@
 // occupy runs work on one of the upstream's slots, first come, first served.
 func (s *simulation) occupy(u *upstream, d time.Duration, done func()) {
 	run := func() {
+		if s.fault == upstreamSlow && u.affected && s.isFaulty() {
+			d *= slowFactor
+		}
 		s.after(d, func() {
 			u.free++
 			if len(u.pending) > 0 {
--- a/pkg/balancer/placement_load_test.go
+++ b/pkg/balancer/placement_load_test.go
@@ -119,3 +119,20 @@
 		}
 	}
 }
+
+// Requests must spill from an upstream that became slow, and of an organisation that
+// sends more than its homes can take, and return afterwards.
+func TestRequestsSpillAndReturn(t *testing.T) {
+	for _, d := range deployments {
+		for _, f := range []fault{upstreamSlow, organisationHot} {
+			s := simulate(d, current, f, 1)
+			r := summarise(s)
+			report(t, s, r)
+			qt.Check(t, r.refused, qt.Equals, 0)
+			qt.Check(t, r.opening < 2*maxOpening, qt.IsTrue, qt.Commentf("%.3f new connections per statement", r.opening))
+			for second := int(faultBegin.Seconds()); second <= int(faultEnd.Seconds())+2; second++ {
+				qt.Check(t, s.bySecond[second].share() > 0.95, qt.IsTrue, qt.Commentf("%s, second %d: %+v", f, second, *s.bySecond[second]))
+			}
+		}
+	}
+}
