cmd: route-explain asks an entry host where a request would go

Cause: the choice of an upstream depends on placement, reports and distances that an operator cannot see together.

Change: GET /route on the metrics listener and the command route-explain. It uses the decisions of a request and sends nothing to upstreams. balancer.Costs returns the costs that Choose compares.

Result: go test -race of pkg/{balancer,spiller}, internal/{connector,launcher,transactor,broker,logger} and platform passes; TestFleetOfProcesses passes without -race; golangci-lint run ./... reports nothing.

--- a/cmd/shallotstage-host/main.go
+++ b/cmd/shallotstage-host/main.go
@@ -4,6 +4,7 @@
 //
 //	SHALLOTSTAGE_CONFIG=node.toml shallotstage-host entry
 //	SHALLOTSTAGE_CONFIG=node.toml shallotstage-host control
+//	shallotstage-host route-explain --address HOST:PORT --route ledger --organisation acme
 package main
 
 import "os"
--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -244,6 +244,11 @@
 	}
 	qt.Assert(t, call("GET", "http://"+f.address(entry.ip, portMetrics)+"/metrics", ""), qt.Equals, 200)
 	qt.Assert(t, call("GET", "http://"+f.address("127.0.0.2", portMetrics)+"/metrics", ""), qt.Equals, 200)
+	explained, err := exec.Command(f.program, "route-explain", "--address", f.address(entry.ip, portMetrics), "--route", "db", "--organisation", "t").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", explained))
+	qt.Assert(t, string(explained), qt.Contains, `"upstream": "i-1"`)
+	explained, err = exec.Command(f.program, "route-explain", "--address", f.address(entry.ip, portMetrics), "--route", "missing").CombinedOutput()
+	qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", explained))
 
 	f.writeSettings(entry, "127.0.0.4")
 	qt.Assert(t, entry.cmd.Process.Signal(syscall.SIGHUP), qt.IsNil)
--- a/cmd/shallotstage-host/run.go
+++ b/cmd/shallotstage-host/run.go
@@ -24,11 +24,12 @@
 // arguments are the program's own command-line arguments. The settings of the
 // platform come from its settings file.
 type arguments struct {
-	Entry   *struct{} `arg:"subcommand:entry" help:"serve callers"`
-	Control *struct{} `arg:"subcommand:control" help:"agree on configuration, upstreams and primaries"`
-	Config  string    `arg:"--config,env:SHALLOTSTAGE_CONFIG" help:"path of the platform's settings file"`
-	Level   string    `arg:"--log-level,env:SHALLOTSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
-	Lines   int       `arg:"--log-lines,env:SHALLOTSTAGE_LOG_LINES" default:"200" help:"lines of one event a second; 0 means no bound"`
+	Entry        *struct{}              `arg:"subcommand:entry" help:"serve callers"`
+	Control      *struct{}              `arg:"subcommand:control" help:"agree on configuration, upstreams and primaries"`
+	RouteExplain *routeExplainArguments `arg:"subcommand:route-explain" help:"ask a running entry host where a request would go now, and why"`
+	Config       string                 `arg:"--config,env:SHALLOTSTAGE_CONFIG" help:"path of the platform's settings file"`
+	Level        string                 `arg:"--log-level,env:SHALLOTSTAGE_LOG_LEVEL" default:"info" help:"debug, info, warn or error"`
+	Lines        int                    `arg:"--log-lines,env:SHALLOTSTAGE_LOG_LINES" default:"200" help:"lines of one event a second; 0 means no bound"`
 }
 
 // Description implements the Described interface of go-arg.
@@ -43,6 +44,9 @@
 		p.WriteHelp(os.Stderr)
 		return exitUsage
 	}
+	if args.RouteExplain != nil {
+		return explainRoute(args.RouteExplain)
+	}
 	// Hang-ups are handled from the first moment until the process ends: the default
 	// action would end it while callers wait for their answers.
 	hangups := make(chan os.Signal, 1)
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -129,7 +129,7 @@
 	go e.set.Sweep(work)
 	go e.forwarder.Serve(work, peers, e.streamHandler)
 	go e.logFailure("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
-	go e.logFailure("metrics", func() error { return serveHTTP(work, metrics, e.entryMetrics.handler()) })
+	go e.logFailure("metrics", func() error { return serveHTTP(work, metrics, e.metricsHandler()) })
 	go e.logFailure("callers", func() error { return e.server.Serve(work, callers) })
 	e.Log.Info(logger.EventStarted, zap.String("host", e.Settings.Host), zap.Uint64("incarnation", e.controlClient.Incarnation))
 	<-ctx.Done()
@@ -137,6 +137,14 @@
 	return nil
 }
 
+// metricsHandler returns the handler of the metrics listener.
+func (e *EntryHost) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", e.entryMetrics.handler())
+	mux.HandleFunc(routeExplanationPath, e.explainRoute)
+	return mux
+}
+
 // logFailure runs a server and logs its error if it fails.
 func (e *EntryHost) logFailure(part string, serve func() error) {
 	if err := serve(); err != nil {
--- a/internal/transactor/load_reports.go
+++ b/internal/transactor/load_reports.go
@@ -78,6 +78,13 @@
 	t.roundTrips.Record(dataCentre, t.Now(), d)
 }
 
+// leavingShare returns the fraction of a service's reads that may leave the region.
+func (t *UpstreamTracker) leavingShare(service string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.spiller.Current(service)
+}
+
 // hold marks the candidates for which a read is not to leave the region. random is
 // a random number in [0, 1).
 func (t *UpstreamTracker) hold(service string, candidates []balancer.Candidate, random float64) {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -13,6 +13,7 @@
 package balancer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -149,34 +150,48 @@
 // there is none.
 func chooseTwo(floor tracker.Position, now time.Time, candidates []Candidate) (best, second ranked) {
 	best, second = ranked{index: -1}, ranked{index: -1}
-	opening := openingCost(floor, now, candidates)
-	placed := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Affinity > 0 })
-	homeless := opening > openingTime
 	precedes := func(r, other ranked) bool {
 		return other.index < 0 || r.cost < other.cost || (r.cost == other.cost && candidates[r.index].ID < candidates[other.index].ID)
 	}
+	for i, cost := range Costs(floor, now, candidates) {
+		r := ranked{i, cost}
+		switch {
+		case cost == Unusable:
+		case precedes(r, best):
+			best, second = r, best
+		case precedes(r, second):
+			second = r
+		}
+	}
+	return best, second
+}
+
+// Unusable is the cost of a candidate that is suspect or lags behind the floor.
+const Unusable = time.Duration(math.MaxInt64)
+
+// Costs returns the costs of the candidates.
+func Costs(floor tracker.Position, now time.Time, candidates []Candidate) []time.Duration {
+	costs := make([]time.Duration, len(candidates))
+	opening := openingCost(floor, now, candidates)
+	placed := slices.ContainsFunc(candidates, func(c Candidate) bool { return c.Affinity > 0 })
+	homeless := opening > openingTime
 	for i, c := range candidates {
 		if c.Suspect || c.isLagging(floor, now) {
+			costs[i] = Unusable
 			continue
 		}
-		r := ranked{i, c.cost(floor)}
+		costs[i] = c.cost(floor)
 		if c.Held && (c.Affinity > 0 || !homeless) {
-			r.cost += heldCost
+			costs[i] += heldCost
 		}
 		if c.Affinity > 0 && !c.Load.HasIdle {
-			r.cost += opening
+			costs[i] += opening
 		}
 		if c.Primary && (!placed || c.Affinity > 0) {
-			r.cost += primaryCost
-		}
-		switch {
-		case precedes(r, best):
-			best, second = r, best
-		case precedes(r, second):
-			second = r
+			costs[i] += primaryCost
 		}
 	}
-	return best, second
+	return costs
 }
 
 // openingCost returns the penalty for an upstream that keeps no connections for
--- a/pkg/spiller/spiller.go
+++ b/pkg/spiller/spiller.go
@@ -84,6 +84,14 @@
 	return st.share
 }
 
+// Current returns the last decision for a service.
+func (s *Spiller) Current(service string) float64 {
+	if st := s.services[service]; st != nil {
+		return st.share
+	}
+	return 0
+}
+
 // limit returns the highest fraction that may leave.
 func (s Sites) limit() float64 {
 	if !s.FarKnown {
