--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -136,7 +136,7 @@
 	go e.set.Sweep(work)
 	go e.forwarder.Serve(work, peers, e.streamHandler)
 	go e.logFailure("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
-	go e.logFailure("metrics", func() error { return serveHTTP(work, metrics, e.entryMetrics.handler()) })
+	go e.logFailure("metrics", func() error { return serveHTTP(work, metrics, e.metricsHandler()) })
 	go e.logFailure("callers", func() error { return e.server.Serve(work, callers) })
 	e.Log.Info(logger.EventStarted, zap.String("host", e.Settings.Host), zap.Uint64("incarnation", e.controlClient.Incarnation))
 	<-ctx.Done()
@@ -144,6 +144,14 @@
 	return nil
 }
 
+// metricsHandler returns the handler of the metrics listener.
+func (e *EntryHost) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", e.entryMetrics.handler())
+	mux.HandleFunc(routeExplanationPath, e.explainRoute)
+	return mux
+}
+
 // logFailure runs a server and logs its error if it fails.
 func (e *EntryHost) logFailure(part string, serve func() error) {
 	if err := serve(); err != nil {
@@ -161,7 +169,7 @@
 	e.set.OnOverload = e.logOverload
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, ObserveRoundTrip: e.recordRoundTrip, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -234,6 +242,14 @@
 	return o.Rate
 }
 
+// recordRoundTrip records a measured round trip to another entry host.
+func (e *EntryHost) recordRoundTrip(host string, d time.Duration) {
+	view, _ := e.controlClient.View()
+	if p, ok := view.Peers[host]; ok {
+		e.upstreams.RecordRoundTrip(p.DataCentre, d)
+	}
+}
+
 // primaryOwner returns the host that owns the connections to a service's primary.
 func (e *EntryHost) primaryOwner(service string) sampler.SampleHost {
 	view, _ := e.controlClient.View()
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -93,6 +93,7 @@
 			return outcome{refusal: refusal}
 		}
 		candidates := r.candidates(view, excluded)
+		server.Upstreams.hold(r.route.Service, candidates, server.random())
 		if !r.settled {
 			var refusal *refuser.Refusal
 			if candidates, refusal = r.withRoom(candidates); refusal != nil {
@@ -125,7 +126,7 @@
 		id := candidates[i].ID
 		r.attempts++
 		if server.ObserveChoice != nil {
-			server.ObserveChoice(candidates[i])
+			server.ObserveChoice(candidates[i], balancer.ReasonOf(floor, server.Now(), candidates, i))
 		}
 		l := r.lease(view.Upstreams[id])
 		out := f(l, floor, r.attemptDeadline())
