Bound what a cold upstream receives from all hosts together

Cause: a cold upstream gets statements at the full rate of every host.

The leader grants the right to send to a cold upstream to its first owner, with the answers to the hosts' reports; the connections of a host take a token before each statement to a cold upstream. Reads above the rate go to another upstream, other work is refused with upstream_cold, not_run, BUSY. The remaining time is replicated when a warm-up begins, rises above its countdown or ends. A host does not use an upstream with a rate that refused a connection before a new incarnation is announced.

--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -29,7 +29,7 @@
 		Settings: coordinator.Settings{
 			Node: s.Node, DataDir: s.DataDir, PeerAddress: s.PeerAddress(), OperatorAddress: s.OperatorAddress,
 			DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
-			Voters: 2*s.Tolerance + 1, PrimaryLease: s.PrimaryLease,
+			Voters: 2*s.Tolerance + 1, PrimaryLease: s.PrimaryLease, WarmupOvershoot: s.WarmupOvershoot, WarmupSlack: s.WarmupSlack,
 		},
 		MetricsAddress: s.MetricsAddress(),
 		Seeds:          watcher.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -16,6 +16,7 @@
 	failureConnect = "connect"
 	failureLost    = "lost"
 	failureRegion  = "region"
+	failureCold    = "cold"
 )
 
 func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
@@ -71,7 +72,10 @@
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
 	var regionErr *connector.RegionError
+	var warmupErr *connector.WarmupError
 	switch {
+	case errors.As(err, &warmupErr):
+		result.Failure, result.ExpectedMs = failureCold, milliseconds(warmupErr.RetryAfter)
 	case errors.As(err, &regionErr):
 		result.Failure = failureRegion
 	case errors.As(err, &queueErr):
@@ -95,6 +99,8 @@
 		return answers, nil
 	case failureQueue:
 		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
+	case failureCold:
+		return answers, &connector.RunError{Err: &connector.WarmupError{Upstream: upstream, RetryAfter: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
 	case failureRegion:
 		return answers, &connector.RunError{Err: &connector.RegionError{Upstream: upstream}}
 	case failureConnect:
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -51,6 +51,7 @@
 		{"full queue", &connector.RunError{Err: &connector.QueueError{Upstream: "u", ExpectedWait: 400 * time.Millisecond}}, false},
 		{"no connection", &connector.RunError{Err: &connector.ConnectError{Upstream: "u", Failure: connector.FailureTooManyConnections, Err: errors.New("full")}}, false},
 		{"region not permitted", &connector.RunError{Err: &connector.RegionError{Upstream: "u"}}, false},
+		{"cold", &connector.RunError{Err: &connector.WarmupError{Upstream: "u", RetryAfter: 70 * time.Millisecond}}, false},
 		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
 		{"sent", &connector.RunError{MayHaveRun: true, Err: errors.New("no answer")}, true},
 		{"unknown kind", errors.New("unknown"), true},
@@ -75,6 +76,11 @@
 			if queueErr != nil {
 				qt.Assert(t, queueErr.ExpectedWait, qt.Equals, wantQueueErr.ExpectedWait)
 			}
+			var warmupErr, wantWarmupErr *connector.WarmupError
+			qt.Assert(t, errors.As(err, &warmupErr), qt.Equals, errors.As(test.err, &wantWarmupErr))
+			if warmupErr != nil {
+				qt.Assert(t, *warmupErr, qt.Equals, *wantWarmupErr)
+			}
 			var regionErr, wantRegionErr *connector.RegionError
 			qt.Assert(t, errors.As(err, &regionErr), qt.Equals, errors.As(test.err, &wantRegionErr))
 			var connectErr, wantConnectErr *connector.ConnectError
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -109,12 +109,23 @@
 }
 
 func (l *localLease) run(ctx context.Context, limits Limits, b Batch) ([]Answer, error) {
+	open := l.conn != nil
+	if !open {
+		if err := l.set.Throttle.check(l.upstream, b); err != nil {
+			return nil, &RunError{Err: err}
+		}
+	}
 	if err := l.acquire(ctx, limits, b); err != nil {
+		l.set.Throttle.observeConnect(l.upstream, err)
 		return nil, &RunError{Err: err}
 	}
 	if l.withoutSlot {
 		return l.conn.Run(limits.Deadline, b)
 	}
+	if err := l.set.Throttle.take(ctx, l.upstream, b, limits, open); err != nil {
+		l.pool.releaseSlot()
+		return nil, &RunError{Err: err}
+	}
 	begin := time.Now()
 	slot, deadline := l.pool.startUse(), limits.Deadline
 	if timeout := l.pool.readTimeout(); b.ReadOnly && begin.Add(timeout).Before(deadline) {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -27,6 +27,8 @@
 // PoolSet holds a connection pool for each upstream. Dialer must be set.
 type PoolSet struct {
 	Dialer *Dialer
+	// Throttle bounds what is sent to cold upstreams; nil means no bound.
+	Throttle *Throttle
 
 	mu    sync.Mutex
 	pools map[string]*Pool
--- a/internal/controlclient/apply.go
+++ b/internal/controlclient/apply.go
@@ -70,6 +70,9 @@
 	if u.PrimaryLease > 0 {
 		c.holder.Renew(u.ReportSequence, u.PrimaryLease)
 	}
+	if u.ReportSequence > 0 && c.ApplyWarmupGrants != nil {
+		c.ApplyWarmupGrants(u.ReportSequence, u.WarmupGrants)
+	}
 	// A later update may answer the same report again.
 	maps.DeleteFunc(c.sentAt, func(n uint64, _ time.Time) bool { return n < u.ReportSequence })
 	if !changed {
--- a/internal/controlclient/controlclient.go
+++ b/internal/controlclient/controlclient.go
@@ -34,6 +34,7 @@
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
+	"github.com/shallotstage/shallotstage/pkg/warmer"
 )
 
 const (
@@ -87,6 +88,12 @@
 	// OnLeaseEnded is called in Run's goroutine when the lease on primaries has ended
 	// and before the next one is used; nil disables it.
 	OnLeaseEnded func()
+	// WarmupWanted returns the cold upstreams to which this host wants the grant to send,
+	// and gives up the grants of all others. It is called before the report with the
+	// sequence number is sent; nil means that there are none.
+	WarmupWanted func(sequence uint64) []string
+	// ApplyWarmupGrants applies the grants in the answer to a report; nil ignores them.
+	ApplyWarmupGrants func(sequence uint64, grants map[string]warmer.Grant)
 	// OnViewChange is called in Run's goroutine with each new view.
 	OnViewChange func(*keeper.View)
 	Log          *logger.Logger
@@ -316,6 +323,9 @@
 		Sequence: c.sequence, Host: c.Host, Incarnation: c.Incarnation, DataCentre: c.DataCentre, PeerAddress: c.PeerAddress, Hosts: view.Hosts, Version: view.Configuration.Version, LostLeader: c.lostLeader,
 		ShuttingDown: c.shuttingDown.Load(), Shares: c.Shares.Report(), UpstreamStatuses: c.changedStatuses(),
 	}
+	if c.WarmupWanted != nil {
+		r.WarmupWanted = c.WarmupWanted(c.sequence)
+	}
 	if r.ShuttingDown && c.Delegates != nil {
 		// Other hosts spend the tokens of this host's remaining callers.
 		maps.DeleteFunc(r.Shares.Demands, func(organisation string, _ float64) bool { return c.Delegates(organisation) })
--- a/internal/controlclient/messages.go
+++ b/internal/controlclient/messages.go
@@ -6,6 +6,7 @@
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/spender"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
+	"github.com/shallotstage/shallotstage/pkg/warmer"
 )
 
 // RPCPath is the path of the call between an entry host and the leading control
@@ -42,6 +43,9 @@
 	ShuttingDown     bool             `json:"leaving,omitempty"`
 	Shares           spender.Report   `json:"shares"`
 	UpstreamStatuses []UpstreamStatus `json:"sights,omitempty"`
+	// WarmupWanted are all cold upstreams to which this host wants the grant to send. It
+	// has given up the grants of all others.
+	WarmupWanted []string `json:"warmup_wanted,omitempty"`
 }
 
 // UpstreamStatus is a host's latest status of an upstream.
@@ -88,6 +92,9 @@
 	// PrimaryLease is how long the host may act at primaries, from the time when the
 	// answered report was sent. Zero means no change.
 	PrimaryLease time.Duration `json:"primary_lease,omitempty"`
+	// WarmupGrants are the grants to send to cold upstreams, by ID, from the time when
+	// the answered report was sent. One that is missing is not renewed.
+	WarmupGrants map[string]warmer.Grant `json:"warmup_grants,omitempty"`
 }
 
 // Topology is the agreed state of upstreams and control hosts.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -71,7 +71,7 @@
 // ErrStopped means that the control host is stopping.
 var ErrStopped = errors.New("coordinator: stopped")
 
-// Settings identify a control host. All fields but Regions, Bootstrap, Founders and Voters
+// Settings identify a control host. All fields but WarmupOvershoot, WarmupSlack, Regions, Bootstrap, Founders and Voters
 // must be set.
 type Settings struct {
 	Node            string
@@ -80,6 +80,9 @@
 	OperatorAddress string
 	DataCentre      string
 	Region          string
+	// WarmupOvershoot and WarmupSlack bound the statements that a cold upstream receives
+	// in any second: its service's rate times the former plus the latter.
+	WarmupOvershoot, WarmupSlack float64
 	// Regions maps data centres to regions.
 	Regions map[string]string
 	// Bootstrap is true at the first start of the whole fleet. Founders are then
--- a/internal/coordinator/host_stream.go
+++ b/internal/coordinator/host_stream.go
@@ -54,6 +54,8 @@
 	// arrived.
 	statuses   map[string]controlclient.UpstreamStatus
 	reportedAt time.Time
+	// warmupWanted are the cold upstreams to which the host wants the grant to send.
+	warmupWanted []string
 	// heldReport is the latest report received while no leader is known.
 	heldReport *controlclient.Report
 	heldSince  time.Time
@@ -138,6 +140,7 @@
 				// A host runs one process at a time, so the earlier one has
 				// ended.
 				c.leadership.shares.RemoveHost(a.name)
+				c.leadership.warmupGrants.Release(a.name)
 			}
 		}
 		if !r.HoldsLease {
@@ -150,6 +153,8 @@
 	if !c.state.Hosts[a.name] || c.state.Peers[a.name] != host {
 		c.proposeHostChange(keeper.Command{Kind: keeper.CommandHostJoined, Host: a.name, Peer: host})
 	}
+	a.warmupWanted = r.WarmupWanted
+	c.leadership.warmupGrants.HandleReport(a.name, r.WarmupWanted)
 	a.index, a.acceptsChanges = r.Index, r.AcceptsChanges
 	if a.acceptsChanges {
 		c.leadership.leases.RecordVersion(a.name, r.Index)
@@ -254,6 +259,9 @@
 		// Without the lease, the state of this host may be outdated.
 		return u
 	}
+	if answers {
+		u.WarmupGrants = c.grantWarmups(a, now)
+	}
 	if configuration := c.leadership.configuration; configuration.Version > a.version {
 		change := c.leadership.configurationChange
 		if a.acceptsChanges && a.version != 0 && a.version == change.From {
--- a/internal/coordinator/leader_state.go
+++ b/internal/coordinator/leader_state.go
@@ -13,6 +13,7 @@
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/sharer"
+	"github.com/shallotstage/shallotstage/pkg/warmer"
 )
 
 // shareLease is how long the granted extra shares of rates are valid. A host that
@@ -53,6 +54,10 @@
 	// leases are the entry hosts' leases to act at primaries. Their version is the
 	// log index that a host follows.
 	leases fencer.Granter
+	// warmupGrants are the grants to send to cold upstreams, and warmups the countdowns
+	// of the announcements that were replicated.
+	warmupGrants warmer.Granter
+	warmups      warmer.Countdowns
 	// knowsEarlierHolders is true once the hosts that may hold a lease or shares of an
 	// earlier leader are known.
 	knowsEarlierHolders bool
@@ -153,6 +158,8 @@
 	c.leadership.services = map[string]*serviceState{}
 	c.leadership.leases = fencer.Granter{TTL: primaryLease, MaxClockDrift: maxClockDrift}
 	c.leadership.leases.Reset(now)
+	c.leadership.warmupGrants = warmer.Granter{TTL: warmupGrant, MaxClockDrift: maxClockDrift}
+	c.leadership.warmupGrants.Reset(now)
 	c.leadership.shares = sharer.Sharer{StartedAt: now, LeaseDuration: shareLease}
 }
 
--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -112,11 +112,17 @@
 		if old, ok := c.state.Upstreams[u.ID]; !ok || old.IncarnationStart <= u.IncarnationStart {
 			c.leadership.lastAnnounced[u.ID] = c.Now()
 		}
-		if !c.state.IsNewAnnouncement(u) {
+		if !c.state.IsNewAnnouncement(u) && !c.warmupChanged(u) {
 			done(nil)
 			return
 		}
-		c.propose(keeper.Command{Kind: keeper.CommandUpdateUpstream, Upstream: &u}, func(_ keeper.Outcome, err error) { done(err) })
+		c.recordWarmup(u)
+		c.propose(keeper.Command{Kind: keeper.CommandUpdateUpstream, Upstream: &u}, func(_ keeper.Outcome, err error) {
+			if err != nil {
+				c.forgetWarmup(u.ID)
+			}
+			done(err)
+		})
 	})
 }
 
--- a/internal/launcher/assignments.go
+++ b/internal/launcher/assignments.go
@@ -235,6 +235,13 @@
 	return nil
 }
 
+// isFirstOwner reports whether this host is the first owner of an upstream. If no host is
+// in its data centre, each host may act as one.
+func (o *assignments) isFirstOwner(u keeper.Upstream) bool {
+	ranked := o.ownersOf(u)
+	return len(ranked) == 0 || ranked[0].Host == o.host
+}
+
 // poolLimits returns how many of an upstream's connections this host may hold.
 func (o *assignments) poolLimits(view *keeper.View, u keeper.Upstream) connector.PoolLimits {
 	most := float64(view.Configuration.Services[u.Service].MaxConnections - reservedConnections)
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -100,6 +100,7 @@
 	gate          *transactor.PrimaryGate
 	admitter      *admitter.Admitter
 	sampler       *sampler.Sampler
+	warmups       *warmupThrottle
 	server        *transactor.Server
 	entryMetrics  *entryMetrics
 }
@@ -150,8 +151,9 @@
 	e.entryMetrics = newEntryMetrics()
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
-	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
+	e.warmups = &warmupThrottle{now: timer.Now, isOwner: e.assignments.isFirstOwner, log: e.Log}
+	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, Throttle: e.warmups.throttle()}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Check: e.checkLentWork, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
@@ -168,9 +170,10 @@
 	if e.Settings.PrimaryLease {
 		e.gate.HoldsLease = e.controlClient.HoldsLease
 	}
+	e.controlClient.WarmupWanted, e.controlClient.ApplyWarmupGrants = e.warmups.wanted, e.warmups.apply
 	e.controlClient.OnLeaseEnded = e.gate.LeaseEnded
 	e.controlClient.ReleasedIndex = e.gate.ReleasedIndex
-	e.upstreams.StatusChanged = e.controlClient.ReportNow
+	e.upstreams.StatusChanged, e.upstreams.ConnectRefused = e.controlClient.ReportNow, e.warmups.connectRefused
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
@@ -185,6 +188,7 @@
 		e.server.MaxSessions = max(1, e.Settings.Descriptors-reservedDescriptors)
 	}
 	e.entryMetrics.registerGauges(e.server, e.set)
+	e.entryMetrics.registerWarmups(e.warmups)
 }
 
 // organisation returns an organisation of the current configuration.
@@ -261,10 +265,15 @@
 
 // applyView updates the components for a new view.
 func (e *EntryHost) applyView(view *keeper.View) {
+	e.warmups.setView(view)
 	e.gate.SetTopology(view)
 	e.upstreams.Update(view.Upstreams)
 	e.assignments.update(view)
 	e.set.Update(view.Upstreams, func(u keeper.Upstream) connector.PoolLimits { return e.assignments.poolLimits(view, u) })
+	if e.warmups.lacksGrant() {
+		// The grant comes with the answer to the next report.
+		e.controlClient.ReportNow()
+	}
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
 
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -52,6 +52,13 @@
 	)
 }
 
+// registerWarmups registers the counter of statements that were not sent to cold upstreams.
+func (m *entryMetrics) registerWarmups(w *warmupThrottle) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shallotstage_warmup_refusals_total", Help: "Batches of statements that this host did not send to a cold upstream, of its own callers and of other hosts.",
+	}, func() float64 { return float64(w.refusals.Load()) }))
+}
+
 func (m *entryMetrics) observe(o transactor.Observation) {
 	m.statements.WithLabelValues(string(o.Verb)).Inc()
 	m.latency.WithLabelValues(string(o.Verb)).Observe(o.Latency.Seconds())
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -47,6 +47,7 @@
 	EventReportRefused            = Event{1419, "report_refused"}
 	EventPanicRecovered           = Event{1009, "panic_recovered"}
 	EventEntryIgnored             = Event{1010, "entry_ignored"}
+	EventWarmupGrantChanged       = Event{1315, "warmup_grant_changed"}
 	EventUpstreamAnnounced        = Event{1201, "upstream_announced"}
 	EventAnnouncementRefused      = Event{1202, "announcement_refused"}
 	EventUpstreamLifecycleChanged = Event{1203, "upstream_lifecycle_changed"}
@@ -84,6 +85,6 @@
 		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
-		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventCancelNotDelivered,
+		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventWarmupGrantChanged, EventCancelNotDelivered,
 	}
 }
--- a/internal/transactor/primary.go
+++ b/internal/transactor/primary.go
@@ -91,7 +91,7 @@
 		}
 		last = out.refusal
 		switch out.refusal.Reason {
-		case refuser.ReasonRegionForbidden:
+		case refuser.ReasonRegionForbidden, refuser.ReasonUpstreamCold:
 			out.retryable = false
 			return out
 		case refuser.ReasonPoolFull:
--- a/internal/transactor/prober.go
+++ b/internal/transactor/prober.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -63,6 +65,9 @@
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		err := connect(probeCtx, s.upstream.Address)
 		cancel()
+		if t.ConnectRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
+			t.ConnectRefused(id)
+		}
 		if t.recordProbe(id, s, err) {
 			return
 		}
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -9,7 +9,6 @@
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
-	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
@@ -88,9 +87,9 @@
 			return outcome{refusal: refusal}
 		}
 		candidates := r.candidates(view, excluded)
-		i := balancer.Choose(floor, server.Now(), candidates)
-		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
-			// All upstreams that have reached the floor are full. Refuse now
+		i := server.coldUpstreams.choose(floor, server.Now(), candidates)
+		if i < 0 && (last.refusal.Reason == refuser.ReasonPoolFull || last.refusal.Reason == refuser.ReasonUpstreamCold) {
+			// All upstreams that have reached the floor are full or cold. Refuse now
 			// rather than after a wait that would exceed the deadline.
 			break
 		}
@@ -129,7 +128,7 @@
 // read has no lasting effect, so failed attempts do not matter.
 func (r *request) finalReadOutcome(last outcome) outcome {
 	reason := last.refusal.Reason
-	if reason == refuser.ReasonRegionForbidden {
+	if reason == refuser.ReasonRegionForbidden || reason == refuser.ReasonUpstreamCold {
 		last.retryable = false
 		return last
 	}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -188,7 +188,8 @@
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
 	var regionErr *connector.RegionError
-	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
+	var warmupErr *connector.WarmupError
+	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && !errors.As(err, &warmupErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
 	r.session.server.Log.Info(logger.EventUpstreamConnectionLost, zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
@@ -208,6 +209,13 @@
 	if errors.As(err, &runErr) && runErr.MayHaveRun {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+upstream, err), upstream: upstream, retryable: r.reads}
 	}
+	var warmupErr *connector.WarmupError
+	if errors.As(err, &warmupErr) {
+		r.session.server.coldUpstreams.record(upstream, warmupErr.RetryAfter)
+		refusal := refuser.Wrap(refuser.ReasonUpstreamCold, "upstream "+upstream, err)
+		refusal.RetryAfter = max(minRetryAfter, warmupErr.RetryAfter)
+		return &outcome{refusal: refusal, upstream: upstream, retryable: true}
+	}
 	var regionErr *connector.RegionError
 	if errors.As(err, &regionErr) {
 		return &outcome{refusal: regionRefusal(err.Error()), upstream: upstream, retryable: true}
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -86,6 +86,9 @@
 	// Observe is called for each answered statement; nil disables it.
 	Observe func(Observation)
 
+	// coldUpstreams are those that have recently refused statements as cold.
+	coldUpstreams coldUpstreams
+
 	sessions atomic.Int64
 	draining atomic.Bool
 	// replyDeadline is when all statements must be answered once a drain with a
--- a/internal/transactor/upstream_tracker.go
+++ b/internal/transactor/upstream_tracker.go
@@ -41,6 +41,8 @@
 	// Connect tests whether an address accepts connections; nil means a TCP
 	// connection.
 	Connect func(ctx context.Context, address string) error
+	// ConnectRefused is called when an upstream's machine refuses a probe; nil disables it.
+	ConnectRefused func(id string)
 	// StatusChanged is called when an upstream becomes suspect or recovers.
 	StatusChanged func()
 	Log           *logger.Logger
--- a/pkg/keeper/configuration.go
+++ b/pkg/keeper/configuration.go
@@ -67,6 +67,9 @@
 	// SyncReplicas is the number of replicas that receive a commit before it is
 	// acknowledged.
 	SyncReplicas int `json:"sync_replicas,omitempty"`
+	// WarmupRate is the number of statements a second that each upstream of the service
+	// gets from all hosts together while it is cold; zero means no limit.
+	WarmupRate float64 `json:"warmup_rate,omitempty"`
 }
 
 // Organisation is a customer with a rate limit over all hosts.
--- a/pkg/refuser/reason.go
+++ b/pkg/refuser/reason.go
@@ -29,6 +29,7 @@
 	ReasonUpstreamFailed    Reason = "upstream_failed"
 	ReasonInternalError     Reason = "internal_error"
 	ReasonRegionForbidden   Reason = "region_not_permitted"
+	ReasonUpstreamCold      Reason = "upstream_cold"
 )
 
 type response struct {
@@ -61,6 +62,7 @@
 	ReasonUpstreamFailed:    {"08007", MayHaveRun, "upstream reports that the statement failed", "Check the outcome before repeating the request.", false},
 	ReasonInternalError:     {"XX000", MayHaveRun, "unexpected error in the proxy", "Check the outcome before repeating the request.", false},
 	ReasonRegionForbidden:   {"57P03", NotRun, "no upstream in a permitted region can serve the request", "Retry later or on another route.", false},
+	ReasonUpstreamCold:      {"53300", NotRun, "upstream is warming up and gets no more statements now", "Retry after the stated delay.", false},
 	ReasonShuttingDown:      {"57P01", NotRun, "host is shutting down", "Reconnect.", true},
 }
 
--- a/pkg/warmer/holder.go
+++ b/pkg/warmer/holder.go
@@ -102,6 +102,17 @@
 	return b != nil && now.Before(b.expiresAt)
 }
 
+// Available reports whether Take would succeed for a new transaction or a statement
+// outside one, and the wait before another attempt.
+func (h *Holder) Available(upstream string, n int, now time.Time) (ok bool, wait time.Duration) {
+	if !h.Holds(upstream, now) {
+		return n == 0, noGrantRetry
+	}
+	b := *h.grants[upstream]
+	trial := Holder{grants: map[string]*bucket{upstream: &b}}
+	return trial.Take(upstream, n, false, now)
+}
+
 // Take takes the tokens for n statements that are sent together. It returns false, and the
 // wait before another attempt, if they must not be sent now, or never in one burst. Statements of open transactions come first: what one waits
 // for is refused to others.
--- a/pkg/warmer/warmer_test.go
+++ b/pkg/warmer/warmer_test.go
@@ -158,3 +158,25 @@
 	c.Retain(func(string) bool { return false })
 	qt.Assert(t, c.Until("u").IsZero(), qt.IsTrue)
 }
+
+// A check that spent a token, or let wait for one that is kept for a transaction, would
+// refuse work that may be sent, or let work wait for a slot in vain.
+func TestAvailableSpendsNothing(t *testing.T) {
+	h := holderWith(Grant{Rate: 10, Burst: 2, TTL: time.Minute})
+	ok, wait := h.Available("u", 1, at(50*time.Millisecond))
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, wait, qt.Equals, 50*time.Millisecond)
+	for range 3 {
+		ok, _ = h.Available("u", 1, at(100*time.Millisecond))
+		qt.Assert(t, ok, qt.IsTrue)
+	}
+	ok, _ = h.Take("u", 1, false, at(100*time.Millisecond))
+	qt.Assert(t, ok, qt.IsTrue)
+	_, _ = h.Take("u", 1, true, at(150*time.Millisecond))
+	ok, _ = h.Available("u", 1, at(220*time.Millisecond))
+	qt.Assert(t, ok, qt.IsFalse)
+	ok, _ = h.Available("other", 1, at(220*time.Millisecond))
+	qt.Assert(t, ok, qt.IsFalse)
+	ok, _ = h.Available("other", 0, at(220*time.Millisecond))
+	qt.Assert(t, ok, qt.IsTrue)
+}
