--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -17,13 +17,16 @@
 	failureLost    = "lost"
 	failureRegion  = "region"
 	failureCold    = "cold"
+	// failureEvacuated is not known to hosts of an earlier build: they take the work for
+	// lost and not sent.
+	failureEvacuated = "evacuated"
 )
 
 func encodeWork(limits connector.Limits, b connector.Batch) *messenger.LentWork {
 	work := &messenger.LentWork{
 		TimeMs: milliseconds(time.Until(limits.Deadline)), ReserveMs: milliseconds(limits.TimeReserve),
 		MaxWaitMs: milliseconds(limits.MaxWait), Priority: uint32(max(0, limits.Priority)), Values: b.Values,
-		PrepareName: b.Prepare.Name, PrepareText: b.Prepare.Text, Last: b.EndsLease, Reads: b.ReadOnly, Probe: b.PositionOnly,
+		PrepareName: b.Prepare.Name, PrepareText: b.Prepare.Text, Last: b.EndsLease, Reads: b.ReadOnly, Probe: b.PositionOnly, Patient: limits.Patient, AnswerMs: milliseconds(limits.AnswerWithin),
 	}
 	for _, q := range b.Requests {
 		work.Requests = append(work.Requests, &messenger.LentRequest{
@@ -41,6 +44,9 @@
 		TimeReserve: time.Duration(work.GetReserveMs()) * time.Millisecond,
 		MaxWait:     time.Duration(work.GetMaxWaitMs()) * time.Millisecond,
 		Priority:    int(work.GetPriority()),
+		Patient:     work.GetPatient(),
+
+		AnswerWithin: time.Duration(work.GetAnswerMs()) * time.Millisecond,
 	}
 	b := connector.Batch{
 		Values: work.GetValues(), EndsLease: work.GetLast(), ReadOnly: work.GetReads(), PositionOnly: work.GetProbe(),
@@ -73,13 +79,16 @@
 	var connectErr *connector.ConnectError
 	var regionErr *connector.RegionError
 	var warmupErr *connector.WarmupError
+	var evacuatedErr *connector.EvacuatedError
 	switch {
 	case errors.As(err, &warmupErr):
 		result.Failure, result.ExpectedMs = failureCold, milliseconds(warmupErr.RetryAfter)
 	case errors.As(err, &regionErr):
 		result.Failure = failureRegion
+	case errors.As(err, &evacuatedErr):
+		result.Failure = failureEvacuated
 	case errors.As(err, &queueErr):
-		result.Failure, result.ExpectedMs = failureQueue, milliseconds(queueErr.ExpectedWait)
+		result.Failure, result.ExpectedMs, result.RoomMs, result.MayWait = failureQueue, milliseconds(queueErr.ExpectedWait), milliseconds(queueErr.RoomIn), queueErr.MayWait
 	case errors.As(err, &connectErr):
 		result.Failure, result.Refused = failureConnect, string(connectErr.Failure)
 	}
@@ -98,11 +107,16 @@
 	case "":
 		return answers, nil
 	case failureQueue:
-		return answers, &connector.RunError{Err: &connector.QueueError{Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
+		return answers, &connector.RunError{Err: &connector.QueueError{
+			Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond, MayWait: result.GetMayWait(),
+			RoomIn: time.Duration(result.GetRoomMs()) * time.Millisecond,
+		}}
 	case failureCold:
 		return answers, &connector.RunError{Err: &connector.WarmupError{Upstream: upstream, RetryAfter: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
 	case failureRegion:
 		return answers, &connector.RunError{Err: &connector.RegionError{Upstream: upstream}}
+	case failureEvacuated:
+		return answers, &connector.RunError{Err: &connector.EvacuatedError{Upstream: upstream}}
 	case failureConnect:
 		cause := fmt.Errorf("reported by its owner: %s", result.GetDetail())
 		return answers, &connector.RunError{Err: &connector.ConnectError{Upstream: upstream, Failure: connector.Failure(result.GetRefused()), Err: cause}}
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
 
 // PreparedStatement is a prepared statement that a batch needs on its connection.
@@ -72,8 +74,17 @@
 	// MaxWait is the expected wait above which the batch is refused at once;
 	// zero means no limit. It does not apply to an open transaction.
 	MaxWait time.Duration
+	// AnswerWithin is the time within which the batch must have run to meet the
+	// caller's latency objective; zero means none. A batch that would miss it is
+	// refused at once, unless it belongs to an open transaction.
+	AnswerWithin time.Duration
+	// Patient is true if the batch may miss AnswerWithin while the queue is
+	// draining.
+	Patient bool
 	// Priority orders waiting batches; zero is the most urgent.
 	Priority int
+	// Kind is set from the batch.
+	Kind queuer.Kind
 }
 
 // Lease is the use of one connection to an upstream for one transaction. The
@@ -109,12 +120,18 @@
 }
 
 func (l *localLease) run(ctx context.Context, limits Limits, b Batch) ([]Answer, error) {
+	if b.HasForward() && !l.mayForward() {
+		return nil, &RunError{Err: &EvacuatedError{Upstream: l.upstream}}
+	}
 	open := l.conn != nil
 	if !open {
 		if err := l.set.Throttle.check(l.upstream, b); err != nil {
 			return nil, &RunError{Err: err}
 		}
 	}
+	if !b.ReadOnly {
+		limits.Kind = queuer.KindWrite
+	}
 	if err := l.acquire(ctx, limits, b); err != nil {
 		l.set.Throttle.observeConnect(l.upstream, err)
 		return nil, &RunError{Err: err}
@@ -127,7 +144,12 @@
 		return nil, &RunError{Err: err}
 	}
 	begin := time.Now()
-	slot, deadline := l.pool.startUse(), limits.Deadline
+	slot, deadline := l.pool.startUse(limits.Kind), limits.Deadline
+	if !begin.Before(deadline) {
+		// Opening the connection took the rest of the time.
+		slot.release()
+		return nil, &RunError{Err: &QueueError{Upstream: l.upstream}}
+	}
 	if timeout := l.pool.readTimeout(); b.ReadOnly && begin.Add(timeout).Before(deadline) {
 		deadline = begin.Add(timeout)
 	}
@@ -164,9 +186,24 @@
 		return err
 	}
 	l.conn = conn
+	l.conn.mayForward = l.mayForward
 	return nil
 }
 
+// mayForward reports whether a caller's statement may be sent to the upstream.
+func (l *localLease) mayForward() bool {
+	if l.set.MayForward == nil {
+		return true
+	}
+	pool := l.pool
+	if pool == nil {
+		if pool = l.set.Pool(l.upstream); pool == nil {
+			return true
+		}
+	}
+	return l.set.MayForward(pool.currentUpstream())
+}
+
 func (l *localLease) end() {
 	if l.conn == nil {
 		return
@@ -188,6 +225,9 @@
 }
 
 func (c *Conn) run(deadline time.Time, b Batch) ([]Answer, error) {
+	if b.HasForward() && !c.allowsForward() {
+		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
+	}
 	if !b.PositionOnly {
 		if err := c.ApplyValues(deadline, b.Values); err != nil {
 			return nil, &RunError{Err: err}
@@ -203,6 +243,9 @@
 			send = b.Requests[i:]
 		}
 		forwarded := send[0].Verb == VerbForward
+		if forwarded && !c.allowsForward() {
+			return answers, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
+		}
 		if err := c.Send(deadline, send...); err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
@@ -222,6 +265,8 @@
 	return answers, nil
 }
 
+func (c *Conn) allowsForward() bool { return c.mayForward == nil || c.mayForward() }
+
 // receiveRollback reads the answer to a rollback. It only decides whether the
 // connection can be reused.
 func (c *Conn) receiveRollback() {
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/shallotstage/shallotstage/pkg/evictor"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
@@ -36,6 +38,9 @@
 	queue  queuer.Queue
 	closed bool
 	opened uint64
+	// refusedEarly and refusedLate count the statements refused on arrival and
+	// after a wait.
+	refusedEarly, refusedLate uint64
 	// dialBlockedUntil is when a connection may be opened again after the
 	// upstream refused one because of its limit, and dialBackoff the length of
 	// that time.
@@ -47,6 +52,13 @@
 	return &Pool{dialer: d, upstream: u, queue: queuer.Queue{Slots: u.Slots}}
 }
 
+// currentUpstream returns the upstream as it last announced itself.
+func (p *Pool) currentUpstream() keeper.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream
+}
+
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() uint64 {
 	p.mu.Lock()
@@ -57,7 +69,7 @@
 // Acquire waits for a slot and a connection of an organisation, preferring the
 // idle connection that matches the values best.
 func (p *Pool) Acquire(ctx context.Context, organisation string, values map[string]string, limits Limits) (*Conn, error) {
-	w := &queuer.Waiter{Organisation: organisation, Priority: limits.Priority, SessionVariables: values}
+	w := &queuer.Waiter{Organisation: organisation, Kind: limits.Kind, Priority: limits.Priority, SessionVariables: values, Patient: limits.Patient}
 	grant, err := p.waitForSlot(ctx, w, limits)
 	if err != nil {
 		return nil, err
@@ -79,12 +91,13 @@
 	last := len(p.idle) - 1
 	c := p.idle[last]
 	p.idle = p.idle[:last]
+	c.positionOnly = true
 	return c
 }
 
 // AcquireSlot waits for a slot for the next statement of an open transaction.
 func (p *Pool) AcquireSlot(ctx context.Context, c *Conn, limits Limits) error {
-	_, err := p.waitForSlot(ctx, &queuer.Waiter{Organisation: c.Organisation, InTransaction: true}, limits)
+	_, err := p.waitForSlot(ctx, &queuer.Waiter{Organisation: c.Organisation, Kind: limits.Kind, InTransaction: true}, limits)
 	return err
 }
 
@@ -96,29 +109,53 @@
 		p.mu.Unlock()
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
 	}
+	if p.limit <= 0 && !w.InTransaction {
+		p.mu.Unlock()
+		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("no host that holds its connections can be reached")}
+	}
 	w.EnqueuedAt = time.Now()
-	if expected := p.queue.ExpectedWait(w); !w.InTransaction && limits.MaxWait > 0 && expected > limits.MaxWait {
+	w.LatestStart = limits.Deadline.Add(-limits.TimeReserve)
+	w.MaxWait = limits.MaxWait
+	if limits.AnswerWithin > 0 {
+		w.AnswerBy = w.EnqueuedAt.Add(limits.AnswerWithin)
+	}
+	if d := p.queue.Offer(w.EnqueuedAt, w); !d.Admitted {
+		p.refusedEarly++
 		p.mu.Unlock()
-		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: expected}
+		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: d.ExpectedWait, MayWait: d.MayWait, RoomIn: d.RoomIn}
 	}
 	w.Granted = make(chan queuer.Grant, 1)
 	p.queue.Push(w)
 	p.dispatch()
 	p.mu.Unlock()
-	timer := time.NewTimer(time.Until(limits.Deadline) - limits.TimeReserve)
+	timer := time.NewTimer(time.Until(w.LatestStart))
 	defer timer.Stop()
 	select {
 	case g := <-w.Granted:
-		return g, nil
+		if !g.Expired {
+			return g, nil
+		}
 	case <-timer.C:
+		p.abandon(w)
 	case <-ctx.Done():
+		p.abandon(w)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.queue.Remove(w) {
-		p.returnGrant(w, <-w.Granted)
+	p.refusedLate++
+	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.EnqueuedAt), RoomIn: p.queue.RoomIn(time.Now(), w)}
+}
+
+// abandon removes a waiter that gave up.
+func (p *Pool) abandon(w *queuer.Waiter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.queue.Remove(w) {
+		return
+	}
+	if g := <-w.Granted; !g.Expired {
+		p.returnGrant(w, g)
 	}
-	return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, Waited: time.Since(w.EnqueuedAt)}
 }
 
 // returnGrant takes back a grant that arrived just as the waiter gave up.
@@ -144,6 +181,9 @@
 		}
 		return queuer.Unavailable
 	}
+	for _, w := range p.queue.Expire(now) {
+		w.Granted <- queuer.Grant{Expired: true}
+	}
 	for {
 		w := p.queue.Pop(now, fit)
 		if w == nil {
@@ -181,14 +221,28 @@
 	return len(p.idle) > 0 && p.open <= p.limit
 }
 
-// makeRoom closes the connection that has been idle longest if a new one can be
-// opened only in its place.
+// makeRoom closes an idle connection if a new one can be opened only in its place.
 func (p *Pool) makeRoom(now time.Time) {
 	if p.open >= p.limit || now.Before(p.dialBlockedUntil) {
-		p.closeLongestIdle()
+		p.closeLeastUsed()
 	}
 }
 
+// closeLeastUsed closes the idle connection that evictor chooses.
+func (p *Pool) closeLeastUsed() {
+	uses := make([]evictor.Use, len(p.idle))
+	for i, c := range p.idle {
+		uses[i] = evictor.Use{Last: c.idleSince, Previous: c.previousUse}
+	}
+	p.closeIdle(evictor.Choose(uses))
+}
+
+func (p *Pool) closeIdle(i int) {
+	_ = p.idle[i].net.Close()
+	p.idle = slices.Delete(p.idle, i, i+1)
+	p.open--
+}
+
 // takeIdle removes the best matching idle connection.
 func (p *Pool) takeIdle(organisation string, values map[string]string) *Conn {
 	best := -1
@@ -208,19 +262,15 @@
 	return c
 }
 
-func (p *Pool) closeLongestIdle() {
-	_ = p.idle[0].net.Close()
-	p.idle = p.idle[1:]
-	p.open--
-}
-
 // dial opens a connection. The connection and its slot are already counted.
 func (p *Pool) dial(ctx context.Context, organisation string) (*Conn, error) {
+	begin := time.Now()
 	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.recordDial(err)
 	if err == nil {
+		p.queue.ObserveOpening(time.Since(begin))
 		return c, nil
 	}
 	p.open--
@@ -267,7 +317,10 @@
 		p.open--
 		return
 	}
-	c.idleSince = time.Now()
+	if !c.positionOnly {
+		c.previousUse, c.idleSince = c.idleSince, time.Now()
+	}
+	c.positionOnly = false
 	p.idle = append(p.idle, c)
 }
 
@@ -276,7 +329,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.idleTimeout > 0 && len(p.idle) > 0 && now.Sub(p.idle[0].idleSince) > p.idleTimeout {
-		p.closeLongestIdle()
+		p.closeIdle(0)
 	}
 }
 
@@ -286,7 +339,7 @@
 	defer p.mu.Unlock()
 	p.upstream, p.limit, p.idleTimeout, p.queue.Slots = u, a.MaxConnections, a.IdleTimeout, u.Slots
 	for p.open > p.limit && len(p.idle) > 0 {
-		p.closeLongestIdle()
+		p.closeLeastUsed()
 	}
 	p.dispatch()
 }
@@ -297,6 +350,6 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for len(p.idle) > 0 {
-		p.closeLongestIdle()
+		p.closeIdle(0)
 	}
 }
--- a/internal/transactor/cold.go
+++ b/internal/transactor/cold.go
@@ -9,6 +9,10 @@
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
+// minColdRetryAfter is the shortest retry delay for a request that an upstream refused as
+// cold. Many callers wait for the same rate.
+const minColdRetryAfter = 250 * time.Millisecond
+
 // coldUpstreams remembers the upstreams that refused statements as cold, so that reads do
 // not spend a hop on them while others can serve. The zero value knows none.
 type coldUpstreams struct {
--- a/internal/transactor/gate.go
+++ b/internal/transactor/gate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
+	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/fencer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
@@ -20,12 +21,20 @@
 	// Now returns the time of a clock that keeps running while the machine is
 	// suspended.
 	Now func() time.Time
+	// Evacuations extends planned changes of primaries that are evacuated, up to the
+	// limit of the evacuation and maxEvacuationHandOver; nil extends none.
+	Evacuations *Evacuations
 	// Released is called when this host has let go of a primary that hands over.
 	Released func()
 
 	mu sync.Mutex
 }
 
+// maxEvacuationHandOver bounds how long work in progress may hold up new work while a
+// primary leaves an evacuated data centre: until the default limit. A host that lets go
+// later than its lease of 10 s ends would lose all primaries.
+const maxEvacuationHandOver = evacuator.DefaultLimit - evacuator.DeliveryMargin
+
 // SetTopology applies the primaries and promotions of a view.
 func (g *PrimaryGate) SetTopology(view *keeper.View) {
 	g.mu.Lock()
@@ -36,7 +45,7 @@
 		primary := view.Primaries[service]
 		var h *fencer.HandOver
 		if p, ok := view.Promotion(service); ok {
-			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned}
+			h = &fencer.HandOver{Former: primary, Token: p.Token, Planned: p.Planned, Timeout: min(g.Evacuations.remaining(view.Upstreams[primary]), maxEvacuationHandOver)}
 			// The candidate was chosen by what it had received: a later commit may be
 			// with another replica only.
 			h.AbandonsFormer = !p.Planned && !g.Gate.Exclusive && s.SyncReplicas > 0
--- a/internal/transactor/region.go
+++ b/internal/transactor/region.go
@@ -30,16 +30,16 @@
 			return nil
 		}
 	}
-	return regionRefusal("service " + r.route.Service + " has no upstream in a permitted region")
+	return r.regionRefusal("service " + r.route.Service + " has no upstream in a permitted region")
 }
 
 // primaryRegionRefusal returns the refusal of a request that only u could run.
 func (r *request) primaryRegionRefusal(u keeper.Upstream) *refuser.Refusal {
-	return regionRefusal("primary " + u.ID + " of service " + r.route.Service + " is in region " + r.session.server.Location.RegionOf(u.DataCentre))
+	return r.regionRefusal("primary " + u.ID + " of service " + r.route.Service + " is in region " + r.session.server.Location.RegionOf(u.DataCentre))
 }
 
-func regionRefusal(detail string) *refuser.Refusal {
+func (r *request) regionRefusal(detail string) *refuser.Refusal {
 	refusal := refuser.New(refuser.ReasonRegionForbidden, detail)
-	refusal.RetryAfter = regionRetryAfter
+	refusal.RetryAfter = r.session.server.jitter(regionRetryAfter)
 	return refusal
 }
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -71,8 +71,11 @@
 // the statement's time is over.
 func (r *request) withReplica(ctx context.Context, f func(l *connector.Lease, floor tracker.Position, deadline time.Time) outcome) outcome {
 	server := r.session.server
-	first, _ := server.View()
-	if refusal := r.checkRegions(first); refusal != nil {
+	view, _ := server.View()
+	if refusal := r.checkRegions(view); refusal != nil {
+		return outcome{refusal: refusal}
+	}
+	if refusal := r.replicasEvacuated(view); refusal != nil {
 		return outcome{refusal: refusal}
 	}
 	floor, refusal := r.floor(ctx)
@@ -80,6 +83,8 @@
 		return outcome{refusal: refusal}
 	}
 	excluded := map[string]bool{}
+	var full fullQueues
+	defer func() { r.settled = false }()
 	last := outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "service "+r.route.Service, errors.New("no upstream answers"))}
 	for r.remaining() > 0 && r.attempts < maxAttempts {
 		view, changed := server.View()
@@ -89,11 +94,21 @@
 		candidates := r.candidates(view, excluded)
 		i := server.coldUpstreams.choose(floor, server.Now(), candidates)
 		if i < 0 && (last.refusal.Reason == refuser.ReasonPoolFull || last.refusal.Reason == refuser.ReasonUpstreamCold) {
-			// All upstreams that have reached the floor are full or cold. Refuse now
-			// rather than after a wait that would exceed the deadline.
-			break
+			// All upstreams that have reached the floor are full or cold. Wait at the one
+			// with the shortest queue if the read can be served there in time, or
+			// else refuse now rather than after a wait.
+			id, ok := full.shortest()
+			if r.settled || !ok {
+				break
+			}
+			r.settled = true
+			delete(excluded, id)
+			continue
 		}
 		if i < 0 {
+			if refusal := r.replicasEvacuated(view); refusal != nil {
+				return outcome{refusal: refusal}
+			}
 			clear(excluded)
 			if !r.canWait() || !r.pause(ctx, changed, laggingPause) {
 				break
@@ -120,6 +135,7 @@
 			}
 		}
 		excluded[id] = true
+		full.add(id, out.refusal)
 	}
 	return r.finalReadOutcome(last)
 }
@@ -137,9 +153,9 @@
 	}
 	cause := last.refusal
 	last.refusal = refuser.Wrap(reason, "service "+r.route.Service, cause)
-	last.refusal.RetryAfter = r.route.TargetLatency / 4
+	last.refusal.RetryAfter = r.session.server.jitter(r.route.TargetLatency / 4)
 	if reason == refuser.ReasonPoolFull {
-		last.refusal.RetryAfter = retryAfter(cause)
+		last.refusal.RetryAfter = r.session.server.retryAfter(cause)
 	}
 	last.retryable = false
 	return last
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -10,6 +10,7 @@
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
+	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/permitter"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
@@ -28,12 +29,15 @@
 	// answerReserve is the part of the timeout reserved for sending the answer
 	// to the caller.
 	answerReserve = 20 * time.Millisecond
-	// queueWaitDivisor divides the latency objective to get the longest wait of
-	// an operation in an upstream's queue.
+	// queueWaitDivisor divides the latency objective to get the longest wait in
+	// an upstream's queue while another upstream may serve the read sooner.
 	queueWaitDivisor = 3
-	// publicOrganisation is the organisation name sent to upstreams for public
+	// wayBackDivisor divides the latency objective to get the part of it that is
+	// reserved for the way between the hosts and to the caller.
+	wayBackDivisor = 8
+	// PublicOrganisation is the organisation name sent to upstreams for public
 	// routes.
-	publicOrganisation = "public"
+	PublicOrganisation = "public"
 )
 
 // request is a statement being executed.
@@ -58,6 +62,8 @@
 	// preparedStmt is set for VerbExecute.
 	preparedStmt preparedStatement
 	attempts     int
+	// settled is true once no other upstream can serve the statement sooner.
+	settled bool
 	// use is the work at the primary in the current attempt; nil at replicas.
 	use *primaryUse
 }
@@ -112,15 +118,20 @@
 
 // lease returns a lease of a connection to an upstream.
 func (r *request) lease(u keeper.Upstream) *connector.Lease {
-	organisation := r.organisation
-	if organisation == "" {
-		organisation = publicOrganisation
-	}
-	l := r.session.server.Lease(u, organisation)
+	l := r.session.server.Lease(u, r.connectionOrganisation())
 	r.session.lease = l
 	return l
 }
 
+// connectionOrganisation returns the organisation whose connections serve the
+// request.
+func (r *request) connectionOrganisation() string {
+	if r.organisation == "" {
+		return PublicOrganisation
+	}
+	return r.organisation
+}
+
 // run executes requests on a lease after applying the session's values and
 // preparing the statement if needed. It returns the last answer; failed is set
 // unless all requests succeeded.
@@ -135,6 +146,9 @@
 	if r.statement.Verb == VerbExecute && !r.isProbe {
 		b.Prepare = connector.PreparedStatement{Name: r.preparedStmt.name, Text: server.Codec.PrepareText(r.preparedStmt.name, r.preparedStmt.value)}
 	}
+	if out := r.refuseEvacuated(l.Upstream); out != nil {
+		return last, out
+	}
 	sentAt := server.Now()
 	begin := time.Now()
 	server.Upstreams.RequestStarted(l.Upstream)
@@ -157,18 +171,31 @@
 	return last, nil
 }
 
-// limits returns the time limits of a run. An operation that would spend too
-// much of its objective in a queue is refused at once: the caller may retry,
-// and the requests already waiting stay within their objective.
+// limits returns the time limits of a run. A read that would spend much of its
+// objective in one upstream's queue is refused there at once, and tries the
+// others. At the last, or at the primary, it waits for as long as its objective
+// allows, or longer while the queue is draining: a refusal would make the caller
+// repeat the whole operation.
 func (r *request) limits(l *connector.Lease, deadline time.Time) connector.Limits {
 	objective := r.route.TargetLatency
 	if objective <= 0 {
 		objective = defaultTimeout
 	}
-	maxWait := min(objective/queueWaitDivisor, time.Until(deadline)/2)
-	return connector.Limits{
-		Deadline: deadline, TimeReserve: r.session.server.Upstreams.TimeReserve(l.Upstream), MaxWait: max(maxWait, time.Millisecond), Priority: r.route.Priority,
+	limits := connector.Limits{
+		Deadline: deadline, TimeReserve: r.session.server.Upstreams.TimeReserve(l.Upstream), Priority: r.route.Priority, Patient: r.settled,
+	}
+	if !r.settled {
+		limits.MaxWait = max(min(objective/queueWaitDivisor, time.Until(deadline)/2), time.Millisecond)
+	}
+	answer := objective - objective/wayBackDivisor - time.Since(r.startedAt)
+	if r.session.tx != nil && r.session.tx.lease == nil {
+		// The other statements of the transaction need time too.
+		answer /= 2
 	}
+	// A statement that had to wait for a promotion still gets as much time as any
+	// other would at first.
+	limits.AnswerWithin = max(answer, objective/queueWaitDivisor)
+	return limits
 }
 
 // recordRun updates the upstream tracker with the result of a run.
@@ -187,6 +214,10 @@
 	}
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
+	var evacuatedErr *connector.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		return
+	}
 	var regionErr *connector.RegionError
 	var warmupErr *connector.WarmupError
 	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && !errors.As(err, &warmupErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
@@ -213,17 +244,21 @@
 	if errors.As(err, &warmupErr) {
 		r.session.server.coldUpstreams.record(upstream, warmupErr.RetryAfter)
 		refusal := refuser.Wrap(refuser.ReasonUpstreamCold, "upstream "+upstream, err)
-		refusal.RetryAfter = max(minRetryAfter, warmupErr.RetryAfter)
+		refusal.RetryAfter = r.session.server.jitter(max(minColdRetryAfter, warmupErr.RetryAfter))
 		return &outcome{refusal: refusal, upstream: upstream, retryable: true}
 	}
 	var regionErr *connector.RegionError
 	if errors.As(err, &regionErr) {
-		return &outcome{refusal: regionRefusal(err.Error()), upstream: upstream, retryable: true}
+		return &outcome{refusal: r.regionRefusal(err.Error()), upstream: upstream, retryable: true}
 	}
 	var queueErr *connector.QueueError
 	if errors.As(err, &queueErr) {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonPoolFull, "upstream "+upstream, err), upstream: upstream, retryable: true}
 	}
+	var evacuatedErr *connector.EvacuatedError
+	if errors.As(err, &evacuatedErr) {
+		return &outcome{refusal: refuser.Wrap(refuser.ReasonEvacuated, "upstream "+upstream, err), upstream: upstream, retryable: true}
+	}
 	return &outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "statement was not sent", err), upstream: upstream, retryable: true}
 }
 
@@ -301,22 +336,36 @@
 }
 
 // candidates returns the upstreams of the route's service that may serve a
-// read.
+// read. Those of an evacuated data centre are left out as long as others may answer.
 func (r *request) candidates(view *keeper.View, excluded map[string]bool) []balancer.Candidate {
 	server := r.session.server
 	upstreams := view.ByService(r.route.Service)
 	candidates := make([]balancer.Candidate, 0, len(upstreams))
+	var avoided []balancer.Candidate
+	answering := false
 	for _, u := range upstreams {
-		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] || !r.mayRunAt(u) {
+		decision := server.Evacuations.decide(u)
+		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] || decision == evacuator.Refuse || !r.mayRunAt(u) {
 			continue
 		}
 		c := balancer.Candidate{
 			ID: u.ID, Distance: server.Location.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
 		}
+		if server.Affinity != nil {
+			c.Affinity = server.Affinity(u, r.connectionOrganisation())
+		}
 		server.Upstreams.FillCandidate(&c)
 		c.Suspect = server.isSuspect(u)
+		if decision == evacuator.Avoid {
+			avoided = append(avoided, c)
+			continue
+		}
+		answering = answering || !c.Suspect
 		candidates = append(candidates, c)
 	}
+	if !answering {
+		candidates = append(candidates, avoided...)
+	}
 	return candidates
 }
 
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -59,8 +59,14 @@
 	// upstream; nil means that none does.
 	ReachableViaPeer func(u keeper.Upstream) bool
 	Upstreams        *UpstreamTracker
+	// Affinity returns the rank of an upstream for an organisation: zero if it
+	// keeps connections for it; nil means that each upstream does.
+	Affinity func(u keeper.Upstream, organisation string) int
 	// Gate keeps work from primaries that are being replaced; nil lets all pass.
 	Gate *PrimaryGate
+	// Evacuations keeps work from upstreams of evacuated data centres; nil lets all
+	// pass.
+	Evacuations *Evacuations
 	// View returns the current view, and a channel that is closed when there is
 	// a newer one.
 	View func() (*keeper.View, <-chan struct{})
@@ -77,6 +83,9 @@
 	// Now returns the time of a clock that keeps running while the machine is
 	// suspended.
 	Now func() time.Time
+	// Random returns random numbers from 0 up to 1 that spread retry delays; nil
+	// means those of the process. It must be safe for concurrent use.
+	Random func() float64
 	// Location is the location of this host, from which the distance to upstreams
 	// is determined.
 	Location Location
--- a/pkg/refuser/reason.go
+++ b/pkg/refuser/reason.go
@@ -30,6 +30,7 @@
 	ReasonInternalError     Reason = "internal_error"
 	ReasonRegionForbidden   Reason = "region_not_permitted"
 	ReasonUpstreamCold      Reason = "upstream_cold"
+	ReasonEvacuated         Reason = "evacuated"
 )
 
 type response struct {
@@ -63,6 +64,7 @@
 	ReasonInternalError:     {"XX000", MayHaveRun, "unexpected error in the proxy", "Check the outcome before repeating the request.", false},
 	ReasonRegionForbidden:   {"57P03", NotRun, "no upstream in a permitted region can serve the request", "Retry later or on another route.", false},
 	ReasonUpstreamCold:      {"53300", NotRun, "upstream is warming up and gets no more statements now", "Retry after the stated delay.", false},
+	ReasonEvacuated:         {"57P03", NotRun, "only upstreams in evacuated data centres could run the request", "Retry later.", false},
 	ReasonShuttingDown:      {"57P01", NotRun, "host is shutting down", "Reconnect.", true},
 }
 
