--- a/internal/broker/translate.go
+++ b/internal/broker/translate.go
@@ -20,6 +20,7 @@
 	failureLate    = "late"
 	failureLost    = "lost"
 	failureRegion  = "region"
+	failureCold    = "cold"
 	// failureEvacuated is not known to hosts of an earlier build: they take the work for
 	// lost and not sent.
 	failureEvacuated = "evacuated"
@@ -81,9 +82,12 @@
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
 	var regionErr *connector.RegionError
+	var warmupErr *connector.WarmupError
 	var evacuatedErr *connector.EvacuatedError
 	var setupErr *connector.SetupError
 	switch {
+	case errors.As(err, &warmupErr):
+		result.Failure, result.ExpectedMs = failureCold, milliseconds(warmupErr.RetryAfter)
 	case errors.As(err, &regionErr):
 		result.Failure = failureRegion
 	case errors.As(err, &evacuatedErr):
@@ -116,6 +120,8 @@
 			Upstream: upstream, ExpectedWait: time.Duration(result.GetExpectedMs()) * time.Millisecond, MayWait: result.GetMayWait(),
 			RoomIn: time.Duration(result.GetRoomMs()) * time.Millisecond,
 		}}
+	case failureCold:
+		return answers, &connector.RunError{Err: &connector.WarmupError{Upstream: upstream, RetryAfter: time.Duration(result.GetExpectedMs()) * time.Millisecond}}
 	case failureRegion:
 		return answers, &connector.RunError{Err: &connector.RegionError{Upstream: upstream}}
 	case failureEvacuated:
--- a/internal/launcher/assignments.go
+++ b/internal/launcher/assignments.go
@@ -259,6 +259,13 @@
 	return nil
 }
 
+// isFirstOwner reports whether this host is the first owner of an upstream. If no host is
+// in its data centre, each host may act as one.
+func (o *assignments) isFirstOwner(u keeper.Upstream) bool {
+	ranked := o.ownersOf(u)
+	return len(ranked) == 0 || ranked[0].Host == o.host
+}
+
 // lendersOf returns the hosts that lend connections to an upstream: its owners
 // and the fallback host of this data centre.
 func (o *assignments) lendersOf(u keeper.Upstream) []broker.Owner {
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -106,6 +106,7 @@
 	evacuations   *transactor.Evacuations
 	admitter      *admitter.Admitter
 	sampler       *sampler.Sampler
+	warmups       *warmupThrottle
 	server        *transactor.Server
 	entryMetrics  *entryMetrics
 }
@@ -165,9 +166,10 @@
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
 	e.evacuations = &transactor.Evacuations{Evacuator: evacuator.Evacuator{Limit: e.Settings.EvacuationLimit}, Now: timer.Now, Log: e.Log}
-	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Weight: e.organisationWeight}
-	e.set.OnOverload = e.logOverload
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
+	e.warmups = &warmupThrottle{now: timer.Now, isOwner: e.assignments.isFirstOwner, log: e.Log}
+	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Throttle: e.warmups.throttle(), Weight: e.organisationWeight}
+	e.set.OnOverload = e.logOverload
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, ObserveRoundTrip: e.recordRoundTrip, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
@@ -184,9 +186,10 @@
 	if e.Settings.PrimaryLease {
 		e.gate.HoldsLease = e.controlClient.HoldsLease
 	}
+	e.controlClient.WarmupWanted, e.controlClient.ApplyWarmupGrants = e.warmups.wanted, e.warmups.apply
 	e.controlClient.OnLeaseEnded = e.gate.LeaseEnded
 	e.controlClient.ReleasedIndex = e.gate.ReleasedIndex
-	e.upstreams.StatusChanged = e.controlClient.ReportNow
+	e.upstreams.StatusChanged, e.upstreams.ConnectRefused = e.controlClient.ReportNow, e.warmups.connectRefused
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Affinity: e.assignments.affinity, Upstreams: e.upstreams, Gate: e.gate, Evacuations: e.evacuations, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
@@ -201,6 +204,7 @@
 		e.server.MaxSessions = max(1, e.Settings.Descriptors-reservedDescriptors)
 	}
 	e.entryMetrics.registerGauges(e.server, e.set, e.evacuations)
+	e.entryMetrics.registerWarmups(e.warmups)
 }
 
 // logOverload logs that the queue of an upstream has begun or ceased to refuse
@@ -299,11 +303,16 @@
 
 // applyView updates the components for a new view.
 func (e *EntryHost) applyView(view *keeper.View) {
+	e.warmups.setView(view)
 	e.evacuations.SetTopology(view)
 	e.gate.SetTopology(view)
 	e.upstreams.Update(view.Upstreams)
 	e.assignments.update(view)
 	e.set.Update(view.Upstreams, func(u keeper.Upstream) connector.PoolLimits { return e.assignments.poolLimits(view, u) })
+	if e.warmups.lacksGrant() {
+		// The grant comes with the answer to the next report.
+		e.controlClient.ReportNow()
+	}
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
 
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -78,6 +78,13 @@
 	}, func() float64 { return float64(read()) })
 }
 
+// registerWarmups registers the counter of statements that were not sent to cold upstreams.
+func (m *entryMetrics) registerWarmups(w *warmupThrottle) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shallotstage_warmup_refusals_total", Help: "Batches of statements that this host did not send to a cold upstream, of its own callers and of other hosts.",
+	}, func() float64 { return float64(w.refusals.Load()) }))
+}
+
 func (m *entryMetrics) observe(o transactor.Observation) {
 	m.statements.WithLabelValues(string(o.Verb)).Inc()
 	m.latency.WithLabelValues(string(o.Verb)).Observe(o.Latency.Seconds())
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -105,6 +105,9 @@
 	// a random source of the process. It must be safe for concurrent use.
 	Random func() float64
 
+	// coldUpstreams are those that have recently refused statements as cold.
+	coldUpstreams coldUpstreams
+
 	sessions atomic.Int64
 	draining atomic.Bool
 	// replyDeadline is when all statements must be answered once a drain with a
