connector: serve waiters of a host that is no longer an owner

Cause: a host whose limit becomes zero while statements wait for its connections would have kept them until their deadlines.

Change: waiters use one connection until none is left. Tests for this, for held reads in UpstreamTracker, and that the load test uses the numbers of launcher.

--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -195,15 +195,25 @@
 // canOpen reports whether a connection may be opened now, if necessary by
 // closing an idle one.
 func (p *Pool) canOpen(now time.Time) bool {
-	if p.open < p.limit && !now.Before(p.dialBlockedUntil) {
+	if p.open < p.openLimit() && !now.Before(p.dialBlockedUntil) {
 		return true
 	}
-	return len(p.idle) > 0 && p.open <= p.limit
+	return len(p.idle) > 0 && p.open <= p.openLimit()
+}
+
+// openLimit returns the maximum number of connections. Where the limit has become
+// zero, those that were already waiting use one, or else they would wait until
+// their deadlines.
+func (p *Pool) openLimit() int {
+	if p.queue.Len() > 0 {
+		return max(1, p.limit)
+	}
+	return p.limit
 }
 
 // makeRoom closes an idle connection if a new one can be opened only in its place.
 func (p *Pool) makeRoom(now time.Time) {
-	if p.open >= p.limit || now.Before(p.dialBlockedUntil) {
+	if p.open >= max(1, p.limit) || now.Before(p.dialBlockedUntil) {
 		p.closeLeastUsed()
 	}
 }
--- a/internal/connector/pool_test.go
+++ b/internal/connector/pool_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
 
 // idlePool returns a pool at its limit, with idle connections of the organisations
@@ -63,3 +64,23 @@
 	qt.Assert(t, errors.As(err, &connectErr), qt.IsTrue)
 	qt.Assert(t, time.Since(begin) < 10*time.Second, qt.IsTrue)
 }
+
+// A host that is no longer an owner may open no connections. Those that already wait
+// at it must still be served.
+func TestWaitersAreServedWhenTheLimitBecomesZero(t *testing.T) {
+	p := newPool(&Dialer{}, keeper.Upstream{ID: "u", Slots: 4})
+	p.limit = 1
+	local, remote := net.Pipe()
+	t.Cleanup(func() { _ = remote.Close() })
+	p.open++
+	inUse := &Conn{Organisation: "a", net: local, state: StateIdle}
+	w := &queuer.Waiter{Organisation: "b", Granted: make(chan queuer.Grant, 1), EnqueuedAt: time.Now()}
+	p.queue.Push(w)
+	p.dispatch()
+	qt.Assert(t, p.queue.Len(), qt.Equals, 1)
+	p.Configure(keeper.Upstream{ID: "u", Slots: 4}, PoolLimits{})
+	p.Release(inUse)
+	qt.Assert(t, p.queue.Len(), qt.Equals, 0)
+	qt.Assert(t, (<-w.Granted).Connection, qt.IsNil, qt.Commentf("it may open one"))
+	qt.Assert(t, p.open, qt.Equals, 1)
+}
--- a/internal/launcher/placements_test.go
+++ b/internal/launcher/placements_test.go
@@ -109,3 +109,18 @@
 		qt.Assert(t, o.affinity(u, "small"), qt.Equals, 0)
 	}
 }
+
+// The load test of pkg/balancer uses these numbers for upstreams with 70 connections.
+// If they change here, its results are those of other decisions.
+func TestLoadTestUsesTheseNumbers(t *testing.T) {
+	v, regions := fleetView()
+	v.Configuration.Services["s"] = keeper.Service{MaxConnections: 70}
+	u := v.Upstreams["i-a1"]
+	limits := map[int]bool{}
+	for name, p := range v.Peers {
+		limits[assignmentsFor(name, p.DataCentre, v, regions).poolLimits(v, u).MaxConnections] = true
+	}
+	qt.Assert(t, limits, qt.DeepEquals, map[int]bool{54: true, 8: true, 1: true, 0: true})
+	qt.Assert(t, int(ownerConnections(v, "s")*homeFraction), qt.Equals, 46)
+	qt.Assert(t, int(ownerConnections(v, "s")*primaryHomeFraction), qt.Equals, 40)
+}
--- a/internal/transactor/load_reports_test.go
+++ b/internal/transactor/load_reports_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
@@ -41,3 +42,35 @@
 	_, age = tracker.Load("u", "a")
 	qt.Assert(t, age, qt.Equals, time.Duration(math.MaxInt64), qt.Commentf("the upstream has restarted"))
 }
+
+// Reads must stay in the region until its queue has been longer than the way out, and
+// only a fraction of them may leave at first.
+func TestReadsAreHeldInTheRegion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := &UpstreamTracker{Now: func() time.Time { return now }}
+	held := func(queued int, random float64) bool {
+		now = now.Add(50 * time.Millisecond)
+		candidates := []balancer.Candidate{
+			{ID: "near", Distance: balancer.DistanceRegion, Slots: 4, Load: queuer.Load{Slots: 4, Running: 4, Queued: queued, MeanServiceTime: 20 * time.Millisecond}},
+			{ID: "far", Distance: balancer.DistanceFar, Slots: 4, Load: queuer.Load{Slots: 4, Running: 1, MeanServiceTime: 20 * time.Millisecond}},
+		}
+		tracker.hold("s", candidates, random)
+		qt.Assert(t, candidates[0].Held, qt.IsFalse)
+		return candidates[1].Held
+	}
+	for range 20 {
+		qt.Assert(t, held(2, 0), qt.IsTrue)
+	}
+	held(100, 0)
+	qt.Assert(t, held(100, 0), qt.IsFalse)
+	qt.Assert(t, held(100, 0.9), qt.IsTrue)
+	for range 20 {
+		held(100, 0)
+	}
+	qt.Assert(t, held(100, 0.7), qt.IsFalse)
+	qt.Assert(t, held(100, 0.8), qt.IsTrue, qt.Commentf("a quarter of the slots elsewhere is taken"))
+	qt.Assert(t, tracker.leavingShare("s"), qt.Equals, 0.75)
+	one := []balancer.Candidate{{ID: "far", Distance: balancer.DistanceFar}}
+	tracker.hold("s", one, 1)
+	qt.Assert(t, one[0].Held, qt.IsFalse, qt.Commentf("there is no other"))
+}
