Process test of permitted regions: place hosts under the merged settings

Cause: the merged settings of the process tests list three zones, so that the test's own zones became duplicate keys.

Change: the test replaces the whole table of zones.

Result: 6 of 6 runs pass under -race.

--- a/cmd/shallotstage-host/region_process_test.go
+++ b/cmd/shallotstage-host/region_process_test.go
@@ -17,7 +17,9 @@
 	return func(settings string) string {
 		settings = strings.Replace(settings, `zone = "a"`, `zone = "`+zone+`"`, 1)
 		settings = strings.Replace(settings, `region = "r"`, `region = "`+region+`"`, 1)
-		return strings.Replace(settings, "[zones]\na = \"r\"\n", "[zones]\na = \"east\"\nb = \"west\"\nc = \"east\"\n", 1)
+		before, rest, _ := strings.Cut(settings, "[zones]\n")
+		_, after, _ := strings.Cut(rest, "[listen]\n")
+		return before + "[zones]\na = \"east\"\nb = \"west\"\nc = \"east\"\n[listen]\n" + after
 	}
 }
 
