Owners: hosts with narrow links share an upstream, slow owners are not taken for lost

One host carries all statements of an upstream over its link of 2 Mbit/s. In the burst its answers are late, hosts take it for lost (2,015 times), open connections elsewhere or find nobody that holds any (7,649 times), and probe the upstream, which counts as a connection (about 9,000 of 14,342). Ruled out: the processor (0.04 cores of 0.192 at the busiest host), slots (a third in use), evictions (1,500 in 10 s).

Change: below 10 Mbit/s three hosts share the connections to an upstream by organisation, unless it has a warm-up limit. An owner from which data arrived in the last 300 ms is slow, not lost. The error of an owner starts no probe of the upstream.

--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -15,7 +15,7 @@
 		Settings: launcher.EntryHostSettings{
 			Host: s.Node, Place: transactor.Location{DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions},
 			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress(), PeerAddress: s.PeerAddress(),
-			Grace: s.Grace, PrimaryLease: s.PrimaryLease, Descriptors: s.Descriptors, EvacuationLimit: s.EvacuationLimit,
+			Grace: s.Grace, PrimaryLease: s.PrimaryLease, Descriptors: s.Descriptors, LinkMegabits: s.LinkMegabits, EvacuationLimit: s.EvacuationLimit,
 		},
 		Seeds: watcher.seedPeers, CallerCodec: platform.CallerCodec(), UpstreamCodec: platform.UpstreamCodec(),
 		ReadyHandler: platform.ReadyHandler, Log: log,
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -61,9 +61,10 @@
 	// LocalConnections is the set of this host's own connections.
 	LocalConnections *connector.PoolSet
 	Forwarder        *forwarder.Forwarder
-	// Owners returns the hosts that may own an upstream, in order of
-	// preference. An owner without an address is this host.
-	Owners func(u keeper.Upstream) []Owner
+	// Owners returns the hosts that may own the connections to an upstream that an
+	// organisation uses, in order of preference. An owner without an address is this
+	// host.
+	Owners func(u keeper.Upstream, organisation string) []Owner
 	// Check returns why this host must not run the statements of another host at an
 	// upstream, for an organisation on a route; nil allows all. It is not asked about
 	// queries of a position.
@@ -83,7 +84,7 @@
 // Lease returns a lease of a connection to an upstream, from its owner or of
 // this host.
 func (b *Broker) Lease(u keeper.Upstream, organisation string) *connector.Lease {
-	if o, ok := b.owner(u); ok {
+	if o, ok := b.owner(u, organisation); ok {
 		return b.borrow(u, organisation, o)
 	}
 	return b.observeLocal(b.LocalConnections.Lease(u.ID, organisation), organisation)
@@ -106,14 +107,14 @@
 // CanBorrow reports whether connections to the upstream can be borrowed from
 // another host.
 func (b *Broker) CanBorrow(u keeper.Upstream) bool {
-	_, ok := b.owner(u)
+	_, ok := b.owner(u, "")
 	return ok
 }
 
 // owner returns the preferred host to borrow from. It returns false if this
 // host should use a connection of its own.
-func (b *Broker) owner(u keeper.Upstream) (Owner, bool) {
-	for _, o := range b.Owners(u) {
+func (b *Broker) owner(u keeper.Upstream, organisation string) (Owner, bool) {
+	for _, o := range b.Owners(u, organisation) {
 		if b.Backoffer.InBackoff(backoffKey(o, u)) {
 			continue
 		}
@@ -130,8 +131,14 @@
 // backoffKey identifies an upstream that is accessed through an owner.
 func backoffKey(o Owner, u keeper.Upstream) string { return o.Host + " " + u.ID }
 
-// markUnreachable makes the broker skip an owner that does not answer.
+// markUnreachable makes the broker skip an owner that does not answer. One whose other
+// answers arrive is only slow: to use other hosts in its place would close its
+// organisations' connections for the sake of new ones, when there is least room for them.
 func (b *Broker) markUnreachable(o Owner, err error) {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && b.Forwarder.HeardSince(o.Address, time.Now().Add(-openTimeout)) {
+		return
+	}
 	added := b.Backoffer.RecordFailure(o.Host)
 	b.Forwarder.ReplaceConn(o.Address)
 	if added {
@@ -184,14 +191,14 @@
 			l.broker.markUnreachable(l.owner, err)
 			if sent && batch.HasForward() {
 				// The owner may still run the statements.
-				return nil, &connector.RunError{MayHaveRun: true, Err: err}
+				return nil, &connector.RunError{MayHaveRun: true, Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
 			}
 			l.local = l.broker.LocalConnections.Lease(l.upstream.ID, l.organisation)
 			return l.local.Run(ctx, limits, batch)
 		}
 		l.stream, l.r = stream, bufio.NewReaderSize(stream, readBufferSize)
 	} else if _, err := protodelim.MarshalTo(l.stream, work); err != nil {
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: fmt.Errorf("broker: send work to %s: %w", l.owner.Host, err)}
+		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
 	}
 	return l.receive(limits, batch, begin)
 }
@@ -204,7 +211,7 @@
 	var result messenger.LentResult
 	if err := protodelim.UnmarshalFrom(l.r, &result); err != nil {
 		l.broker.markUnreachable(l.owner, err)
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: fmt.Errorf("broker: read result of %s: %w", l.owner.Host, err)}
+		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
 	}
 	if load := result.GetLoad(); load != nil && l.broker.ObserveLoad != nil {
 		l.broker.ObserveLoad(l.upstream.ID, l.organisation, decodeLoad(load))
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -122,7 +122,7 @@
 	}
 	if p.limit <= 0 && !w.InTransaction {
 		p.mu.Unlock()
-		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("no host that holds its connections can be reached")}
+		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: &OwnerError{Err: errors.New("this host opens no connections of its own")}}
 	}
 	w.EnqueuedAt = time.Now()
 	w.LatestStart = limits.Deadline.Add(-limits.TimeReserve)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -62,9 +63,34 @@
 
 	mu           sync.Mutex
 	muxes        map[string]*yamux.Session
+	heard        map[string]*heardConn
 	pendingDials map[string]*pendingDial
 }
 
+// heardConn records when data last arrived on a connection.
+type heardConn struct {
+	net.Conn
+	at atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *heardConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.at.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// HeardSince reports whether data of the host at address has arrived on the present
+// connection after t. A host that is heard is slow or its link is full; it is not lost.
+func (f *Forwarder) HeardSince(address string, t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.heard[address]
+	return c != nil && c.at.Load() > t.UnixNano()
+}
+
 func yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.KeepAliveInterval = keepAliveInterval
@@ -114,6 +140,7 @@
 		return
 	}
 	delete(f.muxes, address)
+	delete(f.heard, address)
 	time.AfterFunc(replacedMuxLifetime, func() { _ = mux.Close() })
 }
 
@@ -138,6 +165,7 @@
 type pendingDial struct {
 	done chan struct{}
 	mux  *yamux.Session
+	conn *heardConn
 	err  error
 }
 
@@ -171,7 +199,7 @@
 // dialPending dials a connection and stores it for the next streams.
 func (f *Forwarder) dialPending(ctx context.Context, address string, p *pendingDial) {
 	defer close(p.done)
-	p.mux, p.err = f.dialMux(ctx, address)
+	p.mux, p.conn, p.err = f.dialMux(ctx, address)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.pendingDials, address)
@@ -179,24 +207,25 @@
 		return
 	}
 	if f.muxes == nil {
-		f.muxes = map[string]*yamux.Session{}
+		f.muxes, f.heard = map[string]*yamux.Session{}, map[string]*heardConn{}
 	}
-	f.muxes[address] = p.mux
+	f.muxes[address], f.heard[address] = p.mux, p.conn
 }
 
-func (f *Forwarder) dialMux(ctx context.Context, address string) (*yamux.Session, error) {
+func (f *Forwarder) dialMux(ctx context.Context, address string) (*yamux.Session, *heardConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := f.Dial(ctx, address)
 	if err != nil {
-		return nil, fmt.Errorf("forwarder: connect to %s: %w", address, err)
+		return nil, nil, fmt.Errorf("forwarder: connect to %s: %w", address, err)
 	}
-	mux, err := yamux.Client(conn, yamuxConfig())
+	heard := &heardConn{Conn: conn}
+	mux, err := yamux.Client(heard, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
-		return nil, fmt.Errorf("forwarder: start multiplexer: %w", err)
+		return nil, nil, fmt.Errorf("forwarder: start multiplexer: %w", err)
 	}
-	return mux, nil
+	return mux, heard, nil
 }
 
 // ConnectedAddresses returns the addresses of the hosts with an open connection.
--- a/internal/launcher/assignments.go
+++ b/internal/launcher/assignments.go
@@ -1,6 +1,7 @@
 package launcher
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync/atomic"
@@ -30,6 +31,13 @@
 	// fallbackFraction is the fraction that the fallback hosts of all data
 	// centres open together.
 	fallbackFraction = 0.08
+	// narrowLinkMegabits is the bandwidth of a host's link below which several hosts
+	// share the connections to an upstream. A statement takes 1.5 to 2 kB of its
+	// owner's link in each direction, so one host with 2 Mbit/s carries about 120 a
+	// second, fewer than an upstream runs.
+	narrowLinkMegabits = 10
+	// narrowLinkOwners is the number of hosts that share them then.
+	narrowLinkOwners = 3
 	// nonOwnerIdleTimeout is the idle timeout of connections from a host that is
 	// not the owner.
 	nonOwnerIdleTimeout = time.Second
@@ -56,14 +64,19 @@
 	dataCentre string
 	location   transactor.Location
 
+	// linkMegabits is the bandwidth of the hosts' links; zero means unknown.
+	linkMegabits float64
+
 	current atomic.Pointer[connectionOwners]
 	// fallbacks maps an upstream to a host of this data centre that opens
 	// connections to it while no owner can be reached.
 	fallbacks atomic.Pointer[map[string]broker.Owner]
-	// peers and upstreamDataCentres are the inputs of the current assignment;
-	// firstOwners are the first owners of all upstreams.
+	// peers, upstreamDataCentres and undivided are the inputs of the current
+	// assignment; firstOwners are the first owners of all upstreams. undivided are
+	// the upstreams with a warm-up limit: only one host may hold the grant to send.
 	peers               map[string]keeper.Peer
 	upstreamDataCentres map[string]string
+	undivided           map[string]bool
 	firstOwners         map[string]bool
 	// tokenHosts maps an organisation to the hosts that spend its tokens, in the
 	// order in which this host asks them.
@@ -81,21 +94,25 @@
 	placementInputs  map[string]placementInput
 }
 
-// connectionOwners maps an upstream's ID to its owners, in order of preference.
-type connectionOwners map[string][]broker.Owner
+// connectionOwners maps an upstream's ID to the owners of each part of its
+// connections, in order of preference. An organisation uses one part.
+type connectionOwners map[string][][]broker.Owner
 
 // update recomputes the assignments for a view. It is called by one goroutine.
 func (o *assignments) update(view *keeper.View) {
-	upstreamDataCentres := map[string]string{}
+	upstreamDataCentres, undivided := map[string]string{}, map[string]bool{}
 	for id, u := range view.Upstreams {
 		upstreamDataCentres[id] = u.DataCentre
+		if view.Configuration.Services[u.Service].WarmupRate > 0 {
+			undivided[id] = true
+		}
 	}
 	o.placeOrganisations(view)
-	same := maps.Equal(o.peers, view.Peers) && maps.Equal(o.upstreamDataCentres, upstreamDataCentres)
+	same := maps.Equal(o.peers, view.Peers) && maps.Equal(o.upstreamDataCentres, upstreamDataCentres) && maps.Equal(o.undivided, undivided)
 	if same && o.configurationVersion == view.Configuration.Version {
 		return
 	}
-	o.peers, o.upstreamDataCentres, o.configurationVersion = view.Peers, upstreamDataCentres, view.Configuration.Version
+	o.peers, o.upstreamDataCentres, o.undivided, o.configurationVersion = view.Peers, upstreamDataCentres, undivided, view.Configuration.Version
 	if !same {
 		o.assignOwners()
 	}
@@ -104,17 +121,19 @@
 
 // assignOwners assigns the owners of all upstreams.
 func (o *assignments) assignOwners() {
-	hosts, upstreams := o.groupPeers(func(p keeper.Peer) string { return p.DataCentre }), map[string][]string{}
+	hosts, parts := o.groupPeers(func(p keeper.Peer) string { return p.DataCentre }), map[string][]string{}
 	for id, dataCentre := range o.upstreamDataCentres {
-		upstreams[dataCentre] = append(upstreams[dataCentre], id)
+		for i := range o.partsOf(id) {
+			parts[dataCentre] = append(parts[dataCentre], partName(id, i))
+		}
 	}
 	next, fallbacks := connectionOwners{}, map[string]broker.Owner{}
 	o.firstOwners = map[string]bool{}
-	for dataCentre, ids := range upstreams {
-		for id, ranked := range placer.AssignBounded(ids, hosts[dataCentre], assignedHosts) {
-			o.firstOwners[ranked[0]] = true
-			for _, host := range ranked {
-				next[id] = append(next[id], broker.Owner{Host: host, Address: o.addressOf(host)})
+	for dataCentre, names := range parts {
+		assigned := placer.AssignBounded(names, hosts[dataCentre], assignedHosts)
+		for id, at := range o.upstreamDataCentres {
+			if at == dataCentre && len(assigned) > 0 {
+				next[id] = o.ownersOfParts(id, assigned)
 			}
 		}
 	}
@@ -122,7 +141,7 @@
 		local := hosts[o.dataCentre]
 		if dataCentre == o.dataCentre {
 			local = slices.DeleteFunc(slices.Clone(local), func(h string) bool {
-				return slices.ContainsFunc(next[id], func(owner broker.Owner) bool { return owner.Host == h })
+				return slices.ContainsFunc(slices.Concat(next[id]...), func(owner broker.Owner) bool { return owner.Host == h })
 			})
 		}
 		if len(local) > 0 {
@@ -134,6 +153,37 @@
 	o.fallbacks.Store(&fallbacks)
 }
 
+// partsOf returns the number of parts into which the connections to an upstream are
+// divided.
+func (o *assignments) partsOf(id string) int {
+	if o.linkMegabits <= 0 || o.linkMegabits >= narrowLinkMegabits || o.undivided[id] {
+		return 1
+	}
+	return narrowLinkOwners
+}
+
+// partName returns the name by which the owners of a part are assigned. The first one
+// is the upstream's ID.
+func partName(id string, part int) string {
+	if part == 0 {
+		return id
+	}
+	return fmt.Sprintf("%s part %d", id, part)
+}
+
+// ownersOfParts returns the owners of each part of an upstream's connections.
+func (o *assignments) ownersOfParts(id string, assigned map[string][]string) [][]broker.Owner {
+	parts := make([][]broker.Owner, o.partsOf(id))
+	for i := range parts {
+		ranked := assigned[partName(id, i)]
+		o.firstOwners[ranked[0]] = true
+		for _, host := range ranked {
+			parts[i] = append(parts[i], broker.Owner{Host: host, Address: o.addressOf(host)})
+		}
+	}
+	return parts
+}
+
 // assignTokenHosts assigns the token hosts of all organisations and the sample
 // hosts of all services.
 func (o *assignments) assignTokenHosts(view *keeper.View) {
@@ -251,8 +301,18 @@
 	return nil
 }
 
-// ownersOf returns the owners of an upstream.
-func (o *assignments) ownersOf(u keeper.Upstream) []broker.Owner {
+// ownersOf returns the owners of the connections to an upstream that an organisation
+// uses.
+func (o *assignments) ownersOf(u keeper.Upstream, organisation string) []broker.Owner {
+	parts := o.partOwners(u)
+	if len(parts) == 0 {
+		return nil
+	}
+	return parts[placer.PickOwner(u.ID, organisation, len(parts))]
+}
+
+// partOwners returns the owners of each part of an upstream's connections.
+func (o *assignments) partOwners(u keeper.Upstream) [][]broker.Owner {
 	if current := o.current.Load(); current != nil {
 		return (*current)[u.ID]
 	}
@@ -262,14 +322,14 @@
 // isFirstOwner reports whether this host is the first owner of an upstream. If no host is
 // in its data centre, each host may act as one.
 func (o *assignments) isFirstOwner(u keeper.Upstream) bool {
-	ranked := o.ownersOf(u)
-	return len(ranked) == 0 || ranked[0].Host == o.host
+	parts := o.partOwners(u)
+	return len(parts) == 0 || parts[0][0].Host == o.host
 }
 
-// lendersOf returns the hosts that lend connections to an upstream: its owners
-// and the fallback host of this data centre.
-func (o *assignments) lendersOf(u keeper.Upstream) []broker.Owner {
-	owners := o.ownersOf(u)
+// lendersOf returns the hosts that lend an organisation connections to an upstream:
+// the owners and the fallback host of this data centre.
+func (o *assignments) lendersOf(u keeper.Upstream, organisation string) []broker.Owner {
+	owners := o.ownersOf(u, organisation)
 	if fallbacks := o.fallbacks.Load(); fallbacks != nil {
 		if fallback, ok := (*fallbacks)[u.ID]; ok {
 			return append(slices.Clone(owners), fallback)
@@ -284,15 +344,31 @@
 func (o *assignments) poolLimits(view *keeper.View, u keeper.Upstream) connector.PoolLimits {
 	most := float64(view.Configuration.Services[u.Service].MaxConnections - reservedConnections)
 	fallback := max(1, int(most*fallbackFraction)/max(1, len(o.groupPeers(func(p keeper.Peer) string { return p.DataCentre }))))
-	lenders, owners := o.lendersOf(u), len(o.ownersOf(u))
-	rank := slices.IndexFunc(lenders, func(l broker.Owner) bool { return l.Host == o.host })
+	parts := o.partOwners(u)
+	share := most / float64(max(1, len(parts)))
+	first, second := 0, 0
+	for _, owners := range parts {
+		switch slices.IndexFunc(owners, func(l broker.Owner) bool { return l.Host == o.host }) {
+		case 0:
+			first += max(1, int(share*ownerFraction))
+		case 1:
+			second += max(1, int(share*secondOwnerFraction))
+		}
+	}
 	switch {
-	case owners > 0 && rank == 0:
-		return connector.PoolLimits{MaxConnections: max(1, int(most*ownerFraction))}
-	case rank >= 0 && rank < owners:
-		return connector.PoolLimits{MaxConnections: max(1, int(most*secondOwnerFraction)), IdleTimeout: nonOwnerIdleTimeout}
-	case rank >= 0 || len(lenders) == 0:
+	case first > 0:
+		return connector.PoolLimits{MaxConnections: first + second}
+	case second > 0:
+		return connector.PoolLimits{MaxConnections: second, IdleTimeout: nonOwnerIdleTimeout}
+	case o.isFallback(u) || len(parts) == 0:
 		return connector.PoolLimits{MaxConnections: fallback, IdleTimeout: nonOwnerIdleTimeout}
 	}
 	return connector.PoolLimits{IdleTimeout: nonOwnerIdleTimeout}
 }
+
+// isFallback reports whether this host opens connections to an upstream while its data
+// centre reaches no owner.
+func (o *assignments) isFallback(u keeper.Upstream) bool {
+	fallbacks := o.fallbacks.Load()
+	return fallbacks != nil && (*fallbacks)[u.ID].Host == o.host
+}
--- a/internal/launcher/assignments_test.go
+++ b/internal/launcher/assignments_test.go
@@ -51,7 +51,7 @@
 	for name, p := range v.Peers {
 		o := assignmentsFor(name, p.DataCentre, v, regions)
 		for id, u := range v.Upstreams {
-			ranked := o.ownersOf(u)
+			ranked := o.ownersOf(u, "small")
 			qt.Assert(t, ranked, qt.HasLen, assignedHosts)
 			for _, o := range ranked {
 				// Bodies of restricted requests pass through the owners.
@@ -131,9 +131,9 @@
 			o := assignmentsFor(name, p.DataCentre, v, regions)
 			limit := o.poolLimits(v, u).MaxConnections
 			total += limit
-			fallback := o.lendersOf(u)[assignedHosts]
+			fallback := o.lendersOf(u, "small")[assignedHosts]
 			qt.Assert(t, v.Peers[fallback.Host].DataCentre, qt.Equals, p.DataCentre)
-			qt.Assert(t, limit > 0, qt.Equals, slices.ContainsFunc(o.lendersOf(u), func(l broker.Owner) bool { return l.Address == "" }), qt.Commentf("a host that is asked for connections may open some"))
+			qt.Assert(t, limit > 0, qt.Equals, slices.ContainsFunc(o.lendersOf(u, "small"), func(l broker.Owner) bool { return l.Address == "" }), qt.Commentf("a host that is asked for connections may open some"))
 		}
 		qt.Assert(t, total <= 70-reservedConnections, qt.IsTrue, qt.Commentf("%d connections to %s", total, u.ID))
 	}
@@ -171,7 +171,7 @@
 		o := assignmentsFor(name, p.DataCentre, v, regions)
 		if name == "a1-0" {
 			for _, u := range v.Upstreams {
-				owned[o.ownersOf(u)[0].Host]++
+				owned[o.ownersOf(u, "small")[0].Host]++
 			}
 		}
 		if p.DataCentre == "a1" {
@@ -188,3 +188,73 @@
 		qt.Assert(t, n <= asked/2, qt.IsTrue, qt.Commentf("%s spends for %d of %d", host, n, asked))
 	}
 }
+
+// narrowAssignmentsFor returns the assignments of a host with a narrow link.
+func narrowAssignmentsFor(host, dataCentre string, v *keeper.View, regions map[string]string) *assignments {
+	o := &assignments{
+		host: host, dataCentre: dataCentre, linkMegabits: 2,
+		location: transactor.Location{DataCentre: dataCentre, Region: regions[dataCentre], Regions: regions},
+	}
+	o.update(v)
+	return o
+}
+
+// One host with a narrow link cannot carry all statements of an upstream: its answers
+// come late, callers take it for lost, and their requests come again elsewhere.
+func TestHostsWithNarrowLinksShareAnUpstream(t *testing.T) {
+	v, regions := fleetView()
+	for i := range 60 {
+		name := fmt.Sprintf("organisation-%d", i)
+		v.Configuration.Organisations[name] = keeper.Organisation{Name: name, Rate: 8}
+	}
+	u := v.Upstreams["i-a1"]
+	reference := narrowAssignmentsFor("b2-0", "b2", v, regions)
+	carried, total := map[string]int{}, 0
+	for organisation := range v.Configuration.Organisations {
+		carried[reference.ownersOf(u, organisation)[0].Host]++
+	}
+	qt.Assert(t, len(carried) >= 2, qt.IsTrue, qt.Commentf("owners and their organisations: %v", carried))
+	for name, p := range v.Peers {
+		o := narrowAssignmentsFor(name, p.DataCentre, v, regions)
+		for organisation := range v.Configuration.Organisations {
+			owners := o.ownersOf(u, organisation)
+			qt.Assert(t, owners[0].Host, qt.Equals, reference.ownersOf(u, organisation)[0].Host)
+			for _, owner := range owners {
+				// Bodies of restricted requests pass through the owners.
+				qt.Assert(t, v.Peers[owner.Host].DataCentre, qt.Equals, u.DataCentre)
+			}
+		}
+		limits := o.poolLimits(v, u)
+		qt.Assert(t, limits.MaxConnections > 0 || carried[name] == 0, qt.IsTrue, qt.Commentf("%s lends connections and may open none", name))
+		total += limits.MaxConnections
+	}
+	qt.Assert(t, total <= 42-reservedConnections, qt.IsTrue, qt.Commentf("%d connections", total))
+}
+
+// Two hosts that send to a cold upstream would need two grants.
+func TestUpstreamWithWarmupLimitHasOneOwner(t *testing.T) {
+	v, regions := fleetView()
+	v.Configuration.Services["s"] = keeper.Service{MaxConnections: 42, WarmupRate: 10}
+	o := narrowAssignmentsFor("a1-0", "a1", v, regions)
+	qt.Assert(t, o.partOwners(v.Upstreams["i-a1"]), qt.HasLen, 1)
+	first := 0
+	for name, p := range v.Peers {
+		if narrowAssignmentsFor(name, p.DataCentre, v, regions).isFirstOwner(v.Upstreams["i-a1"]) {
+			first++
+		}
+	}
+	qt.Assert(t, first, qt.Equals, 1)
+}
+
+// A change of the limit must divide the connections anew although no host and no
+// upstream has come or gone.
+func TestOwnersFollowTheWarmupLimit(t *testing.T) {
+	v, regions := fleetView()
+	o := narrowAssignmentsFor("a1-0", "a1", v, regions)
+	qt.Assert(t, o.partOwners(v.Upstreams["i-a1"]), qt.HasLen, narrowLinkOwners)
+	next := *v
+	next.Configuration.Version++
+	next.Configuration.Services = map[string]keeper.Service{"s": {MaxConnections: 42, WarmupRate: 10}}
+	o.update(&next)
+	qt.Assert(t, o.partOwners(v.Upstreams["i-a1"]), qt.HasLen, 1)
+}
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -75,6 +75,9 @@
 	// PrimaryLease is true if nothing but the hosts' leases keeps a replaced primary
 	// from committing.
 	PrimaryLease bool
+	// LinkMegabits is the bandwidth of the hosts' network links in Mbit/s; zero means
+	// unknown.
+	LinkMegabits float64
 	// Descriptors is the limit of open files and connections; zero means no
 	// limit.
 	Descriptors int64
@@ -166,7 +169,7 @@
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
 	e.evacuations = &transactor.Evacuations{Evacuator: evacuator.Evacuator{Limit: e.Settings.EvacuationLimit}, Now: timer.Now, Log: e.Log}
-	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
+	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place, linkMegabits: e.Settings.LinkMegabits}
 	e.warmups = &warmupThrottle{now: timer.Now, isOwner: e.assignments.isFirstOwner, log: e.Log}
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Throttle: e.warmups.throttle(), Weight: e.organisationWeight}
 	e.set.OnOverload = e.logOverload
@@ -258,7 +261,7 @@
 func (e *EntryHost) primaryOwner(service string) sampler.SampleHost {
 	view, _ := e.controlClient.View()
 	if u, ok := view.Upstreams[view.Primaries[service]]; ok {
-		if ranked := e.assignments.ownersOf(u); len(ranked) > 0 {
+		if ranked := e.assignments.ownersOf(u, transactor.PublicOrganisation); len(ranked) > 0 {
 			return sampler.SampleHost(ranked[0])
 		}
 	}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"time"
 
@@ -231,7 +232,8 @@
 	}
 	var regionErr *connector.RegionError
 	var warmupErr *connector.WarmupError
-	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && !errors.As(err, &warmupErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
+	var ownerErr *connector.OwnerError
+	if !errors.As(err, &ownerErr) && !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && !errors.As(err, &warmupErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
 	r.session.server.Log.Info(failureEvent(err), zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
@@ -242,12 +244,13 @@
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
 	var setupErr *connector.SetupError
+	var timeout net.Error
 	switch {
 	case errors.As(err, &queueErr):
 		return logger.EventUpstreamQueueRefused
 	case errors.As(err, &connectErr), errors.As(err, &setupErr):
 		return logger.EventUpstreamConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return logger.EventUpstreamAnswerLate
 	}
 	return logger.EventUpstreamConnectionLost
