Check that bodies pass only through hosts of two data centres

Change: the test of assignments checks that each lender is in the data centre of the upstream or of the caller's host.

--- a/internal/launcher/assignments_test.go
+++ b/internal/launcher/assignments_test.go
@@ -57,6 +57,11 @@
 				// Bodies of restricted requests pass through the owners.
 				qt.Assert(t, v.Peers[o.Host].DataCentre, qt.Equals, u.DataCentre)
 			}
+			for _, lender := range o.lendersOf(u) {
+				// They may pass through a host of the caller's data centre besides.
+				dataCentre := v.Peers[lender.Host].DataCentre
+				qt.Assert(t, dataCentre == u.DataCentre || dataCentre == p.DataCentre, qt.IsTrue, qt.Commentf("%s lends %s to %s", lender.Host, id, name))
+			}
 			qt.Assert(t, ranked[0].Address == "", qt.Equals, ranked[0].Host == name)
 			if known := owner[id]; known != "" {
 				qt.Assert(t, ranked[0].Host, qt.Equals, known)
