Route explanations: permitted regions and cold upstreams

Cause: an explanation of a route named upstreams in regions to which a request is never sent, and cold upstreams that reads pass over.

Change: explanations apply the permitted regions, and prefer upstreams that have not refused statements as cold, as requests do.

Without the regions TestRouteExplanationStaysInPermittedRegions fails.

--- a/internal/transactor/cold.go
+++ b/internal/transactor/cold.go
@@ -45,16 +45,26 @@
 // choose chooses a candidate that has not refused statements as cold or, if there is none
 // that can be used, one that has.
 func (c *coldUpstreams) choose(floor tracker.Position, at time.Time, candidates []balancer.Candidate, random float64) int {
-	if now := time.Now(); now.UnixNano() < c.until.Load() {
-		warm := append([]balancer.Candidate(nil), candidates...)
-		c.mu.Lock()
-		for i := range warm {
-			warm[i].Suspect = warm[i].Suspect || now.Before(c.retryAt[warm[i].ID])
-		}
-		c.mu.Unlock()
+	if warm, ok := c.withoutCold(candidates); ok {
 		if i := balancer.ChooseSpread(floor, at, warm, random); i >= 0 {
 			return i
 		}
 	}
 	return balancer.ChooseSpread(floor, at, candidates, random)
 }
+
+// withoutCold returns the candidates with those that have refused statements as cold
+// marked as suspect. It returns false if none has.
+func (c *coldUpstreams) withoutCold(candidates []balancer.Candidate) ([]balancer.Candidate, bool) {
+	now := time.Now()
+	if now.UnixNano() >= c.until.Load() {
+		return candidates, false
+	}
+	warm := append([]balancer.Candidate(nil), candidates...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range warm {
+		warm[i].Suspect = warm[i].Suspect || now.Before(c.retryAt[warm[i].ID])
+	}
+	return warm, true
+}
--- a/internal/transactor/route_explanation.go
+++ b/internal/transactor/route_explanation.go
@@ -6,6 +6,7 @@
 
 	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
+	"github.com/shallotstage/shallotstage/pkg/permitter"
 )
 
 // RouteExplanation is where a request would go now, and why.
@@ -65,7 +66,10 @@
 	if _, ok := view.Configuration.Organisations[organisation]; !ok && !route.Public {
 		return RouteExplanation{}, fmt.Errorf("transactor: organisation %q is unknown", organisation)
 	}
-	r := &request{session: &session{server: s}, route: route, organisation: organisation}
+	r := &request{
+		session: &session{server: s}, route: route, organisation: organisation,
+		permitted: permitter.Effective(route.PermittedRegions, view.Configuration.Organisations[organisation].PermittedRegions),
+	}
 	explanation := RouteExplanation{Service: route.Service}
 	if write || route.Consistency == keeper.ConsistencyPrimary {
 		r.explainPrimary(view, &explanation)
@@ -81,11 +85,19 @@
 		explanation.Reason = "the primary does not answer"
 		return
 	}
+	if !r.mayRunAt(u) {
+		explanation.Reason = r.primaryRegionRefusal(u).Detail
+		return
+	}
 	explanation.Upstream, explanation.Reason = u.ID, "primary"
 }
 
 func (r *request) explainRead(view *keeper.View, explanation *RouteExplanation) {
 	server := r.session.server
+	if refusal := r.checkRegions(view); refusal != nil {
+		explanation.Reason = refusal.Detail
+		return
+	}
 	now := server.Now()
 	floor, ok := server.Upstreams.Floor(r.route.Service, now, r.route.MaxStaleness, noFloor)
 	if ok {
@@ -101,6 +113,9 @@
 		explanation.Candidates = append(explanation.Candidates, explainCandidate(c, costs[i]))
 	}
 	explanation.Reason = "no upstream answers and has reached the floor"
+	if warm, ok := server.coldUpstreams.withoutCold(candidates); ok && balancer.Choose(floor, now, warm) >= 0 {
+		candidates = warm
+	}
 	if i := balancer.Choose(floor, now, candidates); i >= 0 {
 		explanation.Upstream, explanation.Reason = candidates[i].ID, string(balancer.ReasonOf(floor, now, candidates, i))
 	}
