--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -37,6 +37,8 @@
 	// address of the platform's API.
 	addressCount    int
 	platformAddress string
+	// memoryMB and maxFDs are the limits in the settings of all hosts.
+	memoryMB, maxFDs int
 }
 
 // Indexes into fleet.ports. All hosts use the same ports.
@@ -51,7 +53,7 @@
 func newFleet(t *testing.T) *fleet { return newFleetOfSize(t, 5) }
 
 func newFleetOfSize(t *testing.T, addressCount int) *fleet {
-	f := &fleet{t: t, dir: t.TempDir(), addressCount: addressCount, platformAddress: "127.0.0.1:1"}
+	f := &fleet{t: t, dir: t.TempDir(), addressCount: addressCount, platformAddress: "127.0.0.1:1", memoryMB: 284, maxFDs: 4300}
 	f.program = filepath.Join(f.dir, "host")
 	out, err := exec.Command("go", "build", "-o", f.program, ".").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
@@ -103,8 +105,8 @@
 ready = "%s"
 control = "%s"
 [limits]
-memory_mb = 284
-max_fds = 4300
+memory_mb = %d
+max_fds = %d
 [fault_tolerance]
 machines = 1
 [bounds]
@@ -112,7 +114,7 @@
 [cloud]
 address = "%s"
 `, p.ip, p.ip, f.ports[portPeer], f.ports[portMetrics], strings.Join(quoted, ","), filepath.Join(f.dir, p.ip),
-		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), f.platformAddress)
+		f.address(p.ip, portCaller), f.address(p.ip, portReady), f.address(p.ip, portControl), f.memoryMB, f.maxFDs, f.platformAddress)
 	qt.Assert(f.t, os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
 }
 
