Limits of memory and connections for clients that do not keep to the protocol

The largest holder is closed. An overseer closes sessions whose caller does not read, and rolls back transactions meanwhile. Listeners have parts of the descriptors; the oldest connection that is not established makes room, a complete session for one of the organisation with the most sessions. HTTP listeners bound headers and times. Answers are read without a copy of each line, and large ones are sent without a copy. Metrics, events 1114 to 1116.

--- a/cmd/shallotstage-host/roles.go
+++ b/cmd/shallotstage-host/roles.go
@@ -15,7 +15,7 @@
 		Settings: launcher.EntryHostSettings{
 			Host: s.Node, Place: transactor.Location{DataCentre: s.DataCentre, Region: s.Region, Regions: s.Regions},
 			CallerAddress: s.CallerAddress, ReadyAddress: s.ReadyAddress, MetricsAddress: s.MetricsAddress(), PeerAddress: s.PeerAddress(),
-			Grace: s.Grace, PrimaryLease: s.PrimaryLease, Descriptors: s.Descriptors,
+			Grace: s.Grace, PrimaryLease: s.PrimaryLease, Descriptors: s.Descriptors, MemoryBytes: s.MemoryBytes,
 		},
 		Seeds: watcher.seedPeers, CallerCodec: platform.CallerCodec(), UpstreamCodec: platform.UpstreamCodec(),
 		ReadyHandler: platform.ReadyHandler, Log: log,
@@ -31,8 +31,8 @@
 			DataCentre: s.DataCentre, Region: s.Region, Bootstrap: s.Bootstrap, Founders: s.SeedPeers(),
 			Voters: 2*s.Tolerance + 1, PrimaryLease: s.PrimaryLease,
 		},
-		MetricsAddress: s.MetricsAddress(),
-		Seeds:          watcher.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
+		MetricsAddress: s.MetricsAddress(), MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors,
+		Seeds: watcher.seedPeers, Decode: platform.DecodeConfiguration, UpstreamCodec: platform.UpstreamCodec(),
 		Promote: platform.NewPromoteFunc(watcher.platformAddress, promotionDialer.DialContext), Handler: platform.ControlHandler, Log: log,
 	}
 }
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -11,7 +11,7 @@
 //	b := &budgeter.Budget{Bytes: budgeter.BytesFor(memory)}
 //	h := &budgeter.Holder{Budget: b, Kind: budgeter.KindCaller, Close: func() { _ = conn.Close() }}
 //	if !h.SetHeld(n) { return errClosed }
-//	defer h.Release()
+//	defer h.End()
 package budgeter
 
 import (
@@ -43,8 +43,8 @@
 	answerReserve = 0.25
 	// maxWait bounds how long a holder waits for closed ones to release their memory.
 	maxWait = 2 * time.Second
-	// unknownWeight multiplies what a holder without a known key holds when the largest
-	// is looked for.
+	// unknownWeight multiplies what a holder without a known key, or one that is stalled,
+	// holds when the largest is looked for.
 	unknownWeight = 8
 )
 
@@ -100,6 +100,7 @@
 	// The budget's lock guards the fields below.
 	bytes   int64
 	unknown bool
+	stalled bool
 	busy    bool
 	closed  bool
 }
@@ -175,6 +176,17 @@
 	h.unknown = unknown
 }
 
+// SetStalled marks the holder as one that makes no progress: it is closed before others. It
+// may be called by any goroutine.
+func (h *Holder) SetStalled(stalled bool) {
+	if h.Budget == nil {
+		return
+	}
+	h.Budget.mu.Lock()
+	defer h.Budget.mu.Unlock()
+	h.stalled = stalled
+}
+
 // SetBusy marks the holder as one that must not be closed, because what it holds is being
 // executed.
 func (h *Holder) SetBusy(busy bool) {
@@ -189,6 +201,18 @@
 // Release records that the holder holds nothing.
 func (h *Holder) Release() { h.SetHeld(0) }
 
+// End releases what the holder has, for good: it gets nothing more.
+func (h *Holder) End() {
+	b := h.Budget
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.set(h, 0)
+	h.closed = true
+}
+
 // set changes what a holder holds. The caller must hold the lock.
 func (b *Budget) set(h *Holder, bytes int64) {
 	change := bytes - h.bytes
@@ -235,7 +259,7 @@
 }
 
 func weight(h *Holder, bytes int64) int64 {
-	if h.unknown {
+	if h.unknown || h.stalled {
 		return unknownWeight * bytes
 	}
 	return bytes
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -45,6 +45,7 @@
 	unknown.SetUnknown(true)
 	qt.Assert(t, asking.SetHeld(50), qt.IsTrue)
 	qt.Assert(t, closed, qt.DeepEquals, []string{"unknown"})
+	known.SetStalled(true)
 	qt.Assert(t, asking.SetHeld(90), qt.IsTrue)
 	qt.Assert(t, closed, qt.DeepEquals, []string{"unknown", "known"})
 }
@@ -72,6 +73,19 @@
 	qt.Assert(t, closed, qt.DeepEquals, []string{"asking"})
 }
 
+// A goroutine that still reads must not take memory for a connection that has ended:
+// nobody would release it.
+func TestEndedHolderGetsNothing(t *testing.T) {
+	b := &Budget{Bytes: 400}
+	var closed []string
+	h := newHolder(b, &closed, "h")
+	qt.Assert(t, h.SetHeld(100), qt.IsTrue)
+	h.End()
+	qt.Assert(t, h.SetHeld(100), qt.IsFalse)
+	qt.Assert(t, b.Usage(KindCaller), qt.Equals, Usage{})
+	qt.Assert(t, closed, qt.HasLen, 0)
+}
+
 // Without a limit nothing is counted.
 func TestZeroBudgetHasNoLimit(t *testing.T) {
 	var closed []string
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -82,6 +82,9 @@
 	// Release rolls back an open transaction and returns the connection. It may
 	// be called more than once.
 	Release func()
+	// AnswersTaken is called when the user of the answers of the last batch counts them in
+	// the process's budget itself; nil if the lease does not count them.
+	AnswersTaken func()
 }
 
 // rollbackTimeout bounds the wait for the answer to a rollback. Without an
@@ -91,7 +94,7 @@
 // Lease returns a lease of one of this host's own connections.
 func (s *PoolSet) Lease(upstream, organisation string) *Lease {
 	l := &localLease{set: s, upstream: upstream, organisation: organisation}
-	return &Lease{Upstream: upstream, Run: l.run, Release: l.end}
+	return &Lease{Upstream: upstream, Run: l.run, Release: l.end, AnswersTaken: l.answersTaken}
 }
 
 // localLease is a lease of one of this host's own connections.
@@ -153,10 +156,17 @@
 	return nil
 }
 
+func (l *localLease) answersTaken() {
+	if l.conn != nil {
+		l.conn.release()
+	}
+}
+
 func (l *localLease) end() {
 	if l.conn == nil {
 		return
 	}
+	l.conn.release()
 	l.conn.rollBack()
 	l.pool.Release(l.conn)
 	l.conn = nil
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/shallotstage/shallotstage/internal/budgeter"
 )
 
 const (
@@ -19,6 +21,10 @@
 // failure.
 var errIncomplete = errors.New("answer has no completion")
 
+// errOverBudget is returned when the process holds as much as it may and the answer is
+// the largest part.
+var errOverBudget = errors.New("the process's memory budget is used up")
+
 // Conn is one connection to an upstream on behalf of one organisation. It must
 // not be used by several goroutines at once.
 type Conn struct {
@@ -41,10 +47,52 @@
 	idleSince time.Time
 	// state is the transaction state in the last answer.
 	state TransactionState
+	// holder holds the answer that is being read, of which received bytes have come and
+	// held bytes are reported.
+	holder         *budgeter.Holder
+	received, held int64
+}
+
+const (
+	// maxKeptBuffer is the size above which the buffer of a sent request is not kept.
+	maxKeptBuffer = 64 << 10
+	// answerThreshold is the size from which an answer counts in the process's budget.
+	answerThreshold = 16 << 10
+	// answerCost is the memory of an answer that is being read, by its size: its buffer
+	// is copied when it grows.
+	answerCost = 2
+)
+
+// answerReader counts what is read from an upstream.
+type answerReader struct{ c *Conn }
+
+// Read implements io.Reader. It fails if the connection holds too much.
+func (r answerReader) Read(p []byte) (int, error) {
+	n, err := r.c.net.Read(p)
+	r.c.received += int64(n)
+	if r.c.received <= answerThreshold || answerCost*r.c.received <= r.c.held {
+		return n, err
+	}
+	// In steps, so that the budget's lock is taken only now and then.
+	r.c.held = answerCost * (r.c.received + r.c.received/4)
+	if !r.c.holder.SetHeld(r.c.held) {
+		return 0, errOverBudget
+	}
+	return n, err
+}
+
+// release reports that the answers read so far are no longer held here.
+func (c *Conn) release() {
+	c.received = 0
+	if c.held > 0 {
+		c.held = 0
+		c.holder.Release()
+	}
 }
 
 // Send writes requests in a single write.
 func (c *Conn) Send(deadline time.Time, requests ...Request) error {
+	c.release()
 	c.out = c.out[:0]
 	for _, r := range requests {
 		c.out = c.codec.AppendRequest(c.out, r)
@@ -52,7 +100,11 @@
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return c.fail("set deadline", err)
 	}
-	if _, err := c.net.Write(c.out); err != nil {
+	_, err := c.net.Write(c.out)
+	if cap(c.out) > maxKeptBuffer {
+		c.out = nil
+	}
+	if err != nil {
 		return c.fail("write", err)
 	}
 	return nil
@@ -60,6 +112,7 @@
 
 // Receive reads the answer to the next outstanding request.
 func (c *Conn) Receive() (Answer, error) {
+	c.received = 0
 	a, err := c.codec.ReadAnswer(c.r)
 	if err != nil {
 		return a, c.fail("read answer", err)
@@ -177,4 +230,7 @@
 }
 
 // Close closes a connection that belongs to no pool.
-func (c *Conn) Close() { _ = c.net.Close() }
+func (c *Conn) Close() {
+	c.release()
+	_ = c.net.Close()
+}
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/shallotstage/shallotstage/internal/budgeter"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
@@ -38,6 +39,8 @@
 	// DialNet opens the network connection; nil means TCP with keepalive and an
 	// acknowledgement timeout.
 	DialNet func(ctx context.Context, address string) (net.Conn, error)
+	// Budget bounds the answers that are being read; nil means no limit.
+	Budget *budgeter.Budget
 }
 
 // Dial opens a connection on behalf of an organisation.
@@ -51,9 +54,11 @@
 		return nil, Answer{}, &ConnectError{Upstream: u.ID, Err: err}
 	}
 	c := &Conn{
-		Organisation: organisation, Upstream: u.ID, net: conn, r: bufio.NewReaderSize(conn, readBufferSize), codec: d.Codec,
+		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec,
 		values: map[string]string{}, prepared: map[string]bool{}, state: StateIdle,
 	}
+	c.r = bufio.NewReaderSize(answerReader{c}, readBufferSize)
+	c.holder = &budgeter.Holder{Budget: d.Budget, Kind: budgeter.KindUpstream, HoldsAnswers: true, Close: func() { _ = conn.Close() }}
 	a, err := c.handshake(ctx, u)
 	if err != nil {
 		_ = conn.Close()
@@ -74,6 +79,7 @@
 	if _, err := c.net.Write(c.codec.AppendStartup(nil, u.Service, c.Organisation, u.ID)); err != nil {
 		return Answer{}, &ConnectError{Upstream: u.ID, Err: err}
 	}
+	defer c.release()
 	a, err := c.codec.ReadAnswer(c.r)
 	if a.Failure != FailureNone {
 		return a, &ConnectError{Upstream: u.ID, Failure: a.Failure, Err: fmt.Errorf("refused: %s %s", a.Failure, a.Detail)}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -19,12 +19,14 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
 
 	"github.com/shallotstage/shallotstage/internal/acceptor"
+	"github.com/shallotstage/shallotstage/internal/budgeter"
 )
 
 const (
@@ -34,6 +36,9 @@
 	// openTimeout is the timeout of opening a stream, including the answer to
 	// its header.
 	openTimeout = 2 * time.Second
+	// closeTimeout is how long the other side may leave a closed stream open, whose
+	// unread bytes are kept until then.
+	closeTimeout = 10 * time.Second
 	// dialTimeout is the timeout of opening a connection. It allows several round
 	// trips between regions, but not the retransmission of a lost SYN, which
 	// happens only after a second.
@@ -46,6 +51,18 @@
 )
 
 // The answers to a header.
+const (
+	// headerThreshold is the size from which a header counts in the process's budget.
+	headerThreshold = 16 << 10
+	// headerStep is how much of a header is read at a time.
+	headerStep = 64 << 10
+	// headerCost is the memory of a header by its size: its buffer grows, and what is
+	// decoded from it is as large.
+	headerCost = 3
+)
+
+var errOverBudget = errors.New("forwarder: the process's memory budget is used up")
+
 const (
 	answerAccepted = 'T'
 	answerRefused  = 'R'
@@ -59,6 +76,8 @@
 type Forwarder struct {
 	// Dial opens a connection to another host.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Budget bounds the headers of streams that other hosts open; nil means no limit.
+	Budget *budgeter.Budget
 
 	mu           sync.Mutex
 	muxes        map[string]*yamux.Session
@@ -70,6 +89,7 @@
 	c.KeepAliveInterval = keepAliveInterval
 	c.ConnectionWriteTimeout = openTimeout
 	c.StreamOpenTimeout = openTimeout
+	c.StreamCloseTimeout = closeTimeout
 	c.LogOutput = io.Discard
 	return c
 }
@@ -242,7 +262,18 @@
 // serveConn serves the streams of one connection.
 func (f *Forwarder) serveConn(ctx context.Context, conn net.Conn, accept AcceptFunc) {
 	defer func() { _ = conn.Close() }()
-	mux, err := yamux.Server(conn, yamuxConfig())
+	link := &incomingLink{Conn: conn, holder: &budgeter.Holder{Budget: f.Budget, Kind: budgeter.KindLink, Close: func() { _ = conn.Close() }}}
+	defer link.holder.End()
+	// The count is used with the first data, after the multiplexer has started.
+	var mux *yamux.Session
+	started := make(chan struct{})
+	link.streamCount = func() int {
+		<-started
+		return mux.NumStreams()
+	}
+	session, err := yamux.Server(link, yamuxConfig())
+	mux = session
+	close(started)
 	if err != nil {
 		return
 	}
@@ -258,15 +289,22 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			serveStream(ctx, stream, accept)
+			f.serveStream(ctx, linkStream{stream, link}, accept)
 		}()
 	}
 }
 
-func serveStream(ctx context.Context, stream net.Conn, accept AcceptFunc) {
-	header, err := readHeader(stream)
+func (f *Forwarder) serveStream(ctx context.Context, stream linkStream, accept AcceptFunc) {
+	holder := &budgeter.Holder{Budget: f.Budget, Kind: budgeter.KindLink, Close: func() { _ = stream.Close() }}
+	header, err := readHeader(stream, holder)
+	defer func() {
+		if len(header) > headerThreshold {
+			holder.Release()
+		}
+	}()
 	if err != nil {
 		_ = stream.Close()
+		discard(stream)
 		return
 	}
 	serve := accept(header)
@@ -279,10 +317,15 @@
 		_ = stream.Close()
 		return
 	}
+	acceptor.Establish(stream.link.Conn)
+	if len(header) > headerThreshold {
+		// The header may contain a statement, which is now executed.
+		holder.SetBusy(true)
+	}
 	serve(ctx, stream)
 }
 
-func readHeader(stream net.Conn) ([]byte, error) {
+func readHeader(stream net.Conn, holder *budgeter.Holder) ([]byte, error) {
 	_ = stream.SetReadDeadline(time.Now().Add(openTimeout))
 	defer func() { _ = stream.SetReadDeadline(time.Time{}) }()
 	var size [4]byte
@@ -293,9 +336,38 @@
 	if n > maxHeaderBytes {
 		return nil, fmt.Errorf("forwarder: header of %d bytes is above %d", n, maxHeaderBytes)
 	}
-	header := make([]byte, n)
-	if _, err := io.ReadFull(stream, header); err != nil {
-		return nil, fmt.Errorf("forwarder: read header: %w", err)
+	// The size is only what the other host says: the buffer grows with what arrives.
+	header := make([]byte, 0, min(n, headerThreshold))
+	for uint32(len(header)) < n {
+		step := min(n-uint32(len(header)), headerStep)
+		if n > headerThreshold && !holder.SetHeld(int64(headerCost*(len(header)+int(step)))) {
+			return header, errOverBudget
+		}
+		if cap(header)-len(header) < int(step) {
+			header = slices.Grow(header, max(int(step), len(header)))
+		}
+		header = header[:len(header)+int(step)]
+		if _, err := io.ReadFull(stream, header[len(header)-int(step):]); err != nil {
+			return header, fmt.Errorf("forwarder: read header: %w", err)
+		}
 	}
 	return header, nil
 }
+
+// discard reads what comes of a closed stream, for a while: the multiplexer keeps what has
+// come and is not read.
+func discard(stream net.Conn) {
+	_ = stream.SetReadDeadline(time.Now().Add(openTimeout))
+	buffer, ok := bulkBuffers.Get().(*[bulkBytes]byte)
+	if !ok {
+		return
+	}
+	defer bulkBuffers.Put(buffer)
+	for n := 0; n < maxHeaderBytes; {
+		read, err := stream.Read(buffer[:])
+		if err != nil {
+			return
+		}
+		n += read
+	}
+}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -21,6 +21,9 @@
 	Settings coordinator.Settings
 	// MetricsAddress is the listen address for metrics.
 	MetricsAddress string
+	// MemoryBytes is the memory that the process may use, and Descriptors its limit of open
+	// files and connections; zero means no limit.
+	MemoryBytes, Descriptors int64
 	// Seeds returns the peer addresses of control hosts.
 	Seeds         func() []string
 	Decode        keeper.DecodeFunc
@@ -33,7 +36,8 @@
 
 // Run serves until ctx ends.
 func (c *ControlHost) Run(ctx context.Context) error {
-	dialer := &connector.Dialer{Codec: c.UpstreamCodec}
+	limits := newProcessLimits(c.MemoryBytes, c.Descriptors, c.Log)
+	dialer := &connector.Dialer{Codec: c.UpstreamCodec, Budget: limits.budget}
 	co := &coordinator.Coordinator{
 		Settings: c.Settings, Seeds: c.Seeds, Decode: c.Decode, Now: timer.Now, Dial: linker.Linker{}.Dial, Promote: c.Promote,
 		QueryStatus: func(ctx context.Context, u keeper.Upstream) (connector.ReplicationStatus, error) {
@@ -59,8 +63,11 @@
 	if err != nil {
 		return fmt.Errorf("launcher: listen for metrics: %w", err)
 	}
+	peers = linker.BoundListener(limits.bound("links", peers, limits.descriptors.links), limits.budget)
+	operators = limits.bound("operators", operators, limits.descriptors.rest)
+	metrics = limits.bound("metrics", metrics, limits.descriptors.probes)
 	go func() {
-		if err := serveHTTP(ctx, metrics, controlMetrics(co)); err != nil {
+		if err := serveHTTP(ctx, metrics, controlMetrics(co, limits)); err != nil {
 			c.Log.Error(logger.EventListenerFailed, zap.String("part", "metrics"), zap.Error(err))
 		}
 	}()
@@ -70,7 +77,7 @@
 		}
 	}()
 	go func() {
-		if err := serveSingleRequests(ctx, operators, c.Handler(co, c.Log)); err != nil {
+		if err := serveSingleRequests(ctx, operators, limits.holdBodies(c.Handler(co, c.Log))); err != nil {
 			c.Log.Error(logger.EventListenerFailed, zap.String("part", "operators"), zap.Error(err))
 		}
 	}()
--- a/internal/launcher/control_metrics.go
+++ b/internal/launcher/control_metrics.go
@@ -21,7 +21,7 @@
 }
 
 // controlMetrics returns the metrics handler of a control host.
-func controlMetrics(c *coordinator.Coordinator) http.Handler {
+func controlMetrics(c *coordinator.Coordinator, limits *processLimits) http.Handler {
 	s := &statusCollector{coordinator: c, descs: map[string]*prometheus.Desc{}}
 	for name, help := range map[string]string{
 		"answers":   "1 when the control goroutine answered in time.",
@@ -37,6 +37,7 @@
 	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(s)
+	limits.register(registry)
 	return metricsHandler(registry)
 }
 
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -41,8 +41,6 @@
 	// exitReserve is the part of the grace period kept for the exit of the
 	// process.
 	exitReserve = 400 * time.Millisecond
-	// reservedDescriptors are kept for files and the process's own connections.
-	reservedDescriptors = 400
 	// peerBackoff is how long an owner or sample host that did not answer is
 	// skipped. The list of hosts that lend connections is updated within that
 	// time.
@@ -76,6 +74,8 @@
 	// Descriptors is the limit of open files and connections; zero means no
 	// limit.
 	Descriptors int64
+	// MemoryBytes is the memory that the process may use; zero means no limit.
+	MemoryBytes int64
 }
 
 // EntryHost runs an entry host. All exported fields must be set before Run.
@@ -101,6 +101,7 @@
 	sampler       *sampler.Sampler
 	server        *transactor.Server
 	entryMetrics  *entryMetrics
+	limits        *processLimits
 }
 
 // Run serves until ctx ends and then shuts down within the grace period.
@@ -122,6 +123,9 @@
 		return fmt.Errorf("launcher: listen for metrics: %w", err)
 	}
 	e.build()
+	peers = e.limits.bound("links", peers, e.limits.descriptors.links)
+	probes = e.limits.bound("readiness", probes, e.limits.descriptors.probes)
+	metrics = e.limits.bound("metrics", metrics, e.limits.descriptors.probes)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go e.controlClient.Run(work)
@@ -147,11 +151,13 @@
 // build creates the components of the host.
 func (e *EntryHost) build() {
 	e.entryMetrics = newEntryMetrics()
+	e.limits = newProcessLimits(e.Settings.MemoryBytes, e.Settings.Descriptors, e.Log)
+	e.limits.register(e.entryMetrics.registry)
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
-	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}}
+	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec, Budget: e.limits.budget}}
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
-	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
+	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream, Budget: e.limits.budget}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.ownersOf, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
@@ -173,16 +179,13 @@
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Upstreams: e.upstreams, Gate: e.gate, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
-		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe,
+		Location: e.Settings.Place, Log: e.Log, Observe: e.entryMetrics.observe, Budget: e.limits.budget, OnClose: e.limits.sessionClosed, MaxSessions: int64(e.limits.descriptors.rest),
 	}
 	e.sampler = &sampler.Sampler{
 		Forwarder: e.forwarder, SampleHosts: e.assignments.sampleHostsOf, Owner: e.primaryOwner, QueryPrimary: e.server.SamplePrimary, Latest: e.upstreams.Latest, StoreSample: e.upstreams.AddSample,
 		Now: timer.Now, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff},
 	}
 	e.server.RefreshSample = e.sampler.Refresh
-	if e.Settings.Descriptors > 0 {
-		e.server.MaxSessions = max(1, e.Settings.Descriptors-reservedDescriptors)
-	}
 	e.entryMetrics.registerGauges(e.server, e.set)
 }
 
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -22,6 +22,9 @@
 	EventRequestRefused           = Event{1111, "request_refused"}
 	EventRequestRetried           = Event{1112, "request_retried"}
 	EventCancelNotDelivered       = Event{1113, "cancel_not_delivered"}
+	EventSessionClosed            = Event{1114, "session_closed"}
+	EventHolderClosed             = Event{1115, "holder_closed"}
+	EventConnectionClosed         = Event{1116, "connection_closed"}
 	EventUpstreamSuspect          = Event{1204, "upstream_suspect"}
 	EventUpstreamRecovered        = Event{1205, "upstream_back"}
 	EventUpstreamConnectionLost   = Event{1206, "upstream_connection_lost"}
@@ -85,5 +88,6 @@
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventCancelNotDelivered,
+		EventSessionClosed, EventHolderClosed, EventConnectionClosed,
 	}
 }
--- a/internal/transactor/codec.go
+++ b/internal/transactor/codec.go
@@ -12,6 +12,8 @@
 	ReadStatement func(r *bufio.Reader) (Statement, error)
 	// AppendReply appends the reply to a statement or to the startup message.
 	AppendReply func(dst []byte, r Reply) []byte
+	// AppendReplyEnd appends what follows the body of a reply that has one.
+	AppendReplyEnd func(dst []byte, r Reply) []byte
 	// RenameExecute returns the text of a VerbExecute statement with another
 	// statement name.
 	RenameExecute func(s Statement, name string) string
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -158,14 +158,25 @@
 			refusal = refuser.New(refuser.ReasonBatchTooLarge, "session holds too many values")
 			break
 		}
+		if old, ok := s.values[st.Name]; !s.changeKept(keptChange(st, old, ok)) {
+			refusal = refuser.New(refuser.ReasonBatchTooLarge, errOverBudget.Error())
+			break
+		}
 		s.values[st.Name] = st.Value
 	case VerbPrepare:
 		if _, ok := s.prepared[st.Name]; !ok && len(s.prepared) >= maxPrepared {
 			refusal = refuser.New(refuser.ReasonBatchTooLarge, "session holds too many prepared statements")
 			break
 		}
+		if old, ok := s.prepared[st.Name]; !s.changeKept(keptChange(st, old.value, ok)) {
+			refusal = refuser.New(refuser.ReasonBatchTooLarge, errOverBudget.Error())
+			break
+		}
 		s.prepared[st.Name] = preparedStatement{value: st.Value, name: upstreamStatementName(st.Value), readOnly: st.ReadOnly}
 	case VerbClose:
+		if old, ok := s.prepared[st.Name]; ok {
+			s.changeKept(-len(st.Name) - len(old.value))
+		}
 		delete(s.prepared, st.Name)
 	}
 	return Reply{Refusal: refusal, State: state}
--- a/internal/transactor/receive.go
+++ b/internal/transactor/receive.go
@@ -67,8 +67,12 @@
 	s.mu.Lock()
 	s.idleSince = time.Time{}
 	s.mu.Unlock()
-	s.receiving = true
-	defer func() { s.receiving = false }()
+	s.receiving, s.received = true, s.r.Buffered()
+	s.enter(phaseReceiving)
+	defer func() {
+		s.receiving = false
+		s.enter(phaseExecuting)
+	}()
 	return s.server.Codec.ReadStatement(s.r)
 }
 
@@ -78,6 +82,11 @@
 func (s *session) Read(p []byte) (int, error) {
 	for {
 		n, err := s.conn.Read(p)
+		if (s.receiving || s.opening) && n > 0 {
+			if err := s.receivedBytes(n); err != nil {
+				return 0, err
+			}
+		}
 		if n > 0 || !s.receiving || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -131,6 +131,7 @@
 	begin := time.Now()
 	server.Upstreams.RequestStarted(l.Upstream)
 	answers, err := l.Run(ctx, r.limits(l, deadline), b)
+	r.session.holdAnswers(l, answers)
 	r.recordRun(ctx, l, answers, err, time.Since(begin))
 	for i, a := range answers {
 		if a.Failure != connector.FailureNone {
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -16,6 +16,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"fmt"
@@ -27,6 +28,7 @@
 	"go.uber.org/zap"
 
 	"github.com/shallotstage/shallotstage/internal/acceptor"
+	"github.com/shallotstage/shallotstage/internal/budgeter"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/recoverer"
@@ -82,7 +84,12 @@
 	Location Location
 	// MaxSessions is the maximum number of open sessions; zero means no limit.
 	MaxSessions int64
-	Log         *logger.Logger
+	// Budget bounds what the sessions hold; nil means no limit.
+	Budget *budgeter.Budget
+	// OnClose is called with the reason when a session is closed because of what its
+	// caller does not do, or to make room for others; nil disables it.
+	OnClose func(reason CloseReason)
+	Log     *logger.Logger
 	// Observe is called for each answered statement; nil disables it.
 	Observe func(Observation)
 
@@ -94,8 +101,15 @@
 	// endAfterReply is true once sessions end after their next reply.
 	endAfterReply atomic.Bool
 
-	mu            sync.Mutex
-	open          map[*session]bool
+	mu   sync.Mutex
+	open map[*session]bool
+	// unopened are the sessions whose startup message is incomplete, oldest first.
+	unopened list.List
+	// opened counts the others by organisation, and openedCount all of them.
+	opened      map[string]int
+	openedCount int
+	// closing counts the open sessions that are closed and have not ended yet.
+	closing       int
 	stopAccepting context.CancelFunc
 	// acceptingEnded is closed once no more sessions are accepted.
 	acceptingEnded <-chan struct{}
@@ -123,8 +137,10 @@
 	s.stopAccepting, s.acceptingEnded = cancel, ended
 	s.mu.Unlock()
 	failed := func(err error) { s.Log.Warn(logger.EventAcceptFailed, zap.Error(err)) }
+	go s.oversee(ended)
 	err := acceptor.Serve(ctx, listener, failed, func(conn net.Conn) {
-		if s.MaxSessions > 0 && s.sessions.Load() >= s.MaxSessions {
+		// Closed sessions that have not ended yet do not count against new ones at once.
+		if s.MaxSessions > 0 && s.sessions.Load() >= s.MaxSessions+s.unopenedReserve() {
 			failed(fmt.Errorf("transactor: session limit of %d reached", s.MaxSessions))
 			_ = conn.Close()
 			return
@@ -140,12 +156,14 @@
 func (s *Server) start(ctx context.Context, conn net.Conn) {
 	ss := &session{server: s, conn: conn, values: map[string]string{}, prepared: map[string]preparedStatement{}}
 	ss.r = bufio.NewReaderSize(ss, readBufferSize)
+	ss.holder = ss.newHolder()
 	ss.markIdle()
 	s.mu.Lock()
 	if s.open == nil {
 		s.open = map[*session]bool{}
 	}
 	s.open[ss] = true
+	s.addUnopened(ss)
 	s.mu.Unlock()
 	s.sessions.Add(1)
 	s.wait.Go(func() {
@@ -153,7 +171,7 @@
 			_ = conn.Close()
 			s.sessions.Add(-1)
 			s.mu.Lock()
-			delete(s.open, ss)
+			s.remove(ss)
 			s.mu.Unlock()
 		}()
 		defer recoverer.Recover(s.Log, "session", nil)
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/budgeter"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/internal/recoverer"
@@ -67,6 +69,26 @@
 	// receiving is true while a statement is read of which a part has arrived. Only the
 	// session's goroutine uses it.
 	receiving bool
+	// opening is true while the startup message is read. Only the session's goroutine
+	// uses it.
+	opening bool
+
+	// holder reports to the process's budget what the session holds: held bytes, of
+	// which keptHeld are for values and prepared statements.
+	holder         *budgeter.Holder
+	held, keptHeld int64
+	// received is the size of the message that is being received so far, and kept that of the
+	// values and prepared statements.
+	received, kept int
+	// phase is read by the overseer, see enter.
+	phase atomic.Uint32
+	// interrupted is the phase in which the overseer made a write fail, because the caller
+	// stopped reading within a transaction.
+	interrupted atomic.Uint32
+	// tooSlow is true once the overseer closes the session.
+	tooSlow atomic.Bool
+	// seen is the overseer's own record of the session.
+	seen sighting
 
 	mu sync.Mutex
 	// idleSince is when the last reply was sent; zero while a statement is
@@ -78,6 +100,7 @@
 }
 
 func (s *session) serve(ctx context.Context) {
+	defer s.holder.End()
 	if !s.open() {
 		return
 	}
@@ -88,7 +111,9 @@
 			return
 		}
 		begin := time.Now()
+		s.setBusy(true)
 		reply, intact := s.handleRecovering(ctx, st)
+		s.setBusy(false)
 		ok := s.answer(reply) && intact
 		s.observe(st, reply, time.Since(begin))
 		if !ok || s.endsAfterReply() {
@@ -116,17 +141,28 @@
 	if err := s.conn.SetReadDeadline(time.Now().Add(startupTimeout)); err != nil {
 		return false
 	}
+	s.opening = true
+	s.holder.SetUnknown(true)
 	startup, err := s.server.Codec.ReadStartup(s.r)
+	s.opening = false
+	s.server.openingEnded(s)
 	if err != nil {
 		return false
 	}
 	s.startup = startup
 	view := s.server.firstView()
-	_, _, refusal := s.authorise(view)
+	_, organisation, refusal := s.authorise(view)
 	if refusal != nil {
 		s.server.Log.Warn(logger.EventSessionRefused, zap.String("route", startup.Route), zap.Uint64("version", view.Configuration.Version), zap.String("reason", string(refusal.Reason)))
 	}
-	return s.answer(Reply{Startup: true, Refusal: refusal, State: connector.StateIdle}) && refusal == nil
+	if !s.answer(Reply{Startup: true, Refusal: refusal, State: connector.StateIdle}) || refusal != nil {
+		return false
+	}
+	if organisation.Name != "" {
+		s.holder.SetUnknown(false)
+	}
+	s.server.sessionOpened(s, organisation.Name)
+	return true
 }
 
 // firstView returns the current view. On a host that has just started, it waits
@@ -184,11 +220,25 @@
 
 // answer sends a reply.
 func (s *session) answer(r Reply) bool {
-	s.out = s.server.Codec.AppendReply(s.out[:0], r)
-	_, err := s.conn.Write(s.out)
-	if cap(s.out) > 64<<10 {
-		s.out = nil
+	large := len(r.Body) > answerThreshold && r.Refusal == nil
+	err := error(nil)
+	if large {
+		// The statement is answered and no longer needed.
+		s.holder.HoldsAnswers = true
+		if !s.hold(int64(cap(r.Body))) {
+			return false
+		}
+		err = s.write(r.Body)
+		s.out = s.server.Codec.AppendReplyEnd(s.out[:0], r)
+	} else {
+		s.out = s.server.Codec.AppendReply(s.out[:0], r)
+	}
+	if err == nil {
+		err = s.write(s.out)
 	}
+	s.received, s.holder.HoldsAnswers = 0, false
+	s.hold(0)
+	s.enter(phaseIdle)
 	s.markIdle()
 	return err == nil
 }
