--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -52,7 +52,7 @@
 // endAccepting makes the listener return the connections that are open already, and
 // then an error.
 func endAccepting(l net.Listener) {
-	t, ok := l.(*net.TCPListener)
+	t, ok := l.(interface{ SetDeadline(t time.Time) error })
 	if !ok || t.SetDeadline(time.Now().Add(lastAcceptWait)) != nil {
 		_ = l.Close()
 	}
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -18,7 +18,12 @@
 
 // Connections that callers have opened before the end are accepted and not reset.
 func TestConnectionsOpenedBeforeTheEndAreAccepted(t *testing.T) {
-	l := listen(t)
+	for name, l := range map[string]net.Listener{"tcp": listen(t), "bounded": &Bounded{Listener: listen(t), Max: 100}} {
+		t.Run(name, func(t *testing.T) { checkLastAccepts(t, l) })
+	}
+}
+
+func checkLastAccepts(t *testing.T, l net.Listener) {
 	const opened = 5
 	for range opened {
 		conn, err := net.Dial("tcp", l.Addr().String())
--- a/internal/acceptor/bounded.go
+++ b/internal/acceptor/bounded.go
@@ -2,8 +2,10 @@
 
 import (
 	"container/list"
+	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // Bounded is a listener that has at most Max open connections. One more costs the oldest
@@ -45,6 +47,14 @@
 	return c, nil
 }
 
+// SetDeadline makes Accept fail after t, if the listener can.
+func (b *Bounded) SetDeadline(t time.Time) error {
+	if l, ok := b.Listener.(interface{ SetDeadline(t time.Time) error }); ok {
+		return l.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
 // Establish keeps a connection that a Bounded listener has accepted from being closed for
 // others. It does nothing for other connections.
 func Establish(conn net.Conn) {
