--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -96,6 +96,9 @@
 	// Release rolls back an open transaction and returns the connection. It may
 	// be called more than once.
 	Release func()
+	// AnswersTaken is called when the user of the answers of the last batch counts them in
+	// the process's budget itself; nil if the lease does not count them.
+	AnswersTaken func()
 }
 
 // rollbackTimeout bounds the wait for the answer to a rollback. Without an
@@ -105,7 +108,7 @@
 // Lease returns a lease of one of this host's own connections.
 func (s *PoolSet) Lease(upstream, organisation string) *Lease {
 	l := &localLease{set: s, upstream: upstream, organisation: organisation}
-	return &Lease{Upstream: upstream, Run: l.run, Release: l.end}
+	return &Lease{Upstream: upstream, Run: l.run, Release: l.end, AnswersTaken: l.answersTaken}
 }
 
 // localLease is a lease of one of this host's own connections.
@@ -204,10 +207,17 @@
 	return l.set.MayForward(pool.currentUpstream())
 }
 
+func (l *localLease) answersTaken() {
+	if l.conn != nil {
+		l.conn.release()
+	}
+}
+
 func (l *localLease) end() {
 	if l.conn == nil {
 		return
 	}
+	l.conn.release()
 	l.conn.rollBack()
 	l.pool.Release(l.conn)
 	l.conn = nil
