--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -61,9 +61,10 @@
 	// LocalConnections is the set of this host's own connections.
 	LocalConnections *connector.PoolSet
 	Forwarder        *forwarder.Forwarder
-	// Owners returns the hosts that may own an upstream, in order of
-	// preference. An owner without an address is this host.
-	Owners func(u keeper.Upstream) []Owner
+	// Owners returns the hosts that may own the connections to an upstream that an
+	// organisation uses, in order of preference. An owner without an address is this
+	// host.
+	Owners func(u keeper.Upstream, organisation string) []Owner
 	// Check returns why this host must not run the statements of another host at an
 	// upstream, for an organisation on a route; nil allows all. It is not asked about
 	// queries of a position.
@@ -71,7 +72,10 @@
 	// ObserveLoad is called with each report of an upstream's load for an
 	// organisation; nil disables it.
 	ObserveLoad func(upstream, organisation string, load queuer.Load)
-	Log         *logger.Logger
+	// ObserveRoundTrip is called with each measured round trip to another host;
+	// nil disables it.
+	ObserveRoundTrip func(host string, d time.Duration)
+	Log              *logger.Logger
 	// Backoffer tracks the owners to skip: by host, or by host and upstream when
 	// the owner cannot reach only that upstream.
 	Backoffer backoffer.Backoffer
@@ -80,7 +84,7 @@
 // Lease returns a lease of a connection to an upstream, from its owner or of
 // this host.
 func (b *Broker) Lease(u keeper.Upstream, organisation string) *connector.Lease {
-	if o, ok := b.owner(u); ok {
+	if o, ok := b.owner(u, organisation); ok {
 		return b.borrow(u, organisation, o)
 	}
 	return b.observeLocal(b.LocalConnections.Lease(u.ID, organisation), organisation)
@@ -103,14 +107,14 @@
 // CanBorrow reports whether connections to the upstream can be borrowed from
 // another host.
 func (b *Broker) CanBorrow(u keeper.Upstream) bool {
-	_, ok := b.owner(u)
+	_, ok := b.owner(u, "")
 	return ok
 }
 
 // owner returns the preferred host to borrow from. It returns false if this
 // host should use a connection of its own.
-func (b *Broker) owner(u keeper.Upstream) (Owner, bool) {
-	for _, o := range b.Owners(u) {
+func (b *Broker) owner(u keeper.Upstream, organisation string) (Owner, bool) {
+	for _, o := range b.Owners(u, organisation) {
 		if b.Backoffer.InBackoff(backoffKey(o, u)) {
 			continue
 		}
@@ -127,8 +131,14 @@
 // backoffKey identifies an upstream that is accessed through an owner.
 func backoffKey(o Owner, u keeper.Upstream) string { return o.Host + " " + u.ID }
 
-// markUnreachable makes the broker skip an owner that does not answer.
+// markUnreachable makes the broker skip an owner that does not answer. One whose other
+// answers arrive is only slow: to use other hosts in its place would close its
+// organisations' connections for the sake of new ones, when there is least room for them.
 func (b *Broker) markUnreachable(o Owner, err error) {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() && b.Forwarder.HeardSince(o.Address, time.Now().Add(-openTimeout)) {
+		return
+	}
 	added := b.Backoffer.RecordFailure(o.Host)
 	b.Forwarder.ReplaceConn(o.Address)
 	if added {
@@ -167,7 +177,7 @@
 	if l.local != nil {
 		return l.local.Run(ctx, limits, batch)
 	}
-	work := encodeWork(limits, batch)
+	work, begin := encodeWork(limits, batch), time.Now()
 	if l.stream == nil {
 		work.Upstream, work.Organisation, work.Born, work.Route = l.upstream.ID, l.organisation, l.upstream.IncarnationStart, batch.Route
 		header, err := proto.Marshal(work)
@@ -181,30 +191,37 @@
 			l.broker.markUnreachable(l.owner, err)
 			if sent && batch.HasForward() {
 				// The owner may still run the statements.
-				return nil, &connector.RunError{MayHaveRun: true, Err: err}
+				return nil, &connector.RunError{MayHaveRun: true, Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
 			}
 			l.local = l.broker.LocalConnections.Lease(l.upstream.ID, l.organisation)
 			return l.local.Run(ctx, limits, batch)
 		}
 		l.stream, l.r = stream, bufio.NewReaderSize(stream, readBufferSize)
 	} else if _, err := protodelim.MarshalTo(l.stream, work); err != nil {
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: fmt.Errorf("broker: send work to %s: %w", l.owner.Host, err)}
+		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
 	}
-	return l.receive(limits, batch)
+	return l.receive(limits, batch, begin)
 }
 
-func (l *borrowedLease) receive(limits connector.Limits, batch connector.Batch) ([]connector.Answer, error) {
+// receive reads the result of work that was sent at begin.
+func (l *borrowedLease) receive(limits connector.Limits, batch connector.Batch, begin time.Time) ([]connector.Answer, error) {
 	if err := l.stream.SetReadDeadline(limits.Deadline.Add(answerGrace)); err != nil {
 		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: err}
 	}
 	var result messenger.LentResult
 	if err := protodelim.UnmarshalFrom(l.r, &result); err != nil {
 		l.broker.markUnreachable(l.owner, err)
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: fmt.Errorf("broker: read result of %s: %w", l.owner.Host, err)}
+		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
 	}
 	if load := result.GetLoad(); load != nil && l.broker.ObserveLoad != nil {
 		l.broker.ObserveLoad(l.upstream.ID, l.organisation, decodeLoad(load))
 	}
+	if elapsed := result.GetLoad().GetElapsed(); elapsed > 0 && l.broker.ObserveRoundTrip != nil {
+		// Another build may send more than the time that the host waited.
+		if d := time.Since(begin) - time.Duration(min(elapsed, maxTwoByte))*loadUnit; d > 0 {
+			l.broker.ObserveRoundTrip(l.owner.Host, d)
+		}
+	}
 	answers, err := decodeResult(l.upstream.ID, &result)
 	var connectErr *connector.ConnectError
 	if errors.As(err, &connectErr) && connectErr.Failure == connector.FailureNone && l.broker.Backoffer.RecordFailure(backoffKey(l.owner, l.upstream)) {
@@ -236,9 +253,11 @@
 				}
 				checked = true
 			}
+			begin := time.Now()
 			result := b.runWork(ctx, lease, work)
 			if load, ok := b.LocalConnections.Load(first.GetUpstream(), first.GetOrganisation()); ok {
 				result.Load = encodeLoad(load)
+				result.Load.Elapsed = encodeElapsed(time.Since(begin))
 			}
 			if _, err := protodelim.MarshalTo(stream, result); err != nil || work.GetLast() {
 				return
--- a/internal/broker/translate_test.go
+++ b/internal/broker/translate_test.go
@@ -57,6 +57,7 @@
 		{"full queue", &connector.RunError{Err: &connector.QueueError{Upstream: "u", ExpectedWait: 400 * time.Millisecond, MayWait: true, RoomIn: 150 * time.Millisecond}}, false},
 		{"no connection", &connector.RunError{Err: &connector.ConnectError{Upstream: "u", Failure: connector.FailureTooManyConnections, Err: errors.New("full")}}, false},
 		{"region not permitted", &connector.RunError{Err: &connector.RegionError{Upstream: "u"}}, false},
+		{"cold", &connector.RunError{Err: &connector.WarmupError{Upstream: "u", RetryAfter: 70 * time.Millisecond}}, false},
 		{"not sent", &connector.RunError{Err: errors.New("reset")}, false},
 		{"sent", &connector.RunError{MayHaveRun: true, Err: errors.New("no answer")}, true},
 		{"sent and late", &connector.RunError{MayHaveRun: true, Err: fmt.Errorf("read: %w", os.ErrDeadlineExceeded)}, true},
@@ -86,6 +87,11 @@
 				qt.Assert(t, queueErr.RoomIn, qt.Equals, wantQueueErr.RoomIn)
 				qt.Assert(t, queueErr.MayWait, qt.Equals, wantQueueErr.MayWait)
 			}
+			var warmupErr, wantWarmupErr *connector.WarmupError
+			qt.Assert(t, errors.As(err, &warmupErr), qt.Equals, errors.As(test.err, &wantWarmupErr))
+			if warmupErr != nil {
+				qt.Assert(t, *warmupErr, qt.Equals, *wantWarmupErr)
+			}
 			var regionErr, wantRegionErr *connector.RegionError
 			qt.Assert(t, errors.As(err, &regionErr), qt.Equals, errors.As(test.err, &wantRegionErr))
 			var connectErr, wantConnectErr *connector.ConnectError
@@ -106,7 +112,9 @@
 // A report travels with each answer over links of 2 Mbit/s.
 func TestLoadReportIsSmall(t *testing.T) {
 	size := func(l queuer.Load) int {
-		return proto.Size(&messenger.LentResult{Load: encodeLoad(l)}) - proto.Size(&messenger.LentResult{})
+		report := encodeLoad(l)
+		report.Elapsed = encodeElapsed(time.Second)
+		return proto.Size(&messenger.LentResult{Load: report}) - proto.Size(&messenger.LentResult{})
 	}
 	typical := size(queuer.Load{Slots: 4, Running: 3, Queued: 12, Opening: 1, MeanServiceTime: 18 * time.Millisecond, HasIdle: true})
 	huge := size(queuer.Load{Slots: 1 << 40, Running: 1 << 40, Queued: 1 << 40, Opening: 1 << 40, MeanServiceTime: time.Hour, HasIdle: true})
--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -123,15 +123,26 @@
 	if b.HasForward() && !l.mayForward() {
 		return nil, &RunError{Err: &EvacuatedError{Upstream: l.upstream}}
 	}
+	open := l.conn != nil
+	if !open {
+		if err := l.set.Throttle.check(l.upstream, b); err != nil {
+			return nil, &RunError{Err: err}
+		}
+	}
 	if !b.ReadOnly {
 		limits.Kind = queuer.KindWrite
 	}
 	if err := l.acquire(ctx, limits, b); err != nil {
+		l.set.Throttle.observeConnect(l.upstream, err)
 		return nil, &RunError{Err: err}
 	}
 	if l.withoutSlot {
 		return l.conn.Run(limits.Deadline, b)
 	}
+	if err := l.set.Throttle.take(ctx, l.upstream, b, limits, open); err != nil {
+		l.pool.releaseSlot()
+		return nil, &RunError{Err: err}
+	}
 	begin := time.Now()
 	slot, deadline := l.pool.startUse(limits.Kind), limits.Deadline
 	if !begin.Before(deadline) {
--- a/internal/connector/connector.go
+++ b/internal/connector/connector.go
@@ -28,6 +28,8 @@
 // PoolSet holds a connection pool for each upstream. Dialer must be set.
 type PoolSet struct {
 	Dialer *Dialer
+	// Throttle bounds what is sent to cold upstreams; nil means no bound.
+	Throttle *Throttle
 	// MayForward reports whether callers' statements may be sent to an upstream; nil
 	// means that they may. It is called right before each is sent.
 	MayForward func(u keeper.Upstream) bool
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -75,6 +75,9 @@
 	// PrimaryLease is true if nothing but the hosts' leases keeps a replaced primary
 	// from committing.
 	PrimaryLease bool
+	// LinkMegabits is the bandwidth of the hosts' network links in Mbit/s; zero means
+	// unknown.
+	LinkMegabits float64
 	// Descriptors is the limit of open files and connections; zero means no
 	// limit.
 	Descriptors int64
@@ -106,6 +109,7 @@
 	evacuations   *transactor.Evacuations
 	admitter      *admitter.Admitter
 	sampler       *sampler.Sampler
+	warmups       *warmupThrottle
 	server        *transactor.Server
 	entryMetrics  *entryMetrics
 }
@@ -136,7 +140,7 @@
 	go e.set.Sweep(work)
 	go e.forwarder.Serve(work, peers, e.streamHandler)
 	go e.logFailure("ready probe", func() error { return serveHTTP(work, probes, e.ReadyHandler(e.ready.Load)) })
-	go e.logFailure("metrics", func() error { return serveHTTP(work, metrics, e.entryMetrics.handler()) })
+	go e.logFailure("metrics", func() error { return serveHTTP(work, metrics, e.metricsHandler()) })
 	go e.logFailure("callers", func() error { return e.server.Serve(work, callers) })
 	e.Log.Info(logger.EventStarted, zap.String("host", e.Settings.Host), zap.Uint64("incarnation", e.controlClient.Incarnation))
 	<-ctx.Done()
@@ -144,6 +148,14 @@
 	return nil
 }
 
+// metricsHandler returns the handler of the metrics listener.
+func (e *EntryHost) metricsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", e.entryMetrics.handler())
+	mux.HandleFunc(routeExplanationPath, e.explainRoute)
+	return mux
+}
+
 // logFailure runs a server and logs its error if it fails.
 func (e *EntryHost) logFailure(part string, serve func() error) {
 	if err := serve(); err != nil {
@@ -157,11 +169,12 @@
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
 	e.evacuations = &transactor.Evacuations{Evacuator: evacuator.Evacuator{Limit: e.Settings.EvacuationLimit}, Now: timer.Now, Log: e.Log}
-	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Weight: e.organisationWeight}
+	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place, linkMegabits: e.Settings.LinkMegabits}
+	e.warmups = &warmupThrottle{now: timer.Now, isOwner: e.assignments.isFirstOwner, log: e.Log}
+	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec}, MayForward: e.evacuations.MayForward, Throttle: e.warmups.throttle(), Weight: e.organisationWeight}
 	e.set.OnOverload = e.logOverload
-	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place}
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream}
-	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
+	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, ObserveRoundTrip: e.recordRoundTrip, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
 		AdmitLocal: shares.Admit, PendingGrant: shares.PendingGrant, LookUpOrganisation: e.organisation, Forwarder: e.forwarder, HostCount: e.hosts, TokenHosts: e.assignments.tokenHostsOf, Log: e.Log,
 		Backoffer: backoffer.Backoffer{Initial: admitter.InitialBackoff, Max: admitter.MaxBackoff},
@@ -176,9 +189,10 @@
 	if e.Settings.PrimaryLease {
 		e.gate.HoldsLease = e.controlClient.HoldsLease
 	}
+	e.controlClient.WarmupWanted, e.controlClient.ApplyWarmupGrants = e.warmups.wanted, e.warmups.apply
 	e.controlClient.OnLeaseEnded = e.gate.LeaseEnded
 	e.controlClient.ReleasedIndex = e.gate.ReleasedIndex
-	e.upstreams.StatusChanged = e.controlClient.ReportNow
+	e.upstreams.StatusChanged, e.upstreams.ConnectRefused = e.controlClient.ReportNow, e.warmups.connectRefused
 	shares.OnExhausted = e.controlClient.ReportNow
 	e.server = &transactor.Server{
 		Codec: e.CallerCodec, Lease: e.broker.Lease, ReachableViaPeer: e.broker.CanBorrow, Affinity: e.assignments.affinity, Upstreams: e.upstreams, Gate: e.gate, Evacuations: e.evacuations, View: e.controlClient.View, ReceivesUpdates: e.controlClient.IsConnected, Admit: e.admitter.Admit, Now: timer.Now,
@@ -193,6 +207,7 @@
 		e.server.MaxSessions = max(1, e.Settings.Descriptors-reservedDescriptors)
 	}
 	e.entryMetrics.registerGauges(e.server, e.set, e.evacuations)
+	e.entryMetrics.registerWarmups(e.warmups)
 }
 
 // logOverload logs that the queue of an upstream has begun or ceased to refuse
@@ -234,11 +249,19 @@
 	return o.Rate
 }
 
+// recordRoundTrip records a measured round trip to another entry host.
+func (e *EntryHost) recordRoundTrip(host string, d time.Duration) {
+	view, _ := e.controlClient.View()
+	if p, ok := view.Peers[host]; ok {
+		e.upstreams.RecordRoundTrip(p.DataCentre, d)
+	}
+}
+
 // primaryOwner returns the host that owns the connections to a service's primary.
 func (e *EntryHost) primaryOwner(service string) sampler.SampleHost {
 	view, _ := e.controlClient.View()
 	if u, ok := view.Upstreams[view.Primaries[service]]; ok {
-		if ranked := e.assignments.ownersOf(u); len(ranked) > 0 {
+		if ranked := e.assignments.ownersOf(u, transactor.PublicOrganisation); len(ranked) > 0 {
 			return sampler.SampleHost(ranked[0])
 		}
 	}
@@ -283,11 +306,16 @@
 
 // applyView updates the components for a new view.
 func (e *EntryHost) applyView(view *keeper.View) {
+	e.warmups.setView(view)
 	e.evacuations.SetTopology(view)
 	e.gate.SetTopology(view)
 	e.upstreams.Update(view.Upstreams)
 	e.assignments.update(view)
 	e.set.Update(view.Upstreams, func(u keeper.Upstream) connector.PoolLimits { return e.assignments.poolLimits(view, u) })
+	if e.warmups.lacksGrant() {
+		// The grant comes with the answer to the next report.
+		e.controlClient.ReportNow()
+	}
 	e.setReady(view.Configuration.Version > 0 && len(view.Upstreams) > 0, "configuration and upstreams are known")
 }
 
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -46,8 +46,8 @@
 	}, []string{"kind", "outcome"})
 	m.choices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "shallotstage_entry_read_choices_total",
-		Help: "Attempts at reads, by placement of the organisation at the chosen upstream (home, next, or other) and by distance (data_centre, region, or far).",
-	}, []string{"placement", "distance"})
+		Help: "Attempts at reads, by placement of the organisation at the chosen upstream (home, next, or other), by distance (data_centre, region, or far) and by reason (near, placement, only, or load).",
+	}, []string{"placement", "distance", "reason"})
 	m.registry.MustRegister(m.statements, m.refusals, m.early, m.latency, m.objectives, m.choices)
 	return m
 }
@@ -78,6 +78,13 @@
 	}, func() float64 { return float64(read()) })
 }
 
+// registerWarmups registers the counter of statements that were not sent to cold upstreams.
+func (m *entryMetrics) registerWarmups(w *warmupThrottle) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "shallotstage_warmup_refusals_total", Help: "Batches of statements that this host did not send to a cold upstream, of its own callers and of other hosts.",
+	}, func() float64 { return float64(w.refusals.Load()) }))
+}
+
 func (m *entryMetrics) observe(o transactor.Observation) {
 	m.statements.WithLabelValues(string(o.Verb)).Inc()
 	m.latency.WithLabelValues(string(o.Verb)).Observe(o.Latency.Seconds())
@@ -95,7 +102,7 @@
 	m.objectives.WithLabelValues(string(o.Kind), outcome).Inc()
 }
 
-func (m *entryMetrics) observeChoice(c balancer.Candidate) {
+func (m *entryMetrics) observeChoice(c balancer.Candidate, reason balancer.Reason) {
 	placement := "other"
 	switch c.Affinity {
 	case 0:
@@ -103,7 +110,7 @@
 	case 1:
 		placement = "next"
 	}
-	m.choices.WithLabelValues(placement, string(c.Distance)).Inc()
+	m.choices.WithLabelValues(placement, string(c.Distance), string(reason)).Inc()
 }
 
 func (m *entryMetrics) handler() http.Handler { return metricsHandler(m.registry) }
--- a/internal/transactor/replica.go
+++ b/internal/transactor/replica.go
@@ -93,15 +93,16 @@
 			return outcome{refusal: refusal}
 		}
 		candidates := r.candidates(view, excluded)
+		server.Upstreams.hold(r.route.Service, candidates, server.random())
 		if !r.settled {
 			var refusal *refuser.Refusal
 			if candidates, refusal = r.withRoom(candidates); refusal != nil {
 				last = outcome{refusal: refusal, upstream: last.upstream, retryable: true}
 			}
 		}
-		i := balancer.ChooseSpread(floor, server.Now(), candidates, server.random())
-		if i < 0 && last.refusal.Reason == refuser.ReasonPoolFull {
-			// All upstreams that have reached the floor are full. Wait at the one
+		i := server.coldUpstreams.choose(floor, server.Now(), candidates, server.random())
+		if i < 0 && (last.refusal.Reason == refuser.ReasonPoolFull || last.refusal.Reason == refuser.ReasonUpstreamCold) {
+			// All upstreams that have reached the floor are full or cold. Wait at the one
 			// with the shortest queue if the read can be served there in time, or
 			// else refuse now rather than after a wait.
 			id, ok := full.shortest()
@@ -125,7 +126,7 @@
 		id := candidates[i].ID
 		r.attempts++
 		if server.ObserveChoice != nil {
-			server.ObserveChoice(candidates[i])
+			server.ObserveChoice(candidates[i], balancer.ReasonOf(floor, server.Now(), candidates, i))
 		}
 		l := r.lease(view.Upstreams[id])
 		out := f(l, floor, r.attemptDeadline())
@@ -154,7 +155,7 @@
 // read has no lasting effect, so failed attempts do not matter.
 func (r *request) finalReadOutcome(last outcome) outcome {
 	reason := last.refusal.Reason
-	if reason == refuser.ReasonRegionForbidden {
+	if reason == refuser.ReasonRegionForbidden || reason == refuser.ReasonUpstreamCold {
 		last.retryable = false
 		return last
 	}
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"os"
 	"time"
 
@@ -230,7 +231,9 @@
 		return
 	}
 	var regionErr *connector.RegionError
-	if !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
+	var warmupErr *connector.WarmupError
+	var ownerErr *connector.OwnerError
+	if !errors.As(err, &ownerErr) && !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && !errors.As(err, &warmupErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
 		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
 	}
 	r.session.server.Log.Info(failureEvent(err), zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
@@ -241,12 +244,13 @@
 	var queueErr *connector.QueueError
 	var connectErr *connector.ConnectError
 	var setupErr *connector.SetupError
+	var timeout net.Error
 	switch {
 	case errors.As(err, &queueErr):
 		return logger.EventUpstreamQueueRefused
 	case errors.As(err, &connectErr), errors.As(err, &setupErr):
 		return logger.EventUpstreamConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
 		return logger.EventUpstreamAnswerLate
 	}
 	return logger.EventUpstreamConnectionLost
@@ -266,9 +270,16 @@
 	if errors.As(err, &runErr) && runErr.MayHaveRun {
 		return &outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+upstream, err), upstream: upstream, retryable: r.reads}
 	}
+	var warmupErr *connector.WarmupError
+	if errors.As(err, &warmupErr) {
+		r.session.server.coldUpstreams.record(upstream, warmupErr.RetryAfter)
+		refusal := refuser.Wrap(refuser.ReasonUpstreamCold, "upstream "+upstream, err)
+		refusal.RetryAfter = r.session.server.jitter(max(minColdRetryAfter, warmupErr.RetryAfter))
+		return &outcome{refusal: refusal, upstream: upstream, retryable: true}
+	}
 	var regionErr *connector.RegionError
 	if errors.As(err, &regionErr) {
-		return &outcome{refusal: regionRefusal(err.Error()), upstream: upstream, retryable: true}
+		return &outcome{refusal: r.regionRefusal(err.Error()), upstream: upstream, retryable: true}
 	}
 	var queueErr *connector.QueueError
 	if errors.As(err, &queueErr) {
--- a/internal/transactor/server.go
+++ b/internal/transactor/server.go
@@ -97,14 +97,17 @@
 	Log         *logger.Logger
 	// Observe is called for each answered statement; nil disables it.
 	Observe func(Observation)
-	// ObserveChoice is called with the upstream chosen for each attempt at a read;
-	// nil disables it.
-	ObserveChoice func(balancer.Candidate)
+	// ObserveChoice is called with the upstream chosen for each attempt at a read,
+	// and why; nil disables it.
+	ObserveChoice func(balancer.Candidate, balancer.Reason)
 	// Random returns a number in [0, 1), with which reads are spread over equally
 	// good upstreams, and callers over the time after which they return; nil means
 	// a random source of the process. It must be safe for concurrent use.
 	Random func() float64
 
+	// coldUpstreams are those that have recently refused statements as cold.
+	coldUpstreams coldUpstreams
+
 	sessions atomic.Int64
 	draining atomic.Bool
 	// replyDeadline is when all statements must be answered once a drain with a
