launcher: pass the organisation in the test of lenders

Change: The call passes an organisation as the neighbouring ones do. Result: go test -race for launcher, broker, connector and transactor passes.

--- a/internal/launcher/assignments_test.go
+++ b/internal/launcher/assignments_test.go
@@ -57,7 +57,7 @@
 				// Bodies of restricted requests pass through the owners.
 				qt.Assert(t, v.Peers[o.Host].DataCentre, qt.Equals, u.DataCentre)
 			}
-			for _, lender := range o.lendersOf(u) {
+			for _, lender := range o.lendersOf(u, "small") {
 				// They may pass through a host of the caller's data centre besides.
 				dataCentre := v.Peers[lender.Host].DataCentre
 				qt.Assert(t, dataCentre == u.DataCentre || dataCentre == p.DataCentre, qt.IsTrue, qt.Commentf("%s lends %s to %s", lender.Host, id, name))
