--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -36,7 +36,7 @@
 
 // Run serves until ctx ends.
 func (c *ControlHost) Run(ctx context.Context) error {
-	limits := newProcessLimits(c.MemoryBytes, c.Descriptors, c.Log)
+	limits := newProcessLimits(c.MemoryBytes, c.Descriptors, controlLinkDivisor, c.Log)
 	dialer := &connector.Dialer{Codec: c.UpstreamCodec, Budget: limits.budget}
 	co := &coordinator.Coordinator{
 		Settings: c.Settings, Seeds: c.Seeds, Decode: c.Decode, Now: timer.Now, Dial: linker.Linker{}.Dial, Promote: c.Promote,
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -170,7 +170,7 @@
 // build creates the components of the host.
 func (e *EntryHost) build() {
 	e.entryMetrics = newEntryMetrics()
-	e.limits = newProcessLimits(e.Settings.MemoryBytes, e.Settings.Descriptors, e.Log)
+	e.limits = newProcessLimits(e.Settings.MemoryBytes, e.Settings.Descriptors, entryLinkDivisor, e.Log)
 	e.limits.register(e.entryMetrics.registry)
 	shares := &spender.Spender{Now: timer.Now}
 	e.upstreams = &transactor.UpstreamTracker{Now: timer.Now, Log: e.Log}
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -16,9 +16,12 @@
 const (
 	// fileDescriptors are kept for files.
 	fileDescriptors = 200
-	// linkDivisor divides all descriptors to get the links that other hosts may open,
-	// and as many again for connections that this host opens. A fleet of 500 hosts fits.
-	linkDivisor = 8
+	// entryLinkDivisor and controlLinkDivisor divide all descriptors to get the links
+	// that other hosts may open, and as many again for connections that this host opens.
+	// Every entry host has a link to the leading control host: with 4,096 descriptors a
+	// fleet of 1,000 fits.
+	entryLinkDivisor   = 8
+	controlLinkDivisor = 4
 	// probeDivisor divides them to get those of the metrics and readiness listeners,
 	// with minProbes as the least.
 	probeDivisor = 64
@@ -35,7 +38,7 @@
 
 // divideDescriptors divides the descriptors of a process; zero means that there is no
 // limit.
-func divideDescriptors(descriptors int64) descriptorParts {
+func divideDescriptors(descriptors int64, linkDivisor int) descriptorParts {
 	if descriptors <= 0 {
 		return descriptorParts{}
 	}
@@ -54,8 +57,8 @@
 	closed *prometheus.CounterVec
 }
 
-func newProcessLimits(memory, descriptors int64, log *logger.Logger) *processLimits {
-	l := &processLimits{descriptors: divideDescriptors(descriptors), log: log}
+func newProcessLimits(memory, descriptors int64, linkDivisor int, log *logger.Logger) *processLimits {
+	l := &processLimits{descriptors: divideDescriptors(descriptors, linkDivisor), log: log}
 	l.budget = &budgeter.Budget{Bytes: budgeter.BytesFor(memory), OnClose: func(k budgeter.Kind, bytes int64) {
 		log.Warn(logger.EventHolderClosed, zap.String("kind", string(k)), zap.Int64("bytes", bytes))
 	}}
