--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -2,17 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"os"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/shallotstage/shallotstage/internal/connector"
-	"github.com/shallotstage/shallotstage/internal/logger"
-	"github.com/shallotstage/shallotstage/pkg/balancer"
-	"github.com/shallotstage/shallotstage/pkg/evacuator"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/permitter"
 	"github.com/shallotstage/shallotstage/pkg/refuser"
@@ -70,20 +64,6 @@
 	use *primaryUse
 }
 
-// outcome is the result of a request or of one attempt.
-type outcome struct {
-	answer   connector.Answer
-	refusal  *refuser.Refusal
-	upstream string
-	floor    tracker.Position
-	primary  bool
-	// retryable is true if another attempt is safe: nothing was executed, or
-	// only a read.
-	retryable bool
-	// keepLease is true if the lease now belongs to a transaction.
-	keepLease bool
-}
-
 // classify determines whether the statement reads or writes.
 func (r *request) classify() *refuser.Refusal {
 	switch r.statement.Verb {
@@ -211,107 +191,6 @@
 	return max(answer, objective/queueWaitDivisor)
 }
 
-// recordRun updates the upstream tracker with the result of a run.
-func (r *request) recordRun(ctx context.Context, l *connector.Lease, answers []connector.Answer, err error, took time.Duration) {
-	upstreams := r.session.server.Upstreams
-	var position tracker.Position
-	for _, a := range answers {
-		position = a.Position
-		if a.Failure != connector.FailureNone {
-			took = 0
-		}
-	}
-	upstreams.RequestFinished(l.Upstream, len(answers) > 0, took, position)
-	if err == nil {
-		return
-	}
-	var queueErr *connector.QueueError
-	var connectErr *connector.ConnectError
-	var evacuatedErr *connector.EvacuatedError
-	if errors.As(err, &evacuatedErr) {
-		return
-	}
-	var regionErr *connector.RegionError
-	var warmupErr *connector.WarmupError
-	var ownerErr *connector.OwnerError
-	if !errors.As(err, &ownerErr) && !errors.As(err, &queueErr) && !errors.As(err, &regionErr) && !errors.As(err, &warmupErr) && (!errors.As(err, &connectErr) || connectErr.Failure == connector.FailureNone) {
-		upstreams.StartProbe(context.WithoutCancel(ctx), l.Upstream)
-	}
-	r.session.server.Log.Info(failureEvent(err), zap.String("request", r.statement.ID), zap.String("upstream", l.Upstream), zap.Error(err))
-}
-
-// failureEvent returns the event for the error of a run.
-func failureEvent(err error) logger.Event {
-	var queueErr *connector.QueueError
-	var connectErr *connector.ConnectError
-	var setupErr *connector.SetupError
-	var timeout net.Error
-	switch {
-	case errors.As(err, &queueErr):
-		return logger.EventUpstreamQueueRefused
-	case errors.As(err, &connectErr), errors.As(err, &setupErr):
-		return logger.EventUpstreamConnectFailed
-	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &timeout) && timeout.Timeout():
-		return logger.EventUpstreamAnswerLate
-	}
-	return logger.EventUpstreamConnectionLost
-}
-
-// recordSample stores a position whose answer proves that the upstream was the
-// primary.
-func (r *request) recordSample(sentAt time.Time, q connector.Request, a connector.Answer) {
-	if q.Verb == connector.VerbBegin && !q.ReadOnly && r.use.mayAcknowledge() {
-		r.session.server.Upstreams.AddSample(r.route.Service, sentAt, a.Position)
-	}
-}
-
-// errorOutcome converts the error of a run into an outcome.
-func (r *request) errorOutcome(err error, upstream string) *outcome {
-	var runErr *connector.RunError
-	if errors.As(err, &runErr) && runErr.MayHaveRun {
-		return &outcome{refusal: refuser.Wrap(refuser.ReasonUpstreamLost, "upstream "+upstream, err), upstream: upstream, retryable: r.reads}
-	}
-	var warmupErr *connector.WarmupError
-	if errors.As(err, &warmupErr) {
-		r.session.server.coldUpstreams.record(upstream, warmupErr.RetryAfter)
-		refusal := refuser.Wrap(refuser.ReasonUpstreamCold, "upstream "+upstream, err)
-		refusal.RetryAfter = r.session.server.jitter(max(minColdRetryAfter, warmupErr.RetryAfter))
-		return &outcome{refusal: refusal, upstream: upstream, retryable: true}
-	}
-	var regionErr *connector.RegionError
-	if errors.As(err, &regionErr) {
-		return &outcome{refusal: r.regionRefusal(err.Error()), upstream: upstream, retryable: true}
-	}
-	var queueErr *connector.QueueError
-	if errors.As(err, &queueErr) {
-		return &outcome{refusal: refuser.Wrap(refuser.ReasonPoolFull, "upstream "+upstream, err), upstream: upstream, retryable: true}
-	}
-	var evacuatedErr *connector.EvacuatedError
-	if errors.As(err, &evacuatedErr) {
-		return &outcome{refusal: refuser.Wrap(refuser.ReasonEvacuated, "upstream "+upstream, err), upstream: upstream, retryable: true}
-	}
-	return &outcome{refusal: refuser.Wrap(refuser.ReasonNoUpstream, "statement was not sent", err), upstream: upstream, retryable: true}
-}
-
-// failureOutcome converts a failure reported by an upstream into an outcome.
-func (r *request) failureOutcome(a connector.Answer, q connector.Request, upstream string) *outcome {
-	detail := "upstream " + upstream + ": " + a.Detail
-	out := &outcome{upstream: upstream, retryable: a.Failure.NotRun() || r.reads || q.Verb != connector.VerbForward}
-	switch a.Failure {
-	case connector.FailureReadOnly:
-		out.refusal = refuser.New(refuser.ReasonPrimaryReplaced, detail).WithVerdict(refuser.NotRun)
-	case connector.FailureLagging:
-		out.refusal = refuser.New(refuser.ReasonNoFloor, detail)
-	case connector.FailureTimeout:
-		out.refusal = refuser.New(refuser.ReasonStatementTimeout, detail)
-	case connector.FailureOther:
-		out.refusal = refuser.New(refuser.ReasonUpstreamFailed, detail)
-	default:
-		out.refusal = refuser.New(refuser.ReasonNoUpstream, detail)
-	}
-	return out
-}
-
 // remaining returns the time left for the statement, less answerReserve.
 func (r *request) remaining() time.Duration { return time.Until(r.deadline) - answerReserve }
 
@@ -366,41 +245,6 @@
 	return r.remaining() > 0
 }
 
-// candidates returns the upstreams of the route's service that may serve a
-// read. Those of an evacuated data centre are left out as long as others may answer.
-func (r *request) candidates(view *keeper.View, excluded map[string]bool) []balancer.Candidate {
-	server := r.session.server
-	upstreams := view.ByService(r.route.Service)
-	candidates := make([]balancer.Candidate, 0, len(upstreams))
-	var avoided []balancer.Candidate
-	answering := false
-	for _, u := range upstreams {
-		decision := server.Evacuations.decide(u)
-		if u.Lifecycle != keeper.LifecycleReady || excluded[u.ID] || decision == evacuator.Refuse || !r.mayRunAt(u) {
-			continue
-		}
-		c := balancer.Candidate{
-			ID: u.ID, Distance: server.Location.DistanceTo(u.DataCentre), Primary: view.Primaries[r.route.Service] == u.ID, Slots: u.Slots,
-		}
-		if server.Affinity != nil {
-			c.Affinity = server.Affinity(u, r.connectionOrganisation())
-		}
-		server.Upstreams.FillCandidate(&c)
-		c.Load, c.LoadAge = server.Upstreams.Load(u.ID, r.connectionOrganisation())
-		c.Suspect = server.isSuspect(u)
-		if decision == evacuator.Avoid {
-			avoided = append(avoided, c)
-			continue
-		}
-		answering = answering || !c.Suspect
-		candidates = append(candidates, c)
-	}
-	if !answering {
-		candidates = append(candidates, avoided...)
-	}
-	return candidates
-}
-
 // fields returns the log fields that describe the decision.
 func (r *request) fields(out outcome) []zap.Field {
 	fields := []zap.Field{
--- a/pkg/balancer/load_test.go
+++ b/pkg/balancer/load_test.go
@@ -7,12 +7,9 @@
 	"slices"
 	"time"
 
-	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/evictor"
 	"github.com/shallotstage/shallotstage/pkg/placer"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
-	"github.com/shallotstage/shallotstage/pkg/spiller"
-	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
 // The load of section 4 of the specification: hosts and upstreams of 6 data
@@ -40,67 +37,6 @@
 	atOnce = 100 * time.Millisecond
 )
 
-// upstreamDataCentres are the data centres of a service's three upstreams.
-var upstreamDataCentres = []int{0, 1, 3}
-
-// oneWay is the latency between data centres of one region, by region, and
-// between regions.
-func oneWay(a, b int) time.Duration {
-	switch {
-	case a == b:
-		return 250 * time.Microsecond
-	case a/dataCentresARegion != b/dataCentresARegion:
-		return 30 * time.Millisecond
-	case a/dataCentresARegion == 0:
-		return 900 * time.Microsecond
-	}
-	return 3400 * time.Microsecond
-}
-
-type kind struct {
-	name                         string
-	rate                         float64
-	service, objective, deadline time.Duration
-	primary                      bool
-}
-
-type deployment struct {
-	name                 string
-	hosts, organisations int
-	kinds                []kind
-}
-
-var deployments = []deployment{
-	{"first", 83, 84, []kind{
-		{"primary", 94.5, 6 * time.Millisecond, 800 * time.Millisecond, 8 * time.Second, true},
-		{"stale", 164, 30 * time.Millisecond, 1200 * time.Millisecond, 12 * time.Second, false},
-		{"own", 443, 18 * time.Millisecond, 3 * time.Second, 8 * time.Second, false},
-	}},
-	{"second", 66, 76, []kind{
-		{"primary", 119, 3800 * time.Microsecond, 800 * time.Millisecond, 8 * time.Second, true},
-		{"stale", 119, 19 * time.Millisecond, 1200 * time.Millisecond, 12 * time.Second, false},
-		{"own", 554, 12 * time.Millisecond, 1500 * time.Millisecond, 8 * time.Second, false},
-	}},
-}
-
-// maxConnections is the number of connections that an upstream accepts.
-const maxConnections = 70
-
-// decisions are the decisions under test.
-type decisions struct {
-	// placement places organisations at upstreams, at most replicaHomes or
-	// primaryHomes of them at each.
-	placement                  bool
-	replicaHomes, primaryHomes int
-	// evictByUse closes connections as evictor decides, and not the longest idle.
-	evictByUse bool
-	// ownerConnections are the limits of the first and the second owner.
-	ownerConnections [2]int
-	// reports are the owners' load reports, with the round trips, and spill the
-	// decisions of spiller.
-	reports, spill bool
-}
-
 var (
 	// current are the decisions as launcher makes them.
 	current = decisions{placement: true, replicaHomes: 46, primaryHomes: 40, evictByUse: true, ownerConnections: [2]int{54, 8}, reports: true, spill: true}
@@ -108,9 +44,6 @@
 	earlier = decisions{ownerConnections: [2]int{40, 40}}
 )
 
-// fault is what goes wrong from faultBegin to faultEnd.
-type fault string
-
 const (
 	noFault fault = "none"
 	// ownerLost makes half of the hosts use the second owners.
@@ -133,98 +66,6 @@
 	hotFactor  = 5
 )
 
-type event struct {
-	at       time.Duration
-	sequence int
-	run      func()
-}
-
-type events []event
-
-func (h events) Len() int { return len(h) }
-func (h events) Less(i, j int) bool {
-	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].sequence < h[j].sequence)
-}
-func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *events) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
-type connection struct {
-	organisation string
-	use          evictor.Use
-}
-
-// pool is the connections of one owner to an upstream.
-type pool struct {
-	upstream *upstream
-	limit    int
-	queue    queuer.Queue
-	idle     []*connection
-	open     int
-}
-
-type upstream struct {
-	id         string
-	index      int
-	service    int
-	dataCentre int
-	primary    bool
-	// affected is true if the fault applies to the upstream.
-	affected bool
-	pools    [2]*pool
-	// free is the number of free slots, pending the work that waits for one.
-	free       int
-	pending    []func()
-	statements int
-	opened     int
-	// refused counts the connections refused at the upstream's limit.
-	refused int
-}
-
-type host struct {
-	dataCentre int
-	inFlight   []int
-	latency    []time.Duration
-	suspect    []bool
-	reports    []loadReport
-	spiller    spiller.Spiller
-}
-
-// loadReport is the newest report of an owner.
-type loadReport struct {
-	load queuer.Load
-	at   time.Duration
-	// idle is the organisation that the report is for.
-	idle string
-}
-
-type organisation struct {
-	name   string
-	weight float64
-	large  bool
-}
-
-type statement struct {
-	kind         *kind
-	organisation *organisation
-	host         *host
-	service      int
-	arrived      time.Duration
-	excluded     map[int]bool
-}
-
-// result counts what callers got.
-type result struct{ served, late, refusedAtOnce, refusedLate int }
-
-func (r result) total() int { return r.served + r.late + r.refusedAtOnce + r.refusedLate }
-
-// share returns the fraction that was served within the objective.
-func (r result) share() float64 { return float64(r.served) / float64(max(1, r.total())) }
-
 // simulation runs a deployment's load against the decisions.
 type simulation struct {
 	deployment
@@ -399,58 +240,6 @@
 	})
 }
 
-// choose returns the upstream for a statement, or nil.
-func (s *simulation) choose(st *statement) *upstream {
-	var candidates []balancer.Candidate
-	var chosen []*upstream
-	for _, u := range s.ofService(st.service) {
-		if st.excluded[u.index] || !s.isKnown(u) {
-			continue
-		}
-		if st.kind.primary && u.primary {
-			return u
-		}
-		candidates = append(candidates, s.candidate(st, u))
-		chosen = append(chosen, u)
-	}
-	if sites, ok := balancer.Sites(candidates); ok && s.spill {
-		share := st.host.spiller.Share(fmt.Sprint(st.service), s.time(), sites)
-		random := s.rnd.Float64()
-		for i := range candidates {
-			candidates[i].Held = candidates[i].Distance == balancer.DistanceFar && random >= share
-		}
-	}
-	if i := balancer.ChooseSpread(tracker.Position{}, s.time(), candidates, s.rnd.Float64()); i >= 0 && !st.kind.primary {
-		return chosen[i]
-	}
-	return nil
-}
-
-// candidate returns the host's view of an upstream.
-func (s *simulation) candidate(st *statement, u *upstream) balancer.Candidate {
-	c := balancer.Candidate{
-		ID: u.id, Primary: u.primary, Slots: slots, InFlight: st.host.inFlight[u.index], MeanServiceTime: st.host.latency[u.index],
-		Position: tracker.Position{Term: 1}, Suspect: st.host.suspect[u.index],
-	}
-	switch {
-	case u.dataCentre == st.host.dataCentre:
-		c.Distance = balancer.DistanceDataCentre
-	case u.dataCentre/dataCentresARegion == st.host.dataCentre/dataCentresARegion:
-		c.Distance = balancer.DistanceRegion
-	default:
-		c.Distance = balancer.DistanceFar
-	}
-	if r := st.host.reports[u.index]; s.reports {
-		c.Load, c.LoadAge = r.load, s.now-r.at
-		c.RoundTrip = 2 * oneWay(st.host.dataCentre, u.dataCentre)
-		c.Load.HasIdle = r.load.HasIdle && r.idle == st.organisation.name && c.LoadAge <= 500*time.Millisecond
-	}
-	if s.placement {
-		c.Affinity = s.placements[st.service].Rank(st.organisation.name, u.id)
-	}
-	return c
-}
-
 func (s *simulation) attempt(st *statement) {
 	u := s.choose(st)
 	if u == nil {
@@ -513,102 +302,6 @@
 	s.dispatch(p)
 }
 
-// dispatch does what connector.Pool does.
-func (s *simulation) dispatch(p *pool) {
-	fit := func(w *queuer.Waiter) queuer.Availability {
-		switch {
-		case slices.ContainsFunc(p.idle, func(c *connection) bool { return c.organisation == w.Organisation }):
-			return queuer.IdleAvailable
-		case p.open < p.limit || len(p.idle) > 0:
-			return queuer.OpenAllowed
-		}
-		return queuer.Unavailable
-	}
-	for w := p.queue.Pop(s.time(), fit); w != nil; w = p.queue.Pop(s.time(), fit) {
-		p.queue.Start()
-		start := s.starts[w]
-		delete(s.starts, w)
-		if c := p.take(w.Organisation); c != nil {
-			start(c)
-			continue
-		}
-		if p.open >= p.limit {
-			s.evict(p)
-		}
-		p.open++
-		s.open(p, &connection{organisation: w.Organisation}, start)
-	}
-}
-
-// take removes the newest idle connection of an organisation.
-func (p *pool) take(organisation string) *connection {
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.organisation == organisation {
-			p.idle = slices.Delete(p.idle, i, i+1)
-			return c
-		}
-	}
-	return nil
-}
-
-func (s *simulation) evict(p *pool) {
-	i := 0
-	if s.evictByUse {
-		uses := make([]evictor.Use, len(p.idle))
-		for j, c := range p.idle {
-			uses[j] = c.use
-		}
-		i = evictor.Choose(uses)
-	}
-	p.idle = slices.Delete(p.idle, i, i+1)
-	p.open--
-}
-
-// open opens a connection. If the upstream refuses it, the statement is
-// sent elsewhere.
-func (s *simulation) open(p *pool, c *connection, start func(c *connection)) {
-	u := p.upstream
-	u.opened++
-	s.occupy(u, openingTime, func() {
-		if u.pools[0].open+u.pools[1].open <= maxConnections {
-			start(c)
-			return
-		}
-		u.refused++
-		p.open--
-		p.queue.Stop()
-		start(nil)
-		s.dispatch(p)
-	})
-}
-
-// occupy runs work on one of the upstream's slots, first come, first served.
-func (s *simulation) occupy(u *upstream, d time.Duration, done func()) {
-	run := func() {
-		if s.fault == upstreamSlow && u.affected && s.isFaulty() {
-			d *= slowFactor
-		}
-		s.after(d, func() {
-			u.free++
-			if len(u.pending) > 0 {
-				next := u.pending[0]
-				u.pending = u.pending[1:]
-				u.free--
-				next()
-			}
-			s.after(upstreamLatency, done)
-		})
-	}
-	s.after(upstreamLatency, func() {
-		if u.free == 0 {
-			u.pending = append(u.pending, run)
-			return
-		}
-		u.free--
-		run()
-	})
-}
-
 func (s *simulation) start(st *statement, p *pool, c *connection, hop, sent time.Duration) {
 	u, began := p.upstream, s.now
 	u.statements++
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -142,34 +142,6 @@
 // Stop records that a statement has ended.
 func (q *Queue) Stop() { q.running-- }
 
-// ObserveServiceTime records the service time of a statement.
-func (q *Queue) ObserveServiceTime(took time.Duration) {
-	if q.meanService == 0 {
-		q.meanService = took
-	}
-	q.meanService += time.Duration(serviceWeight * float64(took-q.meanService))
-}
-
-// ObserveStatement records the service time of a statement of a kind.
-func (q *Queue) ObserveStatement(kind Kind, took time.Duration) {
-	q.ObserveServiceTime(took)
-	if q.kindService == nil {
-		q.kindService = map[Kind]average{}
-	}
-	a := q.kindService[kind]
-	a.observe(took, kindWeight)
-	q.kindService[kind] = a
-}
-
-// ObserveOpening records the time in which a connection was opened.
-func (q *Queue) ObserveOpening(took time.Duration) { q.openingTime.observe(took, openingWeight) }
-
-// ServiceTime returns the expected service time of a statement of a kind.
-func (q *Queue) ServiceTime(kind Kind) time.Duration {
-	a := q.kindService[kind]
-	return a.or(average(q.meanService).or(defaultService))
-}
-
 // cost returns the time of a slot that a waiter is expected to take, with its
 // part of the openings.
 func (q *Queue) cost(w *Waiter) time.Duration {
@@ -198,18 +170,6 @@
 	return weight
 }
 
-// OverdueAfter returns the time after which a statement without an answer has
-// probably ended.
-func (q *Queue) OverdueAfter() time.Duration { return max(minOverdue, overdueFactor*q.meanService) }
-
-// ReadTimeout returns the timeout of a read.
-func (q *Queue) ReadTimeout() time.Duration { return readTimeoutFactor * q.OverdueAfter() }
-
-// ObserveTimeout records that a read has timed out.
-func (q *Queue) ObserveTimeout() {
-	q.ObserveServiceTime(timeoutFactor * max(q.meanService, defaultService))
-}
-
 // isLate reports whether a waiter has missed its objective. Statements of open
 // transactions never count as late, as they hold up others.
 func (q *Queue) isLate(w *Waiter, now time.Time) bool {
@@ -392,39 +352,3 @@
 	}
 	q.accounts.charge(w.Organisation, cost, w.weight)
 }
-
-// choice is a waiter that may be granted the next slot.
-type choice struct {
-	waiter       *Waiter
-	availability Availability
-	late         bool
-	// due is when the answer is due, later by the lead of its organisation.
-	due time.Time
-}
-
-// isAged reports whether the waiter may have a grant although others go first.
-func (c choice) isAged(now time.Time) bool {
-	w := c.waiter
-	if !c.late {
-		return now.Sub(w.EnqueuedAt) >= maxPassed
-	}
-	return !w.LatestStart.IsZero() && w.LatestStart.Sub(now) <= w.LatestStart.Sub(w.EnqueuedAt)/lastDivisor
-}
-
-// before reports whether c goes before a waiter that is ahead of it in the
-// queue. Any waiter goes before none.
-func (c choice) before(ahead choice) bool {
-	if ahead.waiter == nil || c.rankBefore(ahead) {
-		return true
-	}
-	return !ahead.rankBefore(c) && c.due.Before(ahead.due)
-}
-
-// rankBefore reports whether c goes before another waiter whatever their
-// organisations have attained.
-func (c choice) rankBefore(other choice) bool {
-	if c.late != other.late {
-		return other.late
-	}
-	return c.waiter.rank() < other.waiter.rank()
-}
