Usual terms in comments and names of the limits of clients

Cause: names and comments spoke of crowds, tenants and zones, which are not the terms of this code: callers, organisations and data centres are.

Change: renamed; the reason of a session that made room is evicted. No check, number of clients or bound of the tests has changed.

--- a/cmd/shallotstage-host/misbehaving_callers_test.go
+++ b/cmd/shallotstage-host/misbehaving_callers_test.go
@@ -22,10 +22,10 @@
 // Many callers each send a message of the largest legal size in one write: the messages
 // together are larger than the process's memory.
 func TestManyLargeMessagesAtOnce(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	message := statement("READ x", legalBytes)
 	f.check(f.entry, func() {
-		f.crowd(160, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(160, f.callers(), func(_ int, conn net.Conn) {
 			if openSession(conn) != nil {
 				_ = send(conn, message)
 			}
@@ -35,12 +35,12 @@
 
 // As above, in small pieces, so that all messages are incomplete at the same time.
 func TestManyLargeMessagesInSmallPieces(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	message := statement("READ x", legalBytes)
 	const pieces = 64
 	conns := make([]net.Conn, 160)
 	f.check(f.entry, func() {
-		f.crowd(len(conns), f.callers(), func(i int, conn net.Conn) {
+		f.misbehave(len(conns), f.callers(), func(i int, conn net.Conn) {
 			if openSession(conn) != nil {
 				conns[i] = conn
 			}
@@ -58,21 +58,21 @@
 
 // The opening message needs no key, so its size costs a stranger nothing.
 func TestLargeOpeningMessages(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	message := []byte("STARTUP db " + strings.Repeat("k", legalBytes-64))
 	f.check(f.entry, func() {
-		f.crowd(160, f.callers(), func(_ int, conn net.Conn) { _ = send(conn, message) })
+		f.misbehave(160, f.callers(), func(_ int, conn net.Conn) { _ = send(conn, message) })
 	})
 }
 
 // Messages far over the limit, as the opening and as a statement. All are nearly as long
 // as a legal one before the first goes on.
 func TestMessagesFarOverTheLimit(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	filler := bytes.Repeat([]byte("x"), 900<<10)
 	conns := make([]net.Conn, 160)
 	f.check(f.entry, func() {
-		f.crowd(len(conns), f.callers(), func(i int, conn net.Conn) {
+		f.misbehave(len(conns), f.callers(), func(i int, conn net.Conn) {
 			begin := "STARTUP db "
 			if i%2 == 0 {
 				begin = "QUERY c1 READ "
@@ -98,7 +98,7 @@
 
 // Callers send hundreds of statements ahead and read no answer.
 func TestManyMessagesAheadWithoutReading(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	var ahead []byte
 	for i := range 200 {
 		text := readLarge
@@ -108,7 +108,7 @@
 		ahead = append(ahead, statement(text, 16<<10)...)
 	}
 	f.check(f.entry, func() {
-		f.crowd(24, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(24, f.callers(), func(_ int, conn net.Conn) {
 			shrinkReceiveBuffer(conn)
 			if openSession(conn) != nil {
 				_ = send(conn, ahead)
@@ -120,9 +120,9 @@
 // A session keeps values and prepared statements for its caller. Their number is
 // bounded, and their size together must be, too.
 func TestSessionsThatKeepLargeValues(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(6, f.callers(), func(i int, conn net.Conn) {
+		f.misbehave(6, f.callers(), func(i int, conn net.Conn) {
 			r := openSession(conn)
 			for n := 0; n < 50 && r != nil; n++ {
 				text := fmt.Sprintf("SET v%d", n)
@@ -142,10 +142,10 @@
 }
 
 // More callers than the process has descriptors for send a statement byte by byte.
-func TestCrowdThatSendsSlowly(t *testing.T) {
-	f := startCrowdFleet(t)
+func TestSlowSenders(t *testing.T) {
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(900, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(900, f.callers(), func(_ int, conn net.Conn) {
 			if openSession(conn) == nil {
 				return
 			}
@@ -156,10 +156,10 @@
 }
 
 // More connections than the process has descriptors for stop within the opening.
-func TestCrowdThatStopsInTheOpening(t *testing.T) {
-	f := startCrowdFleet(t)
+func TestSendersThatStopInTheOpening(t *testing.T) {
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(900, f.callers(), func(i int, conn net.Conn) {
+		f.misbehave(900, f.callers(), func(i int, conn net.Conn) {
 			_ = send(conn, []byte("STARTUP db"))
 			if i%2 == 0 {
 				go trickle(conn)
@@ -177,10 +177,10 @@
 
 // Callers stop in the middle of a statement of an open transaction. The transactions
 // hold more of the upstream's connections than there are.
-func TestCrowdThatStopsInTransactions(t *testing.T) {
-	f := startCrowdFleet(t)
+func TestSendersThatStopInTransactions(t *testing.T) {
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(100, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(100, f.callers(), func(_ int, conn net.Conn) {
 			r := openSession(conn)
 			if r == nil || send(conn, []byte("QUERY c1 BEGIN\r\nQUERY c2 READ x\r\n")) != nil {
 				return
@@ -197,10 +197,10 @@
 
 // Callers stop reading within the answer to a statement of an open transaction. The
 // transactions hold more of the upstream's connections than there are.
-func TestCrowdThatStopsReadingInTransactions(t *testing.T) {
-	f := startCrowdFleet(t)
+func TestReadersThatStopInTransactions(t *testing.T) {
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(100, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(100, f.callers(), func(_ int, conn net.Conn) {
 			shrinkReceiveBuffer(conn)
 			r := openSession(conn)
 			defer takeTurn()()
@@ -215,10 +215,10 @@
 }
 
 // Callers request a large answer and read none of it after its first bytes.
-func TestCrowdThatStopsReadingLargeAnswers(t *testing.T) {
-	f := startCrowdFleet(t)
+func TestReadersThatStopInLargeAnswers(t *testing.T) {
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(40, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(40, f.callers(), func(_ int, conn net.Conn) {
 			shrinkReceiveBuffer(conn)
 			if openSession(conn) != nil {
 				defer takeTurn()()
@@ -229,10 +229,10 @@
 }
 
 // Callers request a large answer and read it a few bytes at a time.
-func TestCrowdThatReadsSlowly(t *testing.T) {
-	f := startCrowdFleet(t)
+func TestSlowReaders(t *testing.T) {
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(40, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(40, f.callers(), func(_ int, conn net.Conn) {
 			shrinkReceiveBuffer(conn)
 			if openSession(conn) == nil {
 				return
@@ -287,11 +287,11 @@
 // settings have room for, idle or with small statements, and the largest message and a
 // large answer while nothing else happens.
 func TestCallersWithinTheLimitsAreServed(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	readers := make([]*bufio.Reader, 250)
 	conns := make([]net.Conn, len(readers))
 	f.check(f.entry, func() {
-		f.crowd(len(readers), f.callers(), func(i int, conn net.Conn) { readers[i], conns[i] = openSession(conn), conn })
+		f.misbehave(len(readers), f.callers(), func(i int, conn net.Conn) { readers[i], conns[i] = openSession(conn), conn })
 		request := func(i int, message []byte, want int) {
 			t.Helper()
 			_ = conns[i].SetReadDeadline(time.Now().Add(ordinaryTimeout))
--- a/cmd/shallotstage-host/misbehaving_peers_test.go
+++ b/cmd/shallotstage-host/misbehaving_peers_test.go
@@ -15,11 +15,11 @@
 // A control host takes configurations of up to 16 MiB. Several are sent at once, each
 // without its last byte.
 func TestControlHostGetsManyLargeBodies(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	const size = 15 << 20
 	body := bytes.Repeat([]byte(" "), size-1)
 	f.check(f.controls[0], func() {
-		f.crowd(16, f.address(f.controls[0].ip, portControl), func(_ int, conn net.Conn) {
+		f.misbehave(16, f.address(f.controls[0].ip, portControl), func(_ int, conn net.Conn) {
 			if send(conn, fmt.Appendf(nil, "PUT /config HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n", size)) == nil {
 				_ = send(conn, body)
 			}
@@ -30,10 +30,10 @@
 // Announcements need no key. Many are sent without their last byte, and with headers as
 // large as the process reads.
 func TestControlHostGetsManyLargeHeaders(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	filler := bytes.Repeat([]byte("x"), 1000<<10)
 	f.check(f.controls[0], func() {
-		f.crowd(160, f.address(f.controls[0].ip, portControl), func(i int, conn net.Conn) {
+		f.misbehave(160, f.address(f.controls[0].ip, portControl), func(i int, conn net.Conn) {
 			if i%2 == 0 {
 				if send(conn, []byte("PUT /instances/i-9 HTTP/1.1\r\nHost: c\r\nX-Filler: ")) == nil {
 					_ = send(conn, filler)
@@ -51,9 +51,9 @@
 func TestControlHostGetsManyConnections(t *testing.T) {
 	for _, port := range []int{portControl, portPeer, portMetrics} {
 		t.Run(portNames[port], func(t *testing.T) {
-			f := startCrowdFleet(t)
+			f := startLimitedFleet(t)
 			f.check(f.controls[0], func() {
-				f.crowd(900, f.address(f.controls[0].ip, port), func(_ int, conn net.Conn) { _ = send(conn, []byte("P")) })
+				f.misbehave(900, f.address(f.controls[0].ip, port), func(_ int, conn net.Conn) { _ = send(conn, []byte("P")) })
 			})
 		})
 	}
@@ -64,21 +64,21 @@
 // A call between hosts may have 32 MiB. Several are sent at once, each without its last
 // byte.
 func TestControlHostGetsManyLargeCalls(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{Data: bytes.Repeat([]byte("x"), 30<<20), ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke})
 	f.check(f.controls[0], func() {
-		f.crowd(10, f.address(f.controls[0].ip, portPeer), func(_ int, conn net.Conn) { _ = send(conn, frame[:len(frame)-1]) })
+		f.misbehave(10, f.address(f.controls[0].ip, portPeer), func(_ int, conn net.Conn) { _ = send(conn, frame[:len(frame)-1]) })
 	})
 }
 
 // A stream between entry hosts begins with a header of up to 2 MiB. Many streams of few
 // connections are opened, each without the last byte of its header.
 func TestEntryHostGetsManyLargeStreams(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	header := binary.BigEndian.AppendUint32(nil, 1900<<10)
 	header = append(header, bytes.Repeat([]byte("x"), 1900<<10-1)...)
 	f.check(f.entry, func() {
-		f.crowd(4, f.address(f.entry.ip, portPeer), func(_ int, conn net.Conn) {
+		f.misbehave(4, f.address(f.entry.ip, portPeer), func(_ int, conn net.Conn) {
 			config := yamux.DefaultConfig()
 			config.LogOutput = io.Discard
 			mux, err := yamux.Client(conn, config)
@@ -107,9 +107,9 @@
 func TestEntryHostGetsManyConnections(t *testing.T) {
 	for _, port := range []int{portPeer, portMetrics, portReady} {
 		t.Run(portNames[port], func(t *testing.T) {
-			f := startCrowdFleet(t)
+			f := startLimitedFleet(t)
 			f.check(f.entry, func() {
-				f.crowd(900, f.address(f.entry.ip, port), func(_ int, conn net.Conn) { _ = send(conn, []byte("G")) })
+				f.misbehave(900, f.address(f.entry.ip, port), func(_ int, conn net.Conn) { _ = send(conn, []byte("G")) })
 			})
 		})
 	}
@@ -118,10 +118,10 @@
 // Requests for metrics and readiness need no key. Many are sent with headers as large as
 // the process reads.
 func TestEntryHostGetsManyLargeHeaders(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	filler := bytes.Repeat([]byte("x"), 1000<<10)
 	f.check(f.entry, func() {
-		f.crowd(160, f.address(f.entry.ip, portMetrics), func(i int, conn net.Conn) {
+		f.misbehave(160, f.address(f.entry.ip, portMetrics), func(i int, conn net.Conn) {
 			if i%2 == 0 {
 				if conn = f.join(f.address(f.entry.ip, portReady)); conn == nil {
 					return
@@ -136,10 +136,10 @@
 
 // Requests for metrics are sent ahead, and no answer is read.
 func TestEntryHostGetsManyRequestsForMetricsWithoutReading(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	ahead := bytes.Repeat([]byte("GET /metrics HTTP/1.1\r\nHost: e\r\n\r\n"), 4000)
 	f.check(f.entry, func() {
-		f.crowd(100, f.address(f.entry.ip, portMetrics), func(_ int, conn net.Conn) {
+		f.misbehave(100, f.address(f.entry.ip, portMetrics), func(_ int, conn net.Conn) {
 			shrinkReceiveBuffer(conn)
 			_ = send(conn, ahead)
 		})
@@ -148,9 +148,9 @@
 
 // An upstream sends rows without end to as many callers as it has slots for.
 func TestUpstreamThatSendsWithoutEnd(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	f.check(f.entry, func() {
-		f.crowd(40, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(40, f.callers(), func(_ int, conn net.Conn) {
 			if openSession(conn) != nil {
 				requestLarge(conn, "QUERY c1 "+readEndless+"\r\n")
 			}
@@ -160,10 +160,10 @@
 
 // An upstream does not answer, and the statements that wait for it are large.
 func TestUpstreamThatNeverAnswers(t *testing.T) {
-	f := startCrowdFleet(t)
+	f := startLimitedFleet(t)
 	message := statement(readUnanswered, legalBytes)
 	f.check(f.entry, func() {
-		f.crowd(160, f.callers(), func(_ int, conn net.Conn) {
+		f.misbehave(160, f.callers(), func(_ int, conn net.Conn) {
 			if openSession(conn) != nil {
 				_ = send(conn, message)
 			}
--- a/cmd/shallotstage-host/misbehaving_test.go
+++ b/cmd/shallotstage-host/misbehaving_test.go
@@ -16,22 +16,22 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// The tests in misbehaving_*_test.go check that a process survives clients that do not
+// The tests in misbehaving_*_test.go check that a process survives callers and peers that do not
 // keep to the protocol. They lower the process's limits in its settings, so that a small
-// crowd exceeds them, and check three things that do not depend on speed: the process
+// group of offenders exceeds them, and check three things that do not depend on speed: the process
 // lives, its memory and descriptors stay within the settings, and an ordinary request is
-// answered while the crowd is still connected.
+// answered while the offenders are still connected.
 const (
-	// crowdMemoryMB and crowdMaxFDs are the limits in the settings, and the bounds of
+	// limitedMemoryMB and limitedMaxFDs are the limits in the settings, and the bounds of
 	// the checks. An idle host takes about a fifth of the memory.
-	crowdMemoryMB = 96
-	crowdMaxFDs   = 700
+	limitedMemoryMB = 96
+	limitedMaxFDs   = 700
 	// legalBytes is the size of the largest legal message.
 	legalBytes = 1 << 20
 	// ordinaryTimeout ends the wait for an answer to the ordinary request. It only keeps
 	// a failed test from running for ever.
 	ordinaryTimeout = 20 * time.Second
-	// sendTimeout ends a crowd member's write that the process does not read.
+	// sendTimeout ends an offender's write that the process does not read.
 	sendTimeout = 5 * time.Second
 )
 
@@ -47,9 +47,9 @@
 	largeRowBytes  = 512 << 10
 )
 
-// crowdFleet is a fleet with low limits: three control hosts and an entry host. The
-// crowd has organisation "crowd" and key "c", the ordinary caller another organisation.
-type crowdFleet struct {
+// limitedFleet is a fleet with low limits: three control hosts and an entry host. The
+// offenders have organisation "offender" and key "c", the ordinary caller another organisation.
+type limitedFleet struct {
 	*fleet
 	controls []*hostProcess
 	entry    *hostProcess
@@ -58,9 +58,9 @@
 	conns []net.Conn
 }
 
-func startCrowdFleet(t *testing.T) *crowdFleet {
-	f := &crowdFleet{fleet: newFleet(t)}
-	f.memoryMB, f.maxFDs = crowdMemoryMB, crowdMaxFDs
+func startLimitedFleet(t *testing.T) *limitedFleet {
+	f := &limitedFleet{fleet: newFleet(t)}
+	f.memoryMB, f.maxFDs = limitedMemoryMB, limitedMaxFDs
 	for _, ip := range []string{"127.0.0.2", "127.0.0.3", "127.0.0.4"} {
 		f.controls = append(f.controls, f.start("control", ip))
 	}
@@ -69,18 +69,18 @@
 	configuration := `{"version":3,"limits":{"tx_idle_ms":1000},
 "routes":[{"name":"r","host":"db","path_prefix":"/","type":"primary","timeout_ms":2000,"service":"s"}],
 "services":[{"name":"s","max_conns":64}],
-"tenants":[{"name":"crowd","api_keys":["c"],"rate_per_s":100000,"burst":100000},{"name":"ordinary","api_keys":["o"],"rate_per_s":1000,"burst":1000}]}`
+"tenants":[{"name":"offender","api_keys":["c"],"rate_per_s":100000,"burst":100000},{"name":"ordinary","api_keys":["o"],"rate_per_s":1000,"burst":1000}]}`
 	f.waitFor("the configuration's acknowledgement", func() bool { return call("PUT", control+"/config", configuration) == 200 })
-	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":64,"state":"ready","db_role":"primary","seq":1,"born":5}`, startCrowdUpstream(t))
+	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":64,"state":"ready","db_role":"primary","seq":1,"born":5}`, startLimitedUpstream(t))
 	f.waitFor("the heartbeat's acknowledgement", func() bool { return call("PUT", control+"/instances/i-1", heartbeat) == 200 })
 	f.waitFor("readiness", func() bool { return call("GET", "http://"+f.address(f.entry.ip, portReady)+"/ready", "") == 200 })
 	f.waitFor("a first answer", func() bool { return f.ordinaryRequest() == nil })
-	t.Cleanup(f.closeCrowd)
+	t.Cleanup(f.closeOffenders)
 	return f
 }
 
-// startCrowdUpstream runs a stand-in primary.
-func startCrowdUpstream(t *testing.T) string {
+// startLimitedUpstream runs a stand-in primary.
+func startLimitedUpstream(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
@@ -90,13 +90,13 @@
 			if err != nil {
 				return
 			}
-			go serveCrowdUpstream(conn)
+			go serveLimitedUpstream(conn)
 		}
 	}()
 	return l.Addr().String()
 }
 
-func serveCrowdUpstream(conn net.Conn) {
+func serveLimitedUpstream(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	if _, err := r.ReadString('\n'); err != nil {
@@ -134,23 +134,23 @@
 	}
 }
 
-// crowd runs member n times at once, each with an open connection to an address, and
+// misbehave runs offender n times at once, each with an open connection to an address, and
 // waits until all have returned. Connections that could not be opened or were closed are
 // the process's right; the others stay open until the test ends.
-func (f *crowdFleet) crowd(n int, address string, member func(i int, conn net.Conn)) {
+func (f *limitedFleet) misbehave(n int, address string, offender func(i int, conn net.Conn)) {
 	var wg sync.WaitGroup
 	for i := range n {
 		wg.Go(func() {
 			if conn := f.join(address); conn != nil {
-				member(i, conn)
+				offender(i, conn)
 			}
 		})
 	}
 	wg.Wait()
 }
 
-// join opens a connection of a crowd member, or returns nil.
-func (f *crowdFleet) join(address string) net.Conn {
+// join opens a connection of an offender, or returns nil.
+func (f *limitedFleet) join(address string) net.Conn {
 	conn, err := net.DialTimeout("tcp", address, sendTimeout)
 	if err != nil {
 		return nil
@@ -161,7 +161,7 @@
 	return conn
 }
 
-func (f *crowdFleet) closeCrowd() {
+func (f *limitedFleet) closeOffenders() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.conns {
@@ -169,7 +169,7 @@
 	}
 }
 
-func (f *crowdFleet) callers() string { return f.address(f.entry.ip, portCaller) }
+func (f *limitedFleet) callers() string { return f.address(f.entry.ip, portCaller) }
 
 // send writes until all is written, the process has closed the connection, or it has
 // not read for sendTimeout.
@@ -197,7 +197,7 @@
 	}
 }
 
-// openSession opens a session of the crowd's organisation. It returns nil if the process
+// openSession opens a session of the offenders' organisation. It returns nil if the process
 // refuses it or closes the connection.
 func openSession(conn net.Conn) *bufio.Reader {
 	_ = conn.SetReadDeadline(time.Now().Add(sendTimeout))
@@ -212,7 +212,7 @@
 }
 
 // ordinaryRequest opens a session of another organisation and runs one read in it.
-func (f *crowdFleet) ordinaryRequest() error {
+func (f *limitedFleet) ordinaryRequest() error {
 	conn, err := net.DialTimeout("tcp", f.callers(), 3*time.Second)
 	if err != nil {
 		return err
@@ -235,9 +235,9 @@
 	return nil
 }
 
-// check runs act, the crowd, against a process, and checks the process. The crowd's
+// check runs act, the offenders, against a process, and checks the process. The offenders'
 // connections are still open during the checks.
-func (f *crowdFleet) check(p *hostProcess, act func()) {
+func (f *limitedFleet) check(p *hostProcess, act func()) {
 	f.t.Helper()
 	stop, sampled := make(chan struct{}), make(chan int)
 	go func() {
@@ -278,7 +278,7 @@
 
 // ordinaryProblem waits until ordinary requests are answered: a caller's, and one for the
 // configuration if the process is a control host. It returns what is wrong if they are not.
-func (f *crowdFleet) ordinaryProblem(p *hostProcess) string {
+func (f *limitedFleet) ordinaryProblem(p *hostProcess) string {
 	for deadline := time.Now().Add(ordinaryTimeout); ; time.Sleep(50 * time.Millisecond) {
 		err := f.ordinaryRequest()
 		if err == nil && p != f.entry {
@@ -316,9 +316,9 @@
 	return len(entries)
 }
 
-// settle waits until the process has read what the crowd has sent, or reads no more:
+// settle waits until the process has read what the offenders have sent, or reads no more:
 // otherwise a check could come before the process holds what it was sent.
-func (f *crowdFleet) settle(p *hostProcess) {
+func (f *limitedFleet) settle(p *hostProcess) {
 	last, same := -1, 0
 	for same < 5 {
 		now := f.receiveQueues(p)
@@ -333,7 +333,7 @@
 
 // receiveQueues returns the bytes that wait in the receive queues of the process's
 // listening ports.
-func (f *crowdFleet) receiveQueues(p *hostProcess) int {
+func (f *limitedFleet) receiveQueues(p *hostProcess) int {
 	table, err := os.ReadFile("/proc/net/tcp")
 	qt.Assert(f.t, err, qt.IsNil)
 	ip := net.ParseIP(p.ip).To4()
--- a/cmd/shallotstage-host/region_process_test.go
+++ b/cmd/shallotstage-host/region_process_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// inZone places a host in a zone of two regions: east has the zones a and c, west has b.
+// inZone places a host in a data centre of two regions: east has a and c, west has b.
 func inZone(zone string) func(settings string) string {
 	region := map[string]string{"a": "east", "b": "west", "c": "east"}[zone]
 	return func(settings string) string {
@@ -32,8 +32,8 @@
 }
 
 // TestPermittedRegionsOfProcesses runs control and entry hosts of two regions in front of
-// upstreams that record what they receive. A statement of a restricted route or tenant
-// that reaches an upstream of the other region fails it, as does a promotion that prefers
+// upstreams that record what they receive. A statement of a restricted route or
+// organisation that reaches an upstream of the other region fails it, as does a promotion that prefers
 // that region.
 func TestPermittedRegionsOfProcesses(t *testing.T) {
 	f := newFleet(t)
--- a/internal/launcher/limits.go
+++ b/internal/launcher/limits.go
@@ -71,7 +71,7 @@
 // bound returns a listener with a bounded number of connections.
 func (l *processLimits) bound(name string, listener net.Listener, connections int) net.Listener {
 	return &acceptor.Bounded{Listener: listener, Max: connections, OnClose: func(conn net.Conn) {
-		l.closed.WithLabelValues(name, string(transactor.CloseCrowded)).Inc()
+		l.closed.WithLabelValues(name, string(transactor.CloseEvicted)).Inc()
 		l.log.Warn(logger.EventConnectionClosed, zap.String("listener", name), zap.Stringer("from", conn.RemoteAddr()))
 	}}
 }
--- a/internal/transactor/overseer.go
+++ b/internal/transactor/overseer.go
@@ -21,13 +21,13 @@
 	// CloseUnopened is for the oldest of too many sessions whose startup message is
 	// incomplete.
 	CloseUnopened CloseReason = "unopened"
-	// CloseCrowded is for a session that makes room for another one.
-	CloseCrowded CloseReason = "crowded"
+	// CloseEvicted is for a session that makes room for another one.
+	CloseEvicted CloseReason = "evicted"
 )
 
 // CloseReasons returns all reasons.
 func CloseReasons() []CloseReason {
-	return []CloseReason{CloseStalled, CloseIncomplete, CloseUnopened, CloseCrowded}
+	return []CloseReason{CloseStalled, CloseIncomplete, CloseUnopened, CloseEvicted}
 }
 
 const (
@@ -105,8 +105,8 @@
 	if s.MaxSessions <= 0 || int64(s.openedCount) <= max(1, s.MaxSessions-s.unopenedReserve()) {
 		return
 	}
-	if v := s.leastMissed(); v != nil {
-		s.close(v, CloseCrowded)
+	if v := s.evictionCandidate(); v != nil {
+		s.close(v, CloseEvicted)
 	}
 }
 
@@ -132,11 +132,11 @@
 	}
 }
 
-// leastMissed returns the session to close for another one: one that is stuck within a
+// evictionCandidate returns the session to close for another one: one that is stuck within a
 // message or an answer, or else one of the organisation with the most sessions, outside a
 // transaction if possible, and in each case the one for which nothing has happened for the longest. A
 // session that executes a statement is not closed. The caller must hold the lock.
-func (s *Server) leastMissed() *session {
+func (s *Server) evictionCandidate() *session {
 	most := ""
 	for organisation, n := range s.opened {
 		if n > s.opened[most] {
--- a/internal/transactor/overseer_test.go
+++ b/internal/transactor/overseer_test.go
@@ -52,28 +52,28 @@
 
 // The organisation with the most sessions makes room, and not the one that comes; a stuck
 // session goes before idle ones, and one that executes a statement stays.
-func TestCrowdedServerClosesTheLeastMissedSession(t *testing.T) {
+func TestFullServerClosesTheLeastUsedSession(t *testing.T) {
 	s, add, reasons := overseen(t, minUnopened+4)
-	var crowd []*session
+	var sessions []*session
 	for range 3 {
 		ss := add()
-		s.openFor(ss, "crowd")
-		crowd = append(crowd, ss)
+		s.openFor(ss, "busy")
+		sessions = append(sessions, ss)
 	}
-	executing, idle, other := crowd[0], crowd[1], add()
+	executing, idle, other := sessions[0], sessions[1], add()
 	s.openFor(other, "other")
 	executing.enter(phaseExecuting)
 	idle.seen.since = idle.seen.since.Add(-time.Minute)
 	other.seen.since = other.seen.since.Add(-time.Hour)
 	s.openFor(add(), "other")
-	qt.Assert(t, *reasons, qt.DeepEquals, []CloseReason{CloseCrowded})
+	qt.Assert(t, *reasons, qt.DeepEquals, []CloseReason{CloseEvicted})
 	qt.Assert(t, idle.seen.closed, qt.IsTrue)
 
 	other.enter(phaseReceiving)
 	s.overseeOnce(time.Now().Add(-2*stuckTime), 0)
 	s.openFor(add(), "third")
 	qt.Assert(t, other.seen.closed, qt.IsTrue)
-	qt.Assert(t, executing.seen.closed || crowd[2].seen.closed, qt.IsFalse)
+	qt.Assert(t, executing.seen.closed || sessions[2].seen.closed, qt.IsFalse)
 }
 
 // A caller that does not read its answer is closed, and one that reads it piece by piece is
--- a/pkg/placer/placement.go
+++ b/pkg/placer/placement.go
@@ -162,9 +162,9 @@
 type choice struct {
 	scoredHost
 	room *room
-	// full is true if no home is left, crowded if the upstream has its share of
+	// full is true if no home is left, overloaded if the upstream has its share of
 	// the demand.
-	full, crowded bool
+	full, overloaded bool
 }
 
 // compareChoices orders the upstreams for an organisation, best first.
@@ -172,9 +172,9 @@
 	switch {
 	case a.full != b.full:
 		return compareBool(a.full, b.full)
-	case a.crowded != b.crowded:
-		return compareBool(a.crowded, b.crowded)
-	case a.crowded && a.room.weight != b.room.weight:
+	case a.overloaded != b.overloaded:
+		return compareBool(a.overloaded, b.overloaded)
+	case a.overloaded && a.room.weight != b.room.weight:
 		return cmp.Compare(b.room.weight, a.room.weight)
 	case a.ranksBefore(b.scoredHost):
 		return -1
