One error for a budget that is used up, one accept loop for stand-ins

Cause: five packages had the error text of their own, and three stand-in upstreams of the process tests the same accept loop.

Change: budgeter.ErrUsedUp and startUpstream.

--- a/cmd/shallotstage-host/metered_upstream_test.go
+++ b/cmd/shallotstage-host/metered_upstream_test.go
@@ -10,8 +10,6 @@
 	"sync"
 	"testing"
 	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // meteredService is a fake replicated service whose upstreams record when they receive
@@ -29,7 +27,8 @@
 type meteredUpstream struct {
 	service  *meteredService
 	id, zone string
-	listener net.Listener
+	// address is where it listens.
+	address string
 
 	draining bool
 	// coldUntil is when it stops being cold; zero means that it is warm.
@@ -45,25 +44,14 @@
 
 // add adds an upstream. The first one is the primary.
 func (s *meteredService) add(t *testing.T, id, zone string) *meteredUpstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	u := &meteredUpstream{service: s, id: id, zone: zone, listener: l}
+	u := &meteredUpstream{service: s, id: id, zone: zone}
+	u.address = startUpstream(t, u.serve)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.primary == "" {
 		s.primary = id
 	}
 	s.upstreams = append(s.upstreams, u)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(conn)
-		}
-	}()
 	return u
 }
 
@@ -151,7 +139,7 @@
 		}
 		cold := max(0, time.Until(u.coldUntil).Milliseconds())
 		bodies[u.id] = fmt.Sprintf(`{"service":"s","address":"%s","zone":"%s","slots":8,"state":"%s","db_role":"%s","seq":%d,"born":5,"cold_remaining_ms":%d}`,
-			u.listener.Addr(), u.zone, state, role, s.sequence, cold)
+			u.address, u.zone, state, role, s.sequence, cold)
 	}
 	return bodies
 }
--- a/cmd/shallotstage-host/misbehaving_test.go
+++ b/cmd/shallotstage-host/misbehaving_test.go
@@ -71,7 +71,7 @@
 "services":[{"name":"s","max_conns":64}],
 "tenants":[{"name":"offender","api_keys":["c"],"rate_per_s":100000,"burst":100000},{"name":"ordinary","api_keys":["o"],"rate_per_s":1000,"burst":1000}]}`
 	f.waitFor("the configuration's acknowledgement", func() bool { return call("PUT", control+"/config", configuration) == 200 })
-	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":64,"state":"ready","db_role":"primary","seq":1,"born":5}`, startLimitedUpstream(t))
+	heartbeat := fmt.Sprintf(`{"service":"s","address":"%s","zone":"a","slots":64,"state":"ready","db_role":"primary","seq":1,"born":5}`, startUpstream(t, serveLimitedUpstream))
 	f.waitFor("the heartbeat's acknowledgement", func() bool { return call("PUT", control+"/instances/i-1", heartbeat) == 200 })
 	f.waitFor("readiness", func() bool { return call("GET", "http://"+f.address(f.entry.ip, portReady)+"/ready", "") == 200 })
 	f.waitFor("a first answer", func() bool { return f.ordinaryRequest() == nil })
@@ -79,23 +79,7 @@
 	return f
 }
 
-// startLimitedUpstream runs a stand-in primary.
-func startLimitedUpstream(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveLimitedUpstream(conn)
-		}
-	}()
-	return l.Addr().String()
-}
-
+// serveLimitedUpstream answers as a primary, with large, endless or no answers to some reads.
 func serveLimitedUpstream(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -182,7 +182,11 @@
 }
 
 // startFakeUpstream runs a fake primary that answers every statement.
-func startFakeUpstream(t *testing.T) string {
+func startFakeUpstream(t *testing.T) string { return startUpstream(t, serveFakeUpstream) }
+
+// startUpstream runs a stand-in upstream with a function that serves one connection. It
+// returns the address.
+func startUpstream(t *testing.T, serve func(conn net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = l.Close() })
@@ -192,7 +196,7 @@
 			if err != nil {
 				return
 			}
-			go serveFakeUpstream(conn)
+			go serve(conn)
 		}
 	}()
 	return l.Addr().String()
--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -15,6 +15,7 @@
 package budgeter
 
 import (
+	"errors"
 	"sync"
 	"time"
 )
@@ -48,6 +49,9 @@
 	unknownWeight = 8
 )
 
+// ErrUsedUp means that a holder was closed, as the budget is used up and it was the largest.
+var ErrUsedUp = errors.New("budgeter: the process's memory budget is used up")
+
 // BytesFor returns the budget of a process that may use memory bytes; zero means no limit.
 func BytesFor(memory int64) int64 { return int64(budgetFraction * float64(memory)) }
 
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -21,10 +21,6 @@
 // failure.
 var errIncomplete = errors.New("answer has no completion")
 
-// errOverBudget is returned when the process holds as much as it may and the answer is
-// the largest part.
-var errOverBudget = errors.New("the process's memory budget is used up")
-
 // Conn is one connection to an upstream on behalf of one organisation. It must
 // not be used by several goroutines at once.
 type Conn struct {
@@ -84,7 +80,7 @@
 	// In steps, so that the budget's lock is taken only now and then.
 	r.c.held = answerCost * (r.c.received + r.c.received/4)
 	if !r.c.holder.SetHeld(r.c.held) {
-		return 0, errOverBudget
+		return 0, budgeter.ErrUsedUp
 	}
 	return n, err
 }
--- a/internal/forwarder/incoming.go
+++ b/internal/forwarder/incoming.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -28,8 +27,6 @@
 	headerCost = 3
 )
 
-var errOverBudget = errors.New("forwarder: the process's memory budget is used up")
-
 // AcceptFunc decides on a stream by its header. It returns the function that
 // serves and closes the stream, or nil to refuse it.
 type AcceptFunc func(header []byte) func(ctx context.Context, conn net.Conn)
@@ -130,7 +127,7 @@
 	for uint32(len(header)) < n {
 		step := min(n-uint32(len(header)), headerStep)
 		if n > headerThreshold && !holder.SetHeld(int64(headerCost*(len(header)+int(step)))) {
-			return header, errOverBudget
+			return header, budgeter.ErrUsedUp
 		}
 		if cap(header)-len(header) < int(step) {
 			header = slices.Grow(header, max(int(step), len(header)))
--- a/internal/forwarder/incoming_link.go
+++ b/internal/forwarder/incoming_link.go
@@ -42,7 +42,7 @@
 	n, err := l.Conn.Read(p)
 	data := l.follow(p[:n])
 	if (data > 0 || l.held > 0) && !l.count(l.unread.Add(int64(data))) {
-		return 0, errOverBudget
+		return 0, budgeter.ErrUsedUp
 	}
 	return n, err
 }
--- a/internal/launcher/held_body.go
+++ b/internal/launcher/held_body.go
@@ -16,8 +16,6 @@
 	bodyStep = 64 << 10
 )
 
-var errBodyOverBudget = errors.New("launcher: the process's memory budget is used up")
-
 // heldBody is the body of a request, whose size counts in the budget.
 type heldBody struct {
 	io.ReadCloser
@@ -37,7 +35,7 @@
 	if h.received > bodyThreshold && bodyCost*h.received > h.held {
 		h.held = bodyCost * (h.received + bodyStep)
 		if !h.holder.SetHeld(h.held) {
-			return 0, errBodyOverBudget
+			return 0, budgeter.ErrUsedUp
 		}
 	}
 	if errors.Is(err, io.EOF) && h.held > 0 {
--- a/internal/linker/bounded.go
+++ b/internal/linker/bounded.go
@@ -1,7 +1,6 @@
 package linker
 
 import (
-	"errors"
 	"net"
 
 	"storj.io/drpc/drpcwire"
@@ -20,8 +19,6 @@
 	holdStep = 64 << 10
 )
 
-var errOverBudget = errors.New("linker: the process's memory budget is used up")
-
 // BoundListener returns a listener whose connections report to a budget what they hold of
 // incomplete messages.
 func BoundListener(l net.Listener, b *budgeter.Budget) net.Listener {
@@ -67,7 +64,7 @@
 	n, err := c.Conn.Read(p)
 	if !c.follow(p[:n]) {
 		c.holder.End()
-		return 0, errOverBudget
+		return 0, budgeter.ErrUsedUp
 	}
 	if err != nil {
 		c.holder.End()
--- a/internal/linker/bounded_test.go
+++ b/internal/linker/bounded_test.go
@@ -62,5 +62,5 @@
 	for err == nil {
 		_, err = c.Read(buffer)
 	}
-	qt.Assert(t, err, qt.Equals, errOverBudget)
+	qt.Assert(t, err, qt.Equals, budgeter.ErrUsedUp)
 }
--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/shallotstage/shallotstage/internal/budgeter"
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
@@ -161,7 +162,7 @@
 			break
 		}
 		if old, ok := s.values[st.Name]; !s.changeKept(keptChange(st, old, ok)) {
-			refusal = refuser.New(refuser.ReasonBatchTooLarge, errOverBudget.Error())
+			refusal = refuser.New(refuser.ReasonBatchTooLarge, budgeter.ErrUsedUp.Error())
 			break
 		}
 		s.values[st.Name] = st.Value
@@ -171,7 +172,7 @@
 			break
 		}
 		if old, ok := s.prepared[st.Name]; !s.changeKept(keptChange(st, old.value, ok)) {
-			refusal = refuser.New(refuser.ReasonBatchTooLarge, errOverBudget.Error())
+			refusal = refuser.New(refuser.ReasonBatchTooLarge, budgeter.ErrUsedUp.Error())
 			break
 		}
 		s.prepared[st.Name] = preparedStatement{value: st.Value, name: upstreamStatementName(st.Value), readOnly: st.ReadOnly}
--- a/internal/transactor/holding.go
+++ b/internal/transactor/holding.go
@@ -28,8 +28,6 @@
 	answerPiece     = 64 << 10
 )
 
-var errOverBudget = errors.New("transactor: the process's memory budget is used up")
-
 // The phases of a session. Each change of the phase also changes the number of changes in
 // the higher bits, so that the overseer sees whether a session makes progress.
 const (
@@ -70,7 +68,7 @@
 	if messageCost*int64(s.received) <= s.held-s.keptHeld || s.hold(messageCost*int64(s.received+holdStep)) {
 		return nil
 	}
-	return errOverBudget
+	return budgeter.ErrUsedUp
 }
 
 // holdAnswers counts the answers of a lease. If the session is closed for them, its caller
