--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -48,6 +48,7 @@
 	EventDataCentreEvacuated      = Event{1314, "data_centre_evacuated"}
 	EventUpstreamOverloaded       = Event{1316, "upstream_overloaded"}
 	EventOwnerSlow                = Event{1317, "owner_slow"}
+	EventReadsLeaveRegion         = Event{1318, "reads_leave_region"}
 	EventEvacuationChanged        = Event{1421, "evacuation_changed"}
 	EventPrimaryDemoted           = Event{1418, "primary_demoted"}
 	EventListenerFailed           = Event{1008, "part_failed"}
@@ -96,7 +97,7 @@
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventWarmupGrantChanged, EventCancelNotDelivered,
-		EventDataCentreEvacuated, EventEvacuationChanged, EventUpstreamOverloaded, EventOwnerSlow,
+		EventDataCentreEvacuated, EventEvacuationChanged, EventUpstreamOverloaded, EventOwnerSlow, EventReadsLeaveRegion,
 		EventSessionClosed, EventHolderClosed, EventConnectionClosed,
 	}
 }
--- a/internal/transactor/load_reports.go
+++ b/internal/transactor/load_reports.go
@@ -4,6 +4,9 @@
 	"math"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
@@ -93,8 +96,13 @@
 		return
 	}
 	t.mu.Lock()
+	before := t.spiller.Current(service)
 	share := t.spiller.Share(service, t.Now(), sites)
 	t.mu.Unlock()
+	if leaves := share > 0; leaves != (before > 0) && t.Log != nil {
+		t.Log.Info(logger.EventReadsLeaveRegion, zap.String("service", service), zap.Bool("leave", leaves),
+			zap.Duration("near_wait", sites.NearWait), zap.Duration("far_wait", sites.FarWait), zap.Duration("round_trip", sites.RoundTrip))
+	}
 	for i := range candidates {
 		candidates[i].Held = candidates[i].Distance == balancer.DistanceFar && random >= share
 	}
--- a/internal/transactor/load_reports_test.go
+++ b/internal/transactor/load_reports_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
+	"github.com/shallotstage/shallotstage/internal/logger"
 	"github.com/shallotstage/shallotstage/pkg/balancer"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
@@ -47,7 +50,8 @@
 // only a fraction of them may leave at first.
 func TestReadsAreHeldInTheRegion(t *testing.T) {
 	now := time.Unix(1000, 0)
-	tracker := &UpstreamTracker{Now: func() time.Time { return now }}
+	core, logs := observer.New(zap.InfoLevel)
+	tracker := &UpstreamTracker{Now: func() time.Time { return now }, Log: logger.New(zap.New(core))}
 	held := func(queued int, random float64) bool {
 		now = now.Add(50 * time.Millisecond)
 		candidates := []balancer.Candidate{
@@ -70,6 +74,15 @@
 	qt.Assert(t, held(100, 0.7), qt.IsFalse)
 	qt.Assert(t, held(100, 0.8), qt.IsTrue, qt.Commentf("a quarter of the slots elsewhere is taken"))
 	qt.Assert(t, tracker.leavingShare("s"), qt.Equals, 0.75)
+	// Operators see when reads begin and cease to leave, and not each read.
+	for range 20 {
+		held(0, 0)
+	}
+	qt.Assert(t, tracker.leavingShare("s"), qt.Equals, 0.0)
+	lines := logs.FilterMessage(logger.EventReadsLeaveRegion.Name).All()
+	qt.Assert(t, lines, qt.HasLen, 2)
+	qt.Assert(t, lines[0].ContextMap()["leave"], qt.Equals, true)
+	qt.Assert(t, lines[1].ContextMap()["leave"], qt.Equals, false)
 	one := []balancer.Candidate{{ID: "far", Distance: balancer.DistanceFar}}
 	tracker.hold("s", one, 1)
 	qt.Assert(t, one[0].Held, qt.IsFalse, qt.Commentf("there is no other"))
