Event and metric for answers of upstreams that belong to no request

Callers got answers of other requests (MIXED), and nothing in the logs told of it: an upstream's second answer reads like any other.

The connector now knows by what such an answer shows: data is unread when nothing is outstanding, an answer carries a receipt (the signature on the wire, one for each execution) that the connection received before, or an answer's kind or transaction state cannot be that of the request. Each gives event 1210 upstream_answer_stray and counts in shallotstage_entry_stray_answers_total.

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -259,7 +259,7 @@
 		if err := c.Send(deadline, send...); err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
-		a, err := c.Receive()
+		a, err := c.Receive(send[0])
 		if err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
@@ -280,7 +280,7 @@
 // receiveRollback reads the answer to a rollback. It only decides whether the
 // connection can be reused.
 func (c *Conn) receiveRollback() {
-	if a, err := c.Receive(); err != nil || a.State != StateIdle {
+	if a, err := c.Receive(Request{Verb: VerbRollback}); err != nil || a.State != StateIdle {
 		c.broken = true
 	}
 }
--- a/internal/connector/codec.go
+++ b/internal/connector/codec.go
@@ -100,7 +100,10 @@
 	Rows int
 	// Completed is true if the upstream reported that the request succeeded.
 	Completed bool
-	Failure   Failure
+	// Receipt is the part of Body that identifies one execution of a caller's statement:
+	// no two executions have the same. It is empty in answers to the proxy's own requests.
+	Receipt []byte
+	Failure Failure
 	// Detail is the upstream's message for a failure.
 	Detail string
 	// ReplicationStatus is set in the answer to VerbStatus and VerbDemote.
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -30,10 +30,11 @@
 	// Upstream is the ID of the upstream.
 	Upstream string
 
-	net   net.Conn
-	r     *bufio.Reader
-	codec *Codec
-	out   []byte
+	net    net.Conn
+	socket *socket
+	r      *bufio.Reader
+	codec  *Codec
+	out    []byte
 	// values are the session values set on the connection.
 	values map[string]string
 	// prepared holds the names of the statements prepared on the connection.
@@ -51,6 +52,10 @@
 	mayForward func() bool
 	// state is the transaction state in the last answer.
 	state TransactionState
+	// receipts are those of the answers received.
+	receipts receipts
+	// onStrayAnswer is Dialer.OnStrayAnswer.
+	onStrayAnswer func(a StrayAnswer)
 	// holder holds the answer that is being read, of which received bytes have come and
 	// held bytes are reported.
 	holder         *budgeter.Holder
@@ -97,6 +102,9 @@
 // Send writes requests in a single write.
 func (c *Conn) Send(deadline time.Time, requests ...Request) error {
 	c.release()
+	if unread, _ := c.hasUnread(); unread {
+		c.reportStray(StrayUnread, requests[0].Verb)
+	}
 	c.out = c.out[:0]
 	for _, r := range requests {
 		c.out = c.codec.AppendRequest(c.out, r)
@@ -114,13 +122,16 @@
 	return nil
 }
 
-// Receive reads the answer to the next outstanding request.
-func (c *Conn) Receive() (Answer, error) {
+// Receive reads the answer to r, the next outstanding request.
+func (c *Conn) Receive(r Request) (Answer, error) {
 	c.received = 0
 	a, err := c.codec.ReadAnswer(c.r)
 	if err != nil {
 		return a, c.fail("read answer", err)
 	}
+	if a.Failure == FailureNone {
+		c.checkStray(r, a)
+	}
 	c.state = a.State
 	if !a.Completed && a.Failure == FailureNone {
 		return a, c.fail("read answer", errIncomplete)
@@ -128,12 +139,24 @@
 	return a, nil
 }
 
+// checkStray reports an answer that is not the one to r.
+func (c *Conn) checkStray(r Request, a Answer) {
+	switch {
+	case len(a.Receipt) > 0 && c.receipts.has(a.Receipt):
+		c.reportStray(StrayRepeated, r.Verb)
+	case !a.fits(r, c.state):
+		c.reportStray(StrayUnfit, r.Verb)
+	case len(a.Receipt) > 0:
+		c.receipts.add(a.Receipt)
+	}
+}
+
 // Do sends one request and reads its answer.
 func (c *Conn) Do(deadline time.Time, r Request) (Answer, error) {
 	if err := c.Send(deadline, r); err != nil {
 		return Answer{}, err
 	}
-	return c.Receive()
+	return c.Receive(r)
 }
 
 func (c *Conn) fail(operation string, err error) error {
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -41,6 +41,9 @@
 	DialNet func(ctx context.Context, address string) (net.Conn, error)
 	// Budget bounds the answers that are being read; nil means no limit.
 	Budget *budgeter.Budget
+	// OnStrayAnswer is called for each answer that belongs to no outstanding request; nil
+	// disables it. It must be safe for concurrent use.
+	OnStrayAnswer func(a StrayAnswer)
 }
 
 // Dial opens a connection on behalf of an organisation.
@@ -54,7 +57,7 @@
 		return nil, Answer{}, &ConnectError{Upstream: u.ID, Err: err}
 	}
 	c := &Conn{
-		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec,
+		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec, socket: newSocket(conn), onStrayAnswer: d.OnStrayAnswer,
 		values: map[string]string{}, prepared: map[string]bool{}, state: StateIdle,
 	}
 	c.r = bufio.NewReaderSize(answerReader{c}, readBufferSize)
--- /dev/null
+++ b/internal/connector/receipts.go
@@ -0,0 +1,44 @@
+package connector
+
+import "github.com/cespare/xxhash/v2"
+
+const (
+	// maxReceipts is the number of receipts that a connection remembers. It covers the
+	// answers of more than a second at the rate of one connection.
+	maxReceipts = 256
+	// firstReceipts is the number for which room is made at first.
+	firstReceipts = 8
+)
+
+// receipts remembers the receipts of the last answers on a connection. The zero value is
+// empty.
+type receipts struct {
+	// sums are the hashes of the receipts; once full, a ring that begins at next.
+	sums []uint64
+	next int
+}
+
+// has reports whether a receipt was added.
+func (s *receipts) has(receipt []byte) bool {
+	sum := xxhash.Sum64(receipt)
+	for _, known := range s.sums {
+		if known == sum {
+			return true
+		}
+	}
+	return false
+}
+
+// add adds a receipt in place of the oldest one.
+func (s *receipts) add(receipt []byte) {
+	sum := xxhash.Sum64(receipt)
+	if len(s.sums) < maxReceipts {
+		if s.sums == nil {
+			s.sums = make([]uint64, 0, firstReceipts)
+		}
+		s.sums = append(s.sums, sum)
+		return
+	}
+	s.sums[s.next] = sum
+	s.next = (s.next + 1) % maxReceipts
+}
--- a/internal/launcher/control.go
+++ b/internal/launcher/control.go
@@ -37,7 +37,7 @@
 // Run serves until ctx ends.
 func (c *ControlHost) Run(ctx context.Context) error {
 	limits := newProcessLimits(c.MemoryBytes, c.Descriptors, controlLinkDivisor, c.Log)
-	dialer := &connector.Dialer{Codec: c.UpstreamCodec, Budget: limits.budget}
+	dialer := &connector.Dialer{Codec: c.UpstreamCodec, Budget: limits.budget, OnStrayAnswer: func(a connector.StrayAnswer) { logStrayAnswer(c.Log, a) }}
 	co := &coordinator.Coordinator{
 		Settings: c.Settings, Seeds: c.Seeds, Decode: c.Decode, Now: timer.Now, Dial: linker.Linker{}.Dial, Promote: c.Promote,
 		QueryStatus: func(ctx context.Context, u keeper.Upstream) (connector.ReplicationStatus, error) {
--- a/internal/launcher/entry.go
+++ b/internal/launcher/entry.go
@@ -178,7 +178,7 @@
 	e.assignments = &assignments{host: e.Settings.Host, dataCentre: e.Settings.Place.DataCentre, location: e.Settings.Place, linkMegabits: e.Settings.LinkMegabits}
 	e.warmups = &warmupThrottle{now: timer.Now, isOwner: e.assignments.isFirstOwner, log: e.Log}
 	e.set = &connector.PoolSet{Dialer: &connector.Dialer{Codec: e.UpstreamCodec, Budget: e.limits.budget}, MayForward: e.evacuations.MayForward, Throttle: e.warmups.throttle(), Weight: e.organisationWeight}
-	e.set.OnOverload = e.logOverload
+	e.set.OnOverload, e.set.Dialer.OnStrayAnswer = e.logOverload, e.recordStrayAnswer
 	e.forwarder = &forwarder.Forwarder{Dial: linker.Linker{}.DialStream, Budget: e.limits.budget}
 	e.broker = &broker.Broker{LocalConnections: e.set, Forwarder: e.forwarder, Owners: e.assignments.lendersOf, Check: e.checkLentWork, ObserveLoad: e.upstreams.RecordLoad, ObserveRoundTrip: e.recordRoundTrip, ObserveSlowOwner: e.entryMetrics.slowOwners.Inc, Log: e.Log, Backoffer: backoffer.Backoffer{Initial: peerBackoff}}
 	e.admitter = &admitter.Admitter{
@@ -213,6 +213,17 @@
 	e.entryMetrics.registerWarmups(e.warmups)
 }
 
+// recordStrayAnswer logs and counts an upstream's answer to nothing.
+func (e *EntryHost) recordStrayAnswer(a connector.StrayAnswer) {
+	e.entryMetrics.strayAnswers.WithLabelValues(string(a.Kind)).Inc()
+	logStrayAnswer(e.Log, a)
+}
+
+// logStrayAnswer logs an upstream's answer to nothing.
+func logStrayAnswer(log *logger.Logger, a connector.StrayAnswer) {
+	log.Warn(logger.EventUpstreamAnswerStray, zap.String("upstream", a.Upstream), zap.String("kind", string(a.Kind)), zap.String("outstanding", string(a.Verb)))
+}
+
 // logOverload logs that the queue of an upstream has begun or ceased to refuse
 // statements.
 func (e *EntryHost) logOverload(c connector.OverloadChange) {
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -22,6 +22,8 @@
 	objectives *prometheus.CounterVec
 	choices    *prometheus.CounterVec
 	slowOwners prometheus.Counter
+	// strayAnswers has one series for each kind of stray answer.
+	strayAnswers *prometheus.CounterVec
 }
 
 func newEntryMetrics() *entryMetrics {
@@ -52,7 +54,10 @@
 	m.slowOwners = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "shallotstage_entry_slow_owner_answers_total", Help: "Answers of owners that came too late although other data of theirs arrived: their links or processors are full.",
 	})
-	m.registry.MustRegister(m.statements, m.refusals, m.early, m.latency, m.objectives, m.choices, m.slowOwners)
+	m.strayAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "shallotstage_entry_stray_answers_total", Help: "Answers of upstreams that belong to no outstanding request, by what showed it: unread, repeated or unfit.",
+	}, []string{"kind"})
+	m.registry.MustRegister(m.statements, m.refusals, m.early, m.latency, m.objectives, m.choices, m.slowOwners, m.strayAnswers)
 	return m
 }
 
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -31,6 +31,7 @@
 	EventUpstreamQueueRefused     = Event{1207, "upstream_queue_refused"}
 	EventUpstreamConnectFailed    = Event{1208, "upstream_connect_failed"}
 	EventUpstreamAnswerLate       = Event{1209, "upstream_answer_late"}
+	EventUpstreamAnswerStray      = Event{1210, "upstream_answer_stray"}
 	EventSettingsRead             = Event{1004, "settings_read"}
 	EventSettingsRefused          = Event{1005, "settings_refused"}
 	EventLogLinesDropped          = Event{1006, "log_lines_dropped"}
@@ -93,7 +94,7 @@
 		EventVoteClearancePending,
 		EventSessionRefused, EventSessionBroken, EventTransactionExpired,
 		EventRequestServed, EventRequestRefused, EventRequestRetried,
-		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost, EventUpstreamQueueRefused, EventUpstreamConnectFailed, EventUpstreamAnswerLate,
+		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost, EventUpstreamQueueRefused, EventUpstreamConnectFailed, EventUpstreamAnswerLate, EventUpstreamAnswerStray,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventWarmupGrantChanged, EventCancelNotDelivered,
