A second answer of an upstream is not the answer to the next request

Callers got successes with the signature or rows of other callers' statements. The cause: a connection was taken for one whose next bytes answer the next request, and nothing asked whether that holds. If an upstream answers twice, the second answer is read as that of the next request, and all after it are off by one.

- An idle connection is looked at before it is used (one MSG_PEEK); if anything is unread, or it is closed, it is closed and a new one opened in its place.
- Before each later run on a held connection, what came meanwhile is read and skipped if it can be a second answer; otherwise the connection is given up and the statement was certainly not sent.
- An answer that comes in the place of another is known by its receipt, which was received before, or by a kind or a transaction state that the request's answer cannot have.
It is skipped and the true one read.
A new receipt that does not fit is an error and never a success.
- Failures carry nothing that ties them to a request.
The first on a connection is believed.
At a later one, in answer to a caller's statement, a RESET or ROLLBACK is sent: upstreams answer in order, so its acknowledgement shows whether the failure was the statement's or a second one, after which the statement's own answer comes.
Closing each connection that saw a failure instead would cost a connection for each BUSY and LAGGING.
- A connection that had a second answer is closed at its release.

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -238,6 +238,9 @@
 	if b.HasForward() && !c.allowsForward() {
 		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
 	}
+	if err := c.settle(deadline); err != nil {
+		return nil, &RunError{Err: err}
+	}
 	if !b.PositionOnly {
 		if err := c.ApplyValues(deadline, b.Values); err != nil {
 			return nil, &RunError{Err: err}
@@ -259,13 +262,15 @@
 		if err := c.Send(deadline, send...); err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
-		a, err := c.Receive(send[0])
+		a, rolledBack, err := c.receive(send[0], send[1:])
 		if err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
 		answers = append(answers, a)
 		if len(send) == 2 {
-			c.receiveRollback()
+			if !rolledBack && !c.broken {
+				c.receiveRollback()
+			}
 			return answers, nil
 		}
 		if a.Failure != FailureNone {
@@ -280,7 +285,7 @@
 // receiveRollback reads the answer to a rollback. It only decides whether the
 // connection can be reused.
 func (c *Conn) receiveRollback() {
-	if a, err := c.Receive(Request{Verb: VerbRollback}); err != nil || a.State != StateIdle {
+	if a, err := c.Receive(Request{Verb: VerbRollback}); err != nil || a.Failure != FailureNone {
 		c.broken = true
 	}
 }
@@ -290,8 +295,13 @@
 	if c.broken || c.state == StateIdle {
 		return
 	}
+	if c.doubtful {
+		// The close rolls back as well.
+		c.broken = true
+		return
+	}
 	a, err := c.Do(time.Now().Add(rollbackTimeout), Request{Verb: VerbRollback})
-	if err != nil || a.State != StateIdle {
+	if err != nil || a.Failure != FailureNone {
 		c.broken = true
 	}
 }
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -17,10 +16,6 @@
 	maxPrepared = 256
 )
 
-// errIncomplete is returned for an answer that reports neither success nor
-// failure.
-var errIncomplete = errors.New("answer has no completion")
-
 // Conn is one connection to an upstream on behalf of one organisation. It must
 // not be used by several goroutines at once.
 type Conn struct {
@@ -54,6 +49,14 @@
 	state TransactionState
 	// receipts are those of the answers received.
 	receipts receipts
+	// doubtful is true once a second answer was skipped: more may follow.
+	doubtful bool
+	// failed is true once a failure was received, which may come a second time.
+	failed bool
+	// checked is true from the check of an idle connection to its first use.
+	checked bool
+	// deadline is that of the last request.
+	deadline time.Time
 	// onStrayAnswer is Dialer.OnStrayAnswer.
 	onStrayAnswer func(a StrayAnswer)
 	// holder holds the answer that is being read, of which received bytes have come and
@@ -102,9 +105,7 @@
 // Send writes requests in a single write.
 func (c *Conn) Send(deadline time.Time, requests ...Request) error {
 	c.release()
-	if unread, _ := c.hasUnread(); unread {
-		c.reportStray(StrayUnread, requests[0].Verb)
-	}
+	c.deadline = deadline
 	c.out = c.out[:0]
 	for _, r := range requests {
 		c.out = c.codec.AppendRequest(c.out, r)
@@ -122,35 +123,6 @@
 	return nil
 }
 
-// Receive reads the answer to r, the next outstanding request.
-func (c *Conn) Receive(r Request) (Answer, error) {
-	c.received = 0
-	a, err := c.codec.ReadAnswer(c.r)
-	if err != nil {
-		return a, c.fail("read answer", err)
-	}
-	if a.Failure == FailureNone {
-		c.checkStray(r, a)
-	}
-	c.state = a.State
-	if !a.Completed && a.Failure == FailureNone {
-		return a, c.fail("read answer", errIncomplete)
-	}
-	return a, nil
-}
-
-// checkStray reports an answer that is not the one to r.
-func (c *Conn) checkStray(r Request, a Answer) {
-	switch {
-	case len(a.Receipt) > 0 && c.receipts.has(a.Receipt):
-		c.reportStray(StrayRepeated, r.Verb)
-	case !a.fits(r, c.state):
-		c.reportStray(StrayUnfit, r.Verb)
-	case len(a.Receipt) > 0:
-		c.receipts.add(a.Receipt)
-	}
-}
-
 // Do sends one request and reads its answer.
 func (c *Conn) Do(deadline time.Time, r Request) (Answer, error) {
 	if err := c.Send(deadline, r); err != nil {
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -60,6 +60,7 @@
 		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec, socket: newSocket(conn), onStrayAnswer: d.OnStrayAnswer,
 		values: map[string]string{}, prepared: map[string]bool{}, state: StateIdle,
 	}
+	c.checked = true
 	c.r = bufio.NewReaderSize(answerReader{c}, readBufferSize)
 	c.holder = &budgeter.Holder{Budget: d.Budget, Kind: budgeter.KindUpstream, HoldsAnswers: true, Close: func() { _ = conn.Close() }}
 	a, err := c.handshake(ctx, u)
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -86,14 +86,36 @@
 		return nil, err
 	}
 	if c, ok := grant.Connection.(*Conn); ok {
-		return c, nil
+		if c.isUsable() {
+			return c, nil
+		}
+		p.replace(c)
 	}
 	return p.dial(ctx, organisation)
 }
 
+// replace closes a connection in whose place a new one is opened.
+func (p *Pool) replace(c *Conn) {
+	_ = c.net.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening++
+}
+
 // AcquireIdle removes an idle connection of any organisation from the pool,
 // without a slot. It returns nil if there is none.
 func (p *Pool) AcquireIdle() *Conn {
+	for {
+		c := p.popIdle()
+		if c == nil || c.isUsable() {
+			return c
+		}
+		c.broken = true
+		p.Release(c)
+	}
+}
+
+func (p *Pool) popIdle() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) == 0 {
@@ -336,7 +358,7 @@
 
 // put adds a connection to the idle ones, or closes it.
 func (p *Pool) put(c *Conn) {
-	if c.broken || c.state != StateIdle || p.closed || p.open > p.limit {
+	if c.broken || c.doubtful || c.state != StateIdle || p.closed || p.open > p.limit {
 		_ = c.net.Close()
 		p.open--
 		return
--- a/internal/connector/pool_test.go
+++ b/internal/connector/pool_test.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -23,7 +24,7 @@
 		local, remote := net.Pipe()
 		t.Cleanup(func() { _ = remote.Close() })
 		p.open++
-		p.put(&Conn{Organisation: organisation, net: local, state: StateIdle})
+		p.put(&Conn{Organisation: organisation, net: local, socket: newSocket(local), r: bufio.NewReader(local), state: StateIdle})
 	}
 	return p
 }
--- a/internal/connector/receipts.go
+++ b/internal/connector/receipts.go
@@ -18,8 +18,11 @@
 	next int
 }
 
-// has reports whether a receipt was added.
+// has reports whether a receipt was added. It returns false for the empty one.
 func (s *receipts) has(receipt []byte) bool {
+	if len(receipt) == 0 {
+		return false
+	}
 	sum := xxhash.Sum64(receipt)
 	for _, known := range s.sums {
 		if known == sum {
@@ -29,8 +32,11 @@
 	return false
 }
 
-// add adds a receipt in place of the oldest one.
+// add adds a receipt in place of the oldest one. The empty one is ignored.
 func (s *receipts) add(receipt []byte) {
+	if len(receipt) == 0 {
+		return
+	}
 	sum := xxhash.Sum64(receipt)
 	if len(s.sums) < maxReceipts {
 		if s.sums == nil {
--- a/internal/connector/stray_answer.go
+++ b/internal/connector/stray_answer.go
@@ -12,6 +12,8 @@
 	// StrayUnfit is an answer of a kind or with a transaction state that the outstanding
 	// request cannot have.
 	StrayUnfit StrayKind = "unfit"
+	// StrayDoubtful is a failure that is or may be the second answer to an earlier request.
+	StrayDoubtful StrayKind = "doubtful"
 )
 
 // StrayAnswer is an answer that belongs to no outstanding request: an upstream has probably
--- a/internal/launcher/entry_metrics.go
+++ b/internal/launcher/entry_metrics.go
@@ -55,7 +55,7 @@
 		Name: "shallotstage_entry_slow_owner_answers_total", Help: "Answers of owners that came too late although other data of theirs arrived: their links or processors are full.",
 	})
 	m.strayAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "shallotstage_entry_stray_answers_total", Help: "Answers of upstreams that belong to no outstanding request, by what showed it: unread, repeated or unfit.",
+		Name: "shallotstage_entry_stray_answers_total", Help: "Answers of upstreams that belong to no outstanding request, by what showed it: unread, repeated, unfit or doubtful.",
 	}, []string{"kind"})
 	m.registry.MustRegister(m.statements, m.refusals, m.early, m.latency, m.objectives, m.choices, m.slowOwners, m.strayAnswers)
 	return m
