A doubted refusal of BEGIN is confirmed rather than the connection closed

LAGGING in answer to BEGIN comes often at replicas that are behind; closing a connection at its second one cost new connections.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -101,16 +101,17 @@
 	if isFirst {
 		return a, false, nil
 	}
-	if r.Verb != VerbForward {
-		// Nothing of a caller was sent. What r may have begun is rolled back by the close.
+	if r.Verb != VerbForward && r.Verb != VerbBegin {
+		// Nothing of a caller was sent.
 		c.broken = true
 		return a, false, nil
 	}
 	return c.confirm(r, a, next)
 }
 
-// confirm decides whether a failure is the answer to r, a caller's statement. Upstreams answer
-// in order, so the acknowledgement of a later request follows the answer to r.
+// confirm decides whether a failure is the answer to r, a caller's statement or the begin of
+// a transaction. Upstreams answer in order, so the acknowledgement of a later request follows
+// the answer to r.
 func (c *Conn) confirm(r Request, failure Answer, next []Request) (Answer, bool, error) {
 	if len(next) == 0 {
 		if err := c.Send(c.deadline, c.barrier()); err != nil {
@@ -133,6 +134,11 @@
 			c.state = a.State
 			failure.State = a.State
 			return failure, len(next) > 0, nil
+		case r.Verb == VerbBegin:
+			// The transaction was begun. Nothing of a caller was sent, and the close ends it.
+			c.skip(StrayDoubtful, r.Verb)
+			c.broken = true
+			return failure, false, nil
 		default:
 			c.skip(StrayUnfit, r.Verb)
 		}
