--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"net"
 	"time"
@@ -17,10 +16,6 @@
 	maxPrepared = 256
 )
 
-// errIncomplete is returned for an answer that reports neither success nor
-// failure.
-var errIncomplete = errors.New("answer has no completion")
-
 // Conn is one connection to an upstream on behalf of one organisation. It must
 // not be used by several goroutines at once.
 type Conn struct {
@@ -30,10 +25,11 @@
 	// Upstream is the ID of the upstream.
 	Upstream string
 
-	net   net.Conn
-	r     *bufio.Reader
-	codec *Codec
-	out   []byte
+	net    net.Conn
+	socket *socket
+	r      *bufio.Reader
+	codec  *Codec
+	out    []byte
 	// values are the session values set on the connection.
 	values map[string]string
 	// prepared holds the names of the statements prepared on the connection.
@@ -51,6 +47,18 @@
 	mayForward func() bool
 	// state is the transaction state in the last answer.
 	state TransactionState
+	// receipts are those of the answers received.
+	receipts receipts
+	// doubtful is true once a second answer was skipped: more may follow.
+	doubtful bool
+	// failed is true once a failure was received, which may come a second time.
+	failed bool
+	// checked is true from the check of an idle connection to its first use.
+	checked bool
+	// deadline is that of the last request.
+	deadline time.Time
+	// onStrayAnswer is Dialer.OnStrayAnswer.
+	onStrayAnswer func(a StrayAnswer)
 	// holder holds the answer that is being read, of which received bytes have come and
 	// held bytes are reported.
 	holder         *budgeter.Holder
@@ -97,6 +105,7 @@
 // Send writes requests in a single write.
 func (c *Conn) Send(deadline time.Time, requests ...Request) error {
 	c.release()
+	c.deadline = deadline
 	c.out = c.out[:0]
 	for _, r := range requests {
 		c.out = c.codec.AppendRequest(c.out, r)
@@ -114,26 +123,12 @@
 	return nil
 }
 
-// Receive reads the answer to the next outstanding request.
-func (c *Conn) Receive() (Answer, error) {
-	c.received = 0
-	a, err := c.codec.ReadAnswer(c.r)
-	if err != nil {
-		return a, c.fail("read answer", err)
-	}
-	c.state = a.State
-	if !a.Completed && a.Failure == FailureNone {
-		return a, c.fail("read answer", errIncomplete)
-	}
-	return a, nil
-}
-
 // Do sends one request and reads its answer.
 func (c *Conn) Do(deadline time.Time, r Request) (Answer, error) {
 	if err := c.Send(deadline, r); err != nil {
 		return Answer{}, err
 	}
-	return c.Receive()
+	return c.Receive(r)
 }
 
 func (c *Conn) fail(operation string, err error) error {
