Compare what upstreams get with what clients sent

Upstreams read lines strictly, and compare the text, organisation, service, shape and transaction of each statement with what its client recorded before it was sent.

--- /dev/null
+++ b/cmd/shallotstage-host/unasked_callers_test.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"time"
+)
+
+// strictCaller is a client that records each statement before it sends it.
+type strictCaller struct {
+	name, organisation, key string
+	addresses               []string
+	ledger                  *ledger
+	rnd                     *rand.Rand
+	services                int
+	// alphabet holds the characters of random data.
+	alphabet string
+	// splits makes it send some lines in pieces.
+	splits bool
+	// largest is the largest size of random data.
+	largest int
+
+	n, served int
+	service   string
+	conn      net.Conn
+	r         *bufio.Reader
+	prepared  map[string]string
+	inTx      bool
+	codes     map[string]int
+}
+
+func (c *strictCaller) data() string {
+	n := 1 + c.rnd.IntN(16)
+	if c.rnd.IntN(40) == 0 {
+		n = 1 + c.rnd.IntN(c.largest)
+	}
+	var b strings.Builder
+	for range n {
+		b.WriteByte(c.alphabet[c.rnd.IntN(len(c.alphabet))])
+	}
+	return b.String()
+}
+
+func (c *strictCaller) connect() bool {
+	conn, err := net.DialTimeout("tcp", c.addresses[c.rnd.IntN(len(c.addresses))], time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	i := c.rnd.IntN(c.services)
+	c.conn, c.r, c.prepared, c.inTx = conn, bufio.NewReader(conn), map[string]string{}, false
+	c.service = fmt.Sprintf("s%d", i)
+	c.send(fmt.Sprintf("STARTUP %s%d %s\r\n", []string{"primary", "bounded", "own"}[c.rnd.IntN(3)], i, c.key))
+	line, err := c.r.ReadString('\n')
+	if err != nil || !strings.HasPrefix(line, "READY I") {
+		c.close()
+		return false
+	}
+	return true
+}
+
+func (c *strictCaller) close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// send sends a line, in pieces now and then.
+func (c *strictCaller) send(line string) {
+	if c.splits && len(line) > 2 && c.rnd.IntN(4) == 0 {
+		at := 1 + c.rnd.IntN(len(line)-1)
+		_, _ = c.conn.Write([]byte(line[:at]))
+		time.Sleep(time.Duration(c.rnd.IntN(4)) * time.Millisecond)
+		line = line[at:]
+	}
+	_, _ = c.conn.Write([]byte(line))
+}
+
+// record records a statement with the id of the present operation.
+func (c *strictCaller) record(id, text string) {
+	s := sentStatement{text: text, organisation: c.organisation, service: c.service, inTransaction: c.inTx}
+	if rest, ok := strings.CutPrefix(text, "EXECUTE "); ok {
+		name, arguments, found := strings.Cut(rest, " ")
+		s.text, s.shape = "EXECUTE "+arguments, c.prepared[name]
+		if !found {
+			s.text = "EXECUTE"
+		}
+	}
+	c.ledger.record(id, s)
+}
+
+// query sends a statement and returns COMPLETE or the error code, and the state.
+func (c *strictCaller) query(id, text string) (answer, state string) {
+	c.record(id, text)
+	_ = c.conn.SetDeadline(time.Now().Add(5 * time.Second))
+	c.send("QUERY " + id + " " + text + "\r\n")
+	for {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			c.codes["no answer"]++
+			return "", ""
+		}
+		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
+		switch word {
+		case "COMPLETE":
+			answer = word
+		case "ERROR":
+			answer, _, _ = strings.Cut(rest, " ")
+		case "READY":
+			c.codes[answer]++
+			state, _, _ = strings.Cut(rest, " ")
+			return answer, state
+		}
+	}
+}
+
+// access returns a random read or write, or the execution of a prepared one.
+func (c *strictCaller) access(id string) (text string, ok bool) {
+	item := fmt.Sprintf("x%d", c.rnd.IntN(50))
+	switch c.rnd.IntN(4) {
+	case 0:
+		return "READ " + item, true
+	case 1:
+		return "WRITE " + item + " " + c.data(), true
+	}
+	name := fmt.Sprintf("s%d", c.rnd.IntN(4))
+	if c.prepared[name] == "" || c.rnd.IntN(10) == 0 {
+		shape := fmt.Sprintf("READ q%d", c.rnd.IntN(3))
+		if c.rnd.IntN(2) == 0 {
+			shape = fmt.Sprintf("WRITE q%d", c.rnd.IntN(3))
+		}
+		if answer, _ := c.query(id, "PREPARE "+name+" "+shape); answer != "COMPLETE" {
+			return "", false
+		}
+		c.prepared[name] = shape
+	}
+	if strings.HasPrefix(c.prepared[name], "READ") {
+		return "EXECUTE " + name + " " + item, true
+	}
+	return "EXECUTE " + name + " " + item + " " + c.data(), true
+}
+
+// step runs one operation.
+func (c *strictCaller) step() {
+	if c.conn == nil && !c.connect() {
+		return
+	}
+	c.n++
+	id := fmt.Sprintf("%s-%d", c.name, c.n)
+	ok := false
+	if c.rnd.IntN(4) == 0 {
+		ok = c.transaction(id)
+	} else if text, prepared := c.access(id); prepared {
+		answer, state := c.query(id, text)
+		ok = answer == "COMPLETE" && state == "I"
+	}
+	if ok {
+		c.served++
+	}
+	if !ok || c.rnd.IntN(30) == 0 {
+		c.close()
+	}
+}
+
+func (c *strictCaller) transaction(id string) bool {
+	begin := "BEGIN"
+	if answer, state := c.query(id, begin); answer != "COMPLETE" || state != "T" {
+		return false
+	}
+	c.inTx = true
+	for range c.rnd.IntN(5) {
+		text, ok := c.access(id)
+		if !ok {
+			return false
+		}
+		if answer, state := c.query(id, text); answer != "COMPLETE" || state != "T" {
+			return false
+		}
+		time.Sleep(time.Duration(c.rnd.IntN(3)) * time.Millisecond)
+	}
+	end := "COMMIT"
+	switch c.rnd.IntN(8) {
+	case 0:
+		end = "ROLLBACK"
+	case 1:
+		// The client leaves.
+		return false
+	}
+	answer, state := c.query(id, end)
+	c.inTx = false
+	return answer == "COMPLETE" && state == "I"
+}
--- /dev/null
+++ b/cmd/shallotstage-host/unasked_upstreams_test.go
@@ -0,0 +1,345 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sentStatement is a statement as a client sent it.
+type sentStatement struct {
+	text, organisation, service string
+	// inTransaction is true if the client sent it within a transaction.
+	inTransaction bool
+	// shape is the access and shape of an EXECUTE.
+	shape string
+}
+
+// ledger holds what clients sent and what upstreams ran, by the ids of the statements.
+type ledger struct {
+	mu         sync.Mutex
+	sent       map[string][]sentStatement
+	ran        int
+	violations []string
+}
+
+// record records a statement before it is sent.
+func (l *ledger) record(id string, s sentStatement) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id] = append(l.sent[id], s)
+}
+
+func (l *ledger) addViolation(format string, arguments ...any) {
+	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
+}
+
+// counts returns the number of statements that clients sent and that upstreams ran.
+func (l *ledger) counts() (sent, ran, violations int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.sent {
+		sent += len(s)
+	}
+	return sent, l.ran, len(l.violations)
+}
+
+// ownTexts are the first words of the statements that the system itself may send.
+var ownTexts = map[string]bool{"BEGIN": true, "ROLLBACK": true, "RESET": true, "SET": true, "PREPARE": true, "CLOSE": true, "STATUS": true, "DEMOTE": true, "PAUSE": true, "RESUME": true}
+
+// check compares a statement that an upstream got with what clients sent.
+func (l *ledger) check(c *strictConn, id, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	word, rest, _ := strings.Cut(text, " ")
+	if id == placeholderID {
+		if tail, ok := strings.CutPrefix(text, "AFTER "); ok {
+			_, word, _ = strings.Cut(tail, " ")
+			if word != "BEGIN" && word != "BEGIN READ" {
+				l.addViolation("own statement with a position: %.200q", text)
+			}
+		} else if !ownTexts[word] {
+			l.addViolation("own statement %.200q", text)
+		}
+		return
+	}
+	l.ran++
+	if tail, ok := strings.CutPrefix(text, "AFTER "); ok {
+		_, text, _ = strings.Cut(tail, " ")
+		if word, rest, _ = strings.Cut(text, " "); word != "READ" {
+			l.addViolation("%s has a position before %.200q", id, text)
+		}
+	}
+	got := sentStatement{text: text, organisation: c.organisation, service: c.service}
+	if word == "EXECUTE" {
+		name, arguments, found := strings.Cut(rest, " ")
+		got.text, got.shape = "EXECUTE "+arguments, c.prepared[name]
+		if !found {
+			got.text = "EXECUTE"
+		}
+	}
+	got.inTransaction = c.inTransaction
+	for _, want := range l.sent[id] {
+		if word == "READ" || strings.HasPrefix(got.shape, "READ") {
+			// A read of its own may be wrapped in a transaction of the system.
+			want.inTransaction = got.inTransaction
+		}
+		if want == got {
+			return
+		}
+	}
+	l.addViolation("%.60s: ran %.300q for %s at %s, sent %.600q", id, fmt.Sprint(got), c.organisation, c.service, fmt.Sprint(l.sent[id]))
+}
+
+const placeholderID = "-"
+
+// strictGroup is a service of which all upstreams show each commit at once.
+type strictGroup struct {
+	ledger    *ledger
+	service   string
+	upstreams []*strictUpstream
+
+	mu     sync.Mutex
+	offset int
+	items  map[string]string
+}
+
+// strictUpstream is an upstream that reads lines as the protocol says: they end with CR LF.
+type strictUpstream struct {
+	group    *strictGroup
+	id, zone string
+	primary  bool
+	listener net.Listener
+	born     int64
+	// stutter returns how long after an answer it is sent again, or zero.
+	stutter func() time.Duration
+	work    time.Duration
+}
+
+// strictConn is one connection of an entry host.
+type strictConn struct {
+	organisation, service string
+	inTransaction, failed bool
+	writes                map[string]string
+	prepared              map[string]string
+}
+
+func newStrictGroup(t *testing.T, l *ledger, service string, zones []string) *strictGroup {
+	g := &strictGroup{ledger: l, service: service, items: map[string]string{}}
+	for i, zone := range zones {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = listener.Close() })
+		u := &strictUpstream{group: g, id: fmt.Sprintf("i-%s-%d", service, i), zone: zone, primary: i == 0, listener: listener, born: time.Now().UnixMilli()}
+		g.upstreams = append(g.upstreams, u)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go u.serve(conn)
+			}
+		}()
+	}
+	return g
+}
+
+func (u *strictUpstream) heartbeat(sequence int) string {
+	role := "replica"
+	if u.primary {
+		role = "primary"
+	}
+	return fmt.Sprintf(`{"service":"%s","address":"%s","zone":"%s","version":"v1","slots":5,"state":"ready","cold_remaining_ms":0,"db_role":"%s","seq":%d,"born":%d}`,
+		u.group.service, u.listener.Addr(), u.zone, role, sequence, u.born)
+}
+
+// readStrictLine reads up to CR LF.
+func readStrictLine(r *bufio.Reader) (string, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			if len(line) > 0 && errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return "", err
+		}
+		if bytes.HasSuffix(line, []byte("\r\n")) {
+			return string(line[:len(line)-2]), nil
+		}
+	}
+}
+
+func (u *strictUpstream) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	line, err := readStrictLine(r)
+	if err != nil {
+		return
+	}
+	fields := strings.Split(line, " ")
+	if len(fields) != 4 || fields[0] != "STARTUP" || fields[1] != u.group.service || fields[3] != u.id {
+		u.violation("startup %q at %s", line, u.id)
+		_, _ = fmt.Fprintf(conn, "ERROR MISROUTED %s\r\n", u.id)
+		return
+	}
+	c := &strictConn{organisation: fields[2], service: fields[1], prepared: map[string]string{}}
+	var mu sync.Mutex
+	send := func(b string) error {
+		mu.Lock()
+		defer mu.Unlock()
+		_, err := io.WriteString(conn, b)
+		return err
+	}
+	if send("READY I "+u.position()+"\r\n") != nil {
+		return
+	}
+	for {
+		line, err := readStrictLine(r)
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			u.violation("half a line at %s", u.id)
+		}
+		if err != nil || line == "QUIT" {
+			return
+		}
+		parts := strings.SplitN(line, " ", 3)
+		if len(parts) != 3 || parts[0] != "QUERY" {
+			u.violation("line %.200q at %s", line, u.id)
+			return
+		}
+		if strings.ContainsAny(line, "\r\n") {
+			u.violation("line with a terminator inside: %.200q", line)
+		}
+		answer := u.run(c, parts[1], parts[2])
+		if u.work > 0 && parts[1] != placeholderID {
+			time.Sleep(u.work)
+		}
+		if send(answer) != nil {
+			return
+		}
+		if u.stutter != nil {
+			if d := u.stutter(); d > 0 {
+				time.AfterFunc(d, func() { _ = send(answer) })
+			}
+		}
+	}
+}
+
+func (u *strictUpstream) violation(format string, arguments ...any) {
+	u.group.ledger.mu.Lock()
+	defer u.group.ledger.mu.Unlock()
+	u.group.ledger.addViolation(format, arguments...)
+}
+
+func (u *strictUpstream) position() string {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	return fmt.Sprintf("1.%d", u.group.offset+1)
+}
+
+// run runs one statement and returns its whole answer.
+func (u *strictUpstream) run(c *strictConn, id, text string) string {
+	body := ""
+	if u.primary || !c.refusesWrite(text) {
+		u.group.ledger.check(c, id, text)
+		body = u.execute(c, id, text)
+	} else {
+		body = "ERROR READONLY " + u.id + "\r\n"
+		c.failed = c.inTransaction
+	}
+	state := "I"
+	if c.inTransaction {
+		state = "T"
+	}
+	if c.failed {
+		state = "E"
+	}
+	return body + "READY " + state + " " + u.position() + "\r\n"
+}
+
+// refusesWrite reports whether a replica refuses a statement.
+func (c *strictConn) refusesWrite(text string) bool {
+	word, rest, _ := strings.Cut(text, " ")
+	name, _, _ := strings.Cut(rest, " ")
+	return word == "WRITE" || text == "BEGIN" || word == "EXECUTE" && strings.HasPrefix(c.prepared[name], "WRITE")
+}
+
+func (u *strictUpstream) execute(c *strictConn, id, text string) string {
+	if tail, ok := strings.CutPrefix(text, "AFTER "); ok {
+		_, text, _ = strings.Cut(tail, " ")
+	}
+	word, rest, _ := strings.Cut(text, " ")
+	name, arguments, _ := strings.Cut(rest, " ")
+	complete := "COMPLETE -\r\n"
+	switch word {
+	case "BEGIN":
+		c.inTransaction, c.writes = true, map[string]string{}
+		return complete
+	case "ROLLBACK":
+		c.inTransaction, c.failed = false, false
+		return complete
+	case "RESET":
+		clear(c.prepared)
+		return complete
+	case "PREPARE":
+		c.prepared[name] = arguments
+		return complete
+	case "CLOSE":
+		delete(c.prepared, name)
+		return complete
+	case "STATUS", "DEMOTE":
+		role := "replica"
+		if u.primary {
+			role = "primary"
+		}
+		return fmt.Sprintf("ROW %s 1 %s 1 0 0 5\r\nCOMPLETE -\r\n", role, u.position())
+	case "COMMIT":
+		c.inTransaction = false
+		u.apply(c.writes)
+		return "COMPLETE sig-" + id + "\r\n"
+	case "EXECUTE":
+		shape, ok := c.prepared[name]
+		if !ok {
+			return "ERROR NOSTMT " + u.id + "\r\n"
+		}
+		word, _, _ = strings.Cut(shape, " ")
+		rest = arguments
+	}
+	item, data, _ := strings.Cut(rest, " ")
+	switch word {
+	case "READ":
+		u.group.mu.Lock()
+		defer u.group.mu.Unlock()
+		return "ROW " + u.group.items[item] + "\r\nCOMPLETE sig-" + id + "\r\n"
+	case "WRITE":
+		if c.inTransaction {
+			c.writes[item] = data
+		} else {
+			u.apply(map[string]string{item: data})
+		}
+		return "COMPLETE sig-" + id + "\r\n"
+	}
+	return complete
+}
+
+func (u *strictUpstream) apply(writes map[string]string) {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	if len(writes) > 0 {
+		u.group.offset++
+	}
+	for item, data := range writes {
+		u.group.items[item] = data
+	}
+}
