Refuse the statements of a transaction whose begin was refused

What callers saw: a caller that sends BEGIN, two writes and COMMIT at once, and whose BEGIN is refused with BUSY, got success for both writes: each committed by itself, though BUSY promises that nothing of the attempt is kept, and nobody had asked for a commit.

Cause: a refused begin leaves the session outside a transaction, and what follows was taken for single statements. A caller that waits for the answer stops there; one that sends ahead cannot.

Ruled out: transactions refused later; they stay failed until they are ended.

Change: after a refused begin, statements that had arrived before the refusal was sent, and those with the begin's id, are refused with ABORTED up to the COMMIT or ROLLBACK, or up to the caller's next operation, which has an id of its own.

Not covered: statements with ids of their own that are still under way when the refusal is sent.

Whether the users' clients send ahead is not known.

--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -22,6 +22,10 @@
 	if s.tx != nil && s.tx.failure != nil {
 		return s.handleFailed(st)
 	}
+	if reply, ok := s.refused.refuse(st); ok {
+		s.logRefusal(st, reply.Refusal)
+		return reply
+	}
 	switch st.Verb {
 	case VerbSet, VerbPrepare, VerbClose:
 		return s.handleLocal(st)
@@ -141,12 +145,17 @@
 	case VerbCommit:
 		refusal := refuser.New(refuser.ReasonTransactionLost, s.tx.failure.Detail)
 		s.tx = nil
-		s.server.Log.Warn(logger.EventRequestRefused, zap.String("request", st.ID), zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail))
+		s.logRefusal(st, refusal)
 		return Reply{Refusal: refusal, State: connector.StateIdle}
 	}
 	return Reply{Refusal: refuser.New(refuser.ReasonProtocolViolation, "transaction has failed"), State: connector.StateFailed}
 }
 
+// logRefusal logs a statement that was refused because of its transaction.
+func (s *session) logRefusal(st Statement, refusal *refuser.Refusal) {
+	s.server.Log.Warn(logger.EventRequestRefused, zap.String("request", st.ID), zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail))
+}
+
 // handleLocal stores session values and prepared statements. They are sent to
 // an upstream only when a statement needs them.
 func (s *session) handleLocal(st Statement) Reply {
@@ -202,6 +211,9 @@
 		zap.String("reason", string(refusal.Reason)), zap.String("detail", refusal.Detail),
 		zap.Uint64("version", view.Configuration.Version), zap.Duration("retry_after", refusal.RetryAfter))
 	if s.tx == nil {
+		if st.Verb == VerbBegin {
+			s.refused.id = st.ID
+		}
 		return Reply{Refusal: refusal, State: connector.StateIdle}
 	}
 	s.tx.rollBack()
--- a/internal/transactor/session.go
+++ b/internal/transactor/session.go
@@ -63,6 +63,8 @@
 	unplacedCommits map[string]bool
 	// tx is the open transaction, or nil.
 	tx *transaction
+	// refused is the latest transaction that was refused at its begin.
+	refused refusedBegin
 	// lease is the latest one of an upstream connection.
 	lease *connector.Lease
 
@@ -114,6 +116,7 @@
 		s.setBusy(true)
 		reply, intact := s.handleRecovering(ctx, st)
 		s.setBusy(false)
+		s.refused.sentAhead = s.r.Buffered() > 0
 		ok := s.answer(reply) && intact
 		s.observe(st, reply, time.Since(begin))
 		if !ok || s.endsAfterReply() {
