--- a/cmd/shallotstage-host/unasked_callers_test.go
+++ b/cmd/shallotstage-host/unasked_callers_test.go
@@ -13,7 +13,7 @@
 type strictCaller struct {
 	name, organisation, key string
 	addresses               []string
-	ledger                  *ledger
+	ledger                  *strictLedger
 	rnd                     *rand.Rand
 	services                int
 	// alphabet holds the characters of random data.
@@ -82,7 +82,7 @@
 
 // record records a statement with the id of the present operation.
 func (c *strictCaller) record(id, text string) {
-	s := sentStatement{text: text, organisation: c.organisation, service: c.service, inTransaction: c.inTx}
+	s := strictStatement{text: text, organisation: c.organisation, service: c.service, inTransaction: c.inTx}
 	if rest, ok := strings.CutPrefix(text, "EXECUTE "); ok {
 		name, arguments, found := strings.Cut(rest, " ")
 		s.text, s.shape = "EXECUTE "+arguments, c.prepared[name]
--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -35,7 +35,7 @@
 		f.program = *ledgerProgram
 	}
 	rnd := rand.New(rand.NewPCG(*ledgerSeed, 9))
-	l := &ledger{sent: map[string][]sentStatement{}}
+	l := &strictLedger{sent: map[string][]strictStatement{}}
 	zones := []string{"a", "b", "c"}
 	f.zones = map[string]string{}
 	var groups []*strictGroup
--- a/cmd/shallotstage-host/unasked_upstreams_test.go
+++ b/cmd/shallotstage-host/unasked_upstreams_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// sentStatement is a statement as a client sent it.
-type sentStatement struct {
+// strictStatement is a statement as a client sent it.
+type strictStatement struct {
 	text, organisation, service string
 	// inTransaction is true if the client sent it within a transaction.
 	inTransaction bool
@@ -24,27 +24,27 @@
 	shape string
 }
 
-// ledger holds what clients sent and what upstreams ran, by the ids of the statements.
-type ledger struct {
+// strictLedger holds what clients sent and what upstreams ran, by the ids of the statements.
+type strictLedger struct {
 	mu         sync.Mutex
-	sent       map[string][]sentStatement
+	sent       map[string][]strictStatement
 	ran        int
 	violations []string
 }
 
 // record records a statement before it is sent.
-func (l *ledger) record(id string, s sentStatement) {
+func (l *strictLedger) record(id string, s strictStatement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent[id] = append(l.sent[id], s)
 }
 
-func (l *ledger) addViolation(format string, arguments ...any) {
+func (l *strictLedger) addViolation(format string, arguments ...any) {
 	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
 }
 
 // counts returns the number of statements that clients sent and that upstreams ran.
-func (l *ledger) counts() (sent, ran, violations int) {
+func (l *strictLedger) counts() (sent, ran, violations int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.sent {
@@ -57,7 +57,7 @@
 var ownTexts = map[string]bool{"BEGIN": true, "ROLLBACK": true, "RESET": true, "SET": true, "PREPARE": true, "CLOSE": true, "STATUS": true, "DEMOTE": true, "PAUSE": true, "RESUME": true}
 
 // check compares a statement that an upstream got with what clients sent.
-func (l *ledger) check(c *strictConn, id, text string) {
+func (l *strictLedger) check(c *strictConn, id, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	word, rest, _ := strings.Cut(text, " ")
@@ -79,7 +79,7 @@
 			l.addViolation("%s has a position before %.200q", id, text)
 		}
 	}
-	got := sentStatement{text: text, organisation: c.organisation, service: c.service}
+	got := strictStatement{text: text, organisation: c.organisation, service: c.service}
 	if word == "EXECUTE" {
 		name, arguments, found := strings.Cut(rest, " ")
 		got.text, got.shape = "EXECUTE "+arguments, c.prepared[name]
@@ -104,7 +104,7 @@
 
 // strictGroup is a service of which all upstreams show each commit at once.
 type strictGroup struct {
-	ledger    *ledger
+	ledger    *strictLedger
 	service   string
 	upstreams []*strictUpstream
 
@@ -133,7 +133,7 @@
 	prepared              map[string]string
 }
 
-func newStrictGroup(t *testing.T, l *ledger, service string, zones []string) *strictGroup {
+func newStrictGroup(t *testing.T, l *strictLedger, service string, zones []string) *strictGroup {
 	g := &strictGroup{ledger: l, service: service, items: map[string]string{}}
 	for i, zone := range zones {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
