--- a/internal/connector/unread.go
+++ b/internal/connector/unread.go
@@ -13,10 +13,11 @@
 // takes any buffer for empty.
 type socket struct {
 	raw  syscall.RawConn
-	peek func(fd uintptr)
-	b    [1]byte
-	n    int
-	err  error
+	look func(fd uintptr)
+	poll [1]unix.PollFd
+	// peeked is the number of bytes that look saw, or -1, and err its error.
+	peeked int
+	err    error
 }
 
 // newSocket returns the socket of a connection. A connection that has none gets the zero
@@ -31,16 +32,25 @@
 	if err != nil {
 		return s
 	}
-	s.raw = raw
-	s.peek = func(fd uintptr) {
-		for {
-			s.n, _, s.err = unix.Recvfrom(int(fd), s.b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-			if !errors.Is(s.err, unix.EINTR) {
-				return
-			}
+	s.raw, s.look = raw, s.lookAt
+	return s
+}
+
+// lookAt polls first, since that allocates nothing.
+func (s *socket) lookAt(fd uintptr) {
+	s.poll[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN}
+	n, err := unix.Poll(s.poll[:], 0)
+	if n == 0 && err == nil {
+		s.peeked, s.err = -1, nil
+		return
+	}
+	for {
+		var b [1]byte
+		s.peeked, _, s.err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if !errors.Is(s.err, unix.EINTR) {
+			return
 		}
 	}
-	return s
 }
 
 // hasUnread reports whether received bytes were not read yet. It returns io.EOF if the
@@ -50,7 +60,7 @@
 		return false, nil
 	}
 	// Unlike Read, Control is possible after a deadline has passed.
-	if err := s.raw.Control(s.peek); err != nil {
+	if err := s.raw.Control(s.look); err != nil {
 		return false, err
 	}
 	switch {
@@ -58,10 +68,10 @@
 		return false, nil
 	case s.err != nil:
 		return false, s.err
-	case s.n == 0:
+	case s.peeked == 0:
 		return false, io.EOF
 	}
-	return true, nil
+	return s.peeked > 0, nil
 }
 
 // hasUnread reports whether bytes were received that belong to no outstanding request. Its
