A lease whose connection was lost sends nothing more

After an answer that did not come in time, a further statement on the same lease was sent on the same connection, and the late answer of the first read as its own. Callers' transactions release their leases after an error, so no caller is known to have met it. A run on such a connection is now refused as not run.

TestLeaseOfALostConnectionSendsNothing failed before: the write was sent and "answered".

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -238,6 +238,9 @@
 	if b.HasForward() && !c.allowsForward() {
 		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
 	}
+	if c.broken {
+		return nil, &RunError{Err: fmt.Errorf("connector: connection to upstream %s: %w", c.Upstream, errLost)}
+	}
 	if err := c.settle(deadline); err != nil {
 		return nil, &RunError{Err: err}
 	}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -11,6 +11,8 @@
 var (
 	// errIncomplete is returned for an answer that reports neither success nor failure.
 	errIncomplete = errors.New("answer has no completion")
+	// errLost is returned for a connection whose state became uncertain.
+	errLost = errors.New("its state is uncertain since an earlier request")
 	// errUnfit is returned for an answer that is certainly not the one to the request, and
 	// is no second answer of an earlier one either.
 	errUnfit = errors.New("answer does not fit the request")
