A lost result of an owner is not that of the next work on its lease

A borrowed lease kept its stream after a result that did not come in time. The late result was then read as that of the next work on the lease: nothing ties results to work but their order. Callers' transactions release their leases after an error, so no caller is known to have met it; the mixed answers that were seen need doubled answers of upstreams.

A lease now closes its stream with the first error and refuses further work as not run; a result with more answers than requests is an error. The order on one stream is then enough, so results need no numbers, and hosts of earlier builds work with this one.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -161,6 +161,9 @@
 	owner        Owner
 	stream       net.Conn
 	r            *bufio.Reader
+	// isLost is true once a result was not received whole: it may still come, and the
+	// stream is closed.
+	isLost bool
 	// local replaces the owner's connection if the owner was unreachable.
 	local *connector.Lease
 }
@@ -180,10 +183,26 @@
 	}
 }
 
+// lose closes the stream and returns the error of a batch whose result is unknown.
+func (l *borrowedLease) lose(batch connector.Batch, err error) error {
+	l.isLost = true
+	_ = l.stream.Close()
+	return &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
+}
+
+// errLeaseLost is returned for work on a lease after a result that was not received whole.
+var errLeaseLost = errors.New("an earlier result of the lease was lost")
+
+// errTooManyAnswers is returned for a result with more answers than its work has requests.
+var errTooManyAnswers = errors.New("result has more answers than requests")
+
 func (l *borrowedLease) run(ctx context.Context, limits connector.Limits, batch connector.Batch) ([]connector.Answer, error) {
 	if l.local != nil {
 		return l.local.Run(ctx, limits, batch)
 	}
+	if l.isLost {
+		return nil, &connector.RunError{Err: &connector.OwnerError{Owner: l.owner.Host, Err: errLeaseLost}}
+	}
 	work, begin := encodeWork(limits, batch), time.Now()
 	if l.stream == nil {
 		work.Upstream, work.Organisation, work.Born, work.Route = l.upstream.ID, l.organisation, l.upstream.IncarnationStart, batch.Route
@@ -205,7 +224,7 @@
 		}
 		l.stream, l.r = stream, bufio.NewReaderSize(stream, readBufferSize)
 	} else if _, err := protodelim.MarshalTo(l.stream, work); err != nil {
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
+		return nil, l.lose(batch, err)
 	}
 	return l.receive(limits, batch, begin)
 }
@@ -213,12 +232,15 @@
 // receive reads the result of work that was sent at begin.
 func (l *borrowedLease) receive(limits connector.Limits, batch connector.Batch, begin time.Time) ([]connector.Answer, error) {
 	if err := l.stream.SetReadDeadline(limits.Deadline.Add(answerGrace)); err != nil {
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: err}
+		return nil, l.lose(batch, err)
 	}
 	var result messenger.LentResult
 	if err := protodelim.UnmarshalFrom(l.r, &result); err != nil {
 		l.broker.markUnreachable(l.owner, err)
-		return nil, &connector.RunError{MayHaveRun: batch.HasForward(), Err: &connector.OwnerError{Owner: l.owner.Host, Err: err}}
+		return nil, l.lose(batch, err)
+	}
+	if len(result.GetAnswers()) > len(batch.Requests) {
+		return nil, l.lose(batch, errTooManyAnswers)
 	}
 	if load := result.GetLoad(); load != nil && l.broker.ObserveLoad != nil {
 		l.broker.ObserveLoad(l.upstream.ID, l.organisation, decodeLoad(load))
