--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/internal/budgeter"
+	"github.com/shallotstage/shallotstage/internal/peeker"
 )
 
 const (
@@ -26,7 +27,7 @@
 	Upstream string
 
 	net    net.Conn
-	socket *socket
+	peeker *peeker.Peeker
 	r      *bufio.Reader
 	codec  *Codec
 	out    []byte
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/shallotstage/shallotstage/internal/budgeter"
+	"github.com/shallotstage/shallotstage/internal/peeker"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
@@ -57,7 +58,7 @@
 		return nil, Answer{}, &ConnectError{Upstream: u.ID, Err: err}
 	}
 	c := &Conn{
-		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec, socket: newSocket(conn), onStrayAnswer: d.OnStrayAnswer,
+		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec, peeker: peeker.New(conn), onStrayAnswer: d.OnStrayAnswer,
 		values: map[string]string{}, prepared: map[string]bool{}, state: StateIdle,
 	}
 	c.checked = true
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -208,6 +208,15 @@
 	return len(a.Receipt) == 0 || c.receipts.has(a.Receipt)
 }
 
+// hasUnread reports whether bytes were received that belong to no outstanding request. Its
+// error is the end of the connection.
+func (c *Conn) hasUnread() (bool, error) {
+	if c.r.Buffered() > 0 {
+		return true, nil
+	}
+	return c.peeker.HasUnread()
+}
+
 // isUsable reports whether an idle connection can be used: it is open, and nothing was
 // received since its last answer.
 func (c *Conn) isUsable() bool {
--- a/internal/connector/pool_test.go
+++ b/internal/connector/pool_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/shallotstage/shallotstage/internal/peeker"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 	"github.com/shallotstage/shallotstage/pkg/queuer"
 )
@@ -24,7 +25,7 @@
 		local, remote := net.Pipe()
 		t.Cleanup(func() { _ = remote.Close() })
 		p.open++
-		p.put(&Conn{Organisation: organisation, net: local, socket: newSocket(local), r: bufio.NewReader(local), state: StateIdle})
+		p.put(&Conn{Organisation: organisation, net: local, peeker: peeker.New(local), r: bufio.NewReader(local), state: StateIdle})
 	}
 	return p
 }
--- a/internal/connector/unread_test.go
+++ b/internal/connector/unread_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/shallotstage/shallotstage/internal/peeker"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
@@ -46,7 +47,7 @@
 // although its other end was gone.
 func TestUnreadBytesAreNoticed(t *testing.T) {
 	local, remote := tcpPair(t)
-	c := &Conn{net: local, socket: newSocket(local), r: bufio.NewReader(local)}
+	c := &Conn{net: local, peeker: peeker.New(local), r: bufio.NewReader(local)}
 	// The check must work after the deadline of an earlier request.
 	qt.Assert(t, local.SetDeadline(time.Now().Add(-time.Second)), qt.IsNil)
 	unread, err := c.hasUnread()
@@ -72,7 +73,7 @@
 	qt.Assert(t, errors.Is(err, io.EOF), qt.IsTrue)
 
 	local, remote = tcpPair(t)
-	c = &Conn{net: local, socket: newSocket(local), r: bufio.NewReader(local)}
+	c = &Conn{net: local, peeker: peeker.New(local), r: bufio.NewReader(local)}
 	_ = remote.SetLinger(0)
 	_ = remote.Close()
 	_, err = awaitUnread(t, c)
@@ -85,7 +86,7 @@
 	p.limit = 3
 	for _, sent := range []string{"", "x", "x"} {
 		local, remote := tcpPair(t)
-		c := &Conn{net: local, socket: newSocket(local), r: bufio.NewReader(local), state: StateIdle}
+		c := &Conn{net: local, peeker: peeker.New(local), r: bufio.NewReader(local), state: StateIdle}
 		if sent != "" {
 			_, err := remote.Write([]byte(sent))
 			qt.Assert(t, err, qt.IsNil)
@@ -142,7 +143,7 @@
 
 func BenchmarkHasUnread(b *testing.B) {
 	local, _ := tcpPair(b)
-	c := &Conn{net: local, socket: newSocket(local), r: bufio.NewReader(local)}
+	c := &Conn{net: local, peeker: peeker.New(local), r: bufio.NewReader(local)}
 	b.ReportAllocs()
 	for b.Loop() {
 		if unread, err := c.hasUnread(); unread || err != nil {
