PostgreSQL: a second response is not the one to the next request

The engine for PostgreSQL took connections from its pools as the other one did: a response that an upstream sent twice was given to the next request, perhaps of another client, and COMMIT could be acknowledged with the response to an INSERT.

An idle connection on which anything but a message that may come at any time is unread is closed before its next use (event 1210, shallotstage_stray_responses_total). In a transaction the same check ends it as not run. A command tag or a transaction status that the request cannot lead to is an error, never a success.

Not covered: a second response that comes after the next request was sent, where both are statements outside of transactions, as responses carry nothing of their request. A Sync sent along with each request would show it.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -47,6 +47,7 @@
 	retried             prometheus.Counter
 	commitHold          prometheus.Histogram
 	queueTime           prometheus.Histogram
+	strayResponses      prometheus.Counter
 
 	mu            sync.Mutex
 	organisations map[string]bool
@@ -79,9 +80,12 @@
 			Name: "shallotstage_queue_seconds", Help: "Time a request waited for a connection and a slot.",
 			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 13),
 		}),
+		strayResponses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstage_stray_responses_total", Help: "Responses of upstreams that lay unread on idle connections although no request was outstanding.",
+		}),
 		organisations: map[string]bool{},
 	}
-	m.registry.MustRegister(m.served, m.refused, m.objectiveStatements, m.objectiveBurned, m.retried, m.commitHold, m.queueTime)
+	m.registry.MustRegister(m.served, m.refused, m.objectiveStatements, m.objectiveBurned, m.retried, m.commitHold, m.queueTime, m.strayResponses)
 	return m
 }
 
@@ -131,6 +135,14 @@
 	m.retried.Inc()
 }
 
+// AddStrayResponse counts a response that belongs to no request.
+func (m *Meter) AddStrayResponse() {
+	if m == nil {
+		return
+	}
+	m.strayResponses.Inc()
+}
+
 // ObserveCommitHold records how long a commit's acknowledgement waited for a
 // quorum.
 func (m *Meter) ObserveCommitHold(d time.Duration) {
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/shallotstage/shallotstage/internal/peeker"
 	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
@@ -20,6 +21,10 @@
 // reports its replication position.
 const parameterPosition = "upstream_position"
 
+// settleTimeout limits the wait for the rest of a message that has begun to arrive on an idle
+// connection.
+const settleTimeout = 100 * time.Millisecond
+
 // Conn is a connection to an upstream. It is not safe for concurrent use.
 type Conn struct {
 	Upstream string
@@ -27,6 +32,7 @@
 	Settings map[string]string
 
 	net        net.Conn
+	peeker     *peeker.Peeker
 	frontend   *pgproto3.Frontend
 	address    string
 	pid        uint32
@@ -49,7 +55,7 @@
 		return nil, fmt.Errorf("pooler: hijack connection: %w", err)
 	}
 	c := &Conn{
-		Settings: map[string]string{}, net: h.Conn, frontend: h.Frontend, pid: h.PID, secret: h.SecretKey,
+		Settings: map[string]string{}, net: h.Conn, peeker: peeker.New(h.Conn), frontend: h.Frontend, pid: h.PID, secret: h.SecretKey,
 		address: h.Conn.RemoteAddr().String(), prepared: map[string]uint64{}, lastUsed: time.Now(), parameters: h.ParameterStatuses,
 	}
 	if p, err := tracker.ParsePosition(h.ParameterStatuses[parameterPosition]); err == nil {
@@ -86,6 +92,65 @@
 	return msg, nil
 }
 
+// StrayResponseError is returned for a message that belongs to no request: the upstream has
+// probably answered an earlier one twice. Nothing was sent.
+type StrayResponseError struct {
+	Upstream string
+	// Message is the type of the message.
+	Message string
+}
+
+// Error implements error.
+func (e *StrayResponseError) Error() string {
+	return fmt.Sprintf("pooler: upstream %s sent %s without a request", e.Upstream, e.Message)
+}
+
+// Settle receives what has come since the last response. It passes on the messages that an
+// upstream may send at any time, and returns an error for any other and for the end of the
+// connection.
+func (c *Conn) Settle(pass func(msg pgproto3.BackendMessage) error) error {
+	for {
+		unread, err := c.hasUnread()
+		if err != nil {
+			return fmt.Errorf("pooler: connection to %s: %w", c.Upstream, err)
+		}
+		if !unread {
+			return nil
+		}
+		msg, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch msg.(type) {
+		case *pgproto3.ParameterStatus, *pgproto3.NoticeResponse, *pgproto3.NotificationResponse:
+		default:
+			return &StrayResponseError{Upstream: c.Upstream, Message: fmt.Sprintf("%T", msg)}
+		}
+		if err := pass(msg); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) hasUnread() (bool, error) {
+	if c.frontend.ReadBufferLen() > 0 {
+		return true, nil
+	}
+	return c.peeker.HasUnread()
+}
+
+// settleIdle settles a connection that no client uses.
+func (c *Conn) settleIdle() error {
+	c.SetDeadline(time.Now().Add(settleTimeout))
+	defer c.SetDeadline(time.Time{})
+	return c.Settle(func(msg pgproto3.BackendMessage) error {
+		if m, ok := msg.(*pgproto3.ParameterStatus); ok {
+			c.RecordPosition(m)
+		}
+		return nil
+	})
+}
+
 // RecordPosition records a reported position. It returns false if m is another
 // parameter or holds no valid position.
 func (c *Conn) RecordPosition(m *pgproto3.ParameterStatus) (tracker.Position, bool) {
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -41,6 +42,9 @@
 	Connections int
 	// Slots is the maximum number of concurrent statements.
 	Slots int
+	// OnStrayResponse is called for each response that belongs to no request; nil disables
+	// it. It must be safe for concurrent use.
+	OnStrayResponse func(err *StrayResponseError)
 
 	conns Semaphore
 	slots Semaphore
@@ -107,15 +111,45 @@
 
 // acquireIdle acquires an idle connection, or returns nil if there is none.
 func (p *Pool) acquireIdle(organisation string, since time.Time) *Conn {
+	c := p.settledIdle()
+	if c == nil {
+		return nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c := p.popIdle()
-	if c != nil {
-		p.acquired[c] = holder{organisation: organisation, since: since}
-	}
+	p.acquired[c] = holder{organisation: organisation, since: since}
 	return c
 }
 
+// settledIdle returns an idle connection on which nothing is unread, or nil. It closes the
+// others that it finds.
+func (p *Pool) settledIdle() *Conn {
+	for {
+		p.mu.Lock()
+		c := p.popIdle()
+		p.mu.Unlock()
+		if c == nil {
+			return nil
+		}
+		err := c.settleIdle()
+		if err == nil {
+			return c
+		}
+		p.reportStray(err)
+		c.close()
+		p.mu.Lock()
+		p.countClosed()
+		p.mu.Unlock()
+	}
+}
+
+func (p *Pool) reportStray(err error) {
+	var stray *StrayResponseError
+	if errors.As(err, &stray) && p.OnStrayResponse != nil {
+		p.OnStrayResponse(stray)
+	}
+}
+
 // acquireWithPermit acquires a connection for an organisation that holds a
 // permit of p.conns. It releases the permit on error.
 func (p *Pool) acquireWithPermit(ctx context.Context, organisation string, since time.Time) (*Conn, error) {
@@ -134,10 +168,13 @@
 // more connections, it waits until one of the pool's connections is freed.
 func (p *Pool) idleOrNew(ctx context.Context) (*Conn, error) {
 	for {
+		if c := p.settledIdle(); c != nil {
+			return c, nil
+		}
 		p.mu.Lock()
-		if c := p.popIdle(); c != nil {
+		if len(p.idle) > 0 {
 			p.mu.Unlock()
-			return c, nil
+			continue
 		}
 		freed := p.freed
 		mayOpen := p.open < p.Connections
--- a/internal/pooler/set.go
+++ b/internal/pooler/set.go
@@ -17,6 +17,8 @@
 
 	// OnOpen, if set, is called with the position that a new connection reported.
 	OnOpen func(u configurer.Upstream, p tracker.Position)
+	// OnStrayResponse is that of the pools.
+	OnStrayResponse func(err *StrayResponseError)
 
 	mu    sync.RWMutex
 	pools map[string]*runningPool
@@ -71,7 +73,8 @@
 	connections, slots := s.Limits(u)
 	p := &Pool{
 		Upstream: u, Connections: connections, Slots: slots,
-		Connect: func(ctx context.Context) (*Conn, error) { return s.open(ctx, u) },
+		OnStrayResponse: s.OnStrayResponse,
+		Connect:         func(ctx context.Context) (*Conn, error) { return s.open(ctx, u) },
 	}
 	go p.Run(ctx)
 	return &runningPool{pool: p, stop: cancel}
--- a/internal/runner/entry.go
+++ b/internal/runner/entry.go
@@ -136,6 +136,10 @@
 	}
 	h.pools = &pooler.Set{
 		Connector: h.Connector, Limits: h.share,
+		OnStrayResponse: func(err *pooler.StrayResponseError) {
+			h.Meter.AddStrayResponse()
+			h.Log.Warn(logger.EventUpstreamAnswerStray, zap.String("upstream", err.Upstream), zap.String("kind", "unread"), zap.Error(err))
+		},
 		OnOpen: func(u configurer.Upstream, p tracker.Position) { h.watcher.GroupStatus(u.Group).Report(u.ID, p) },
 	}
 	h.sub.ReachabilityReports = h.reachabilityReports
--- a/internal/server/exchange.go
+++ b/internal/server/exchange.go
@@ -97,6 +97,11 @@
 	x.conn.SetDeadline(time.Now().Add(x.session.server.Limits.StatementTimeout))
 	stop := context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	if x.session.bound != nil {
+		if err := x.conn.Settle(x.handleMessage); err != nil {
+			return err
+		}
+	}
 	wait, err := x.send(enc.bytes)
 	if err != nil {
 		return err
@@ -191,6 +196,9 @@
 		}
 		return c.emit(m)
 	case *pgproto3.ReadyForQuery:
+		if !x.fitsStatus(m.TxStatus) {
+			return errUnfitResponse
+		}
 		x.status = m.TxStatus
 		x.done = true
 		return nil
@@ -213,6 +221,9 @@
 // itself.
 func (x *exchange) handleResponse(msg pgproto3.BackendMessage) error {
 	c := x.session
+	if m, ok := msg.(*pgproto3.CommandComplete); ok && !x.request.fitsTag(string(m.CommandTag)) {
+		return errUnfitResponse
+	}
 	x.updateHeldFrom(msg)
 	if x.request.end == endQuery {
 		return c.emit(msg)
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -89,6 +89,8 @@
 	// serviceTime is the time that a statement takes at an upstream.
 	serviceTime time.Duration
 	primaryWait time.Duration
+	// relay returns the address under which hosts use an upstream; nil means its own.
+	relay func(address string) string
 }
 
 // startGroup starts the upstreams and entry hosts of a test.
@@ -117,8 +119,12 @@
 			primary = platform.Addr().String()
 		}
 		g.upstreams, g.faults, g.upstreamAddresses = append(g.upstreams, u), append(g.faults, f), append(g.upstreamAddresses, sql.Addr().String())
+		address := sql.Addr().String()
+		if cfg.relay != nil {
+			address = cfg.relay(address)
+		}
 		state.Upstreams[u.ID] = configurer.Upstream{
-			ID: u.ID, Group: testGroup, Address: sql.Addr().String(), DataCentre: u.DataCentre, Region: u.Region,
+			ID: u.ID, Group: testGroup, Address: address, DataCentre: u.DataCentre, Region: u.Region,
 			Slots: cfg.slots, Connections: 200, Lifecycle: configurer.LifecycleServing,
 		}
 		wg.Add(1)
