PostgreSQL: a probe's answer is tied to the probe

If an upstream answered a probe of its position twice, the second answer was taken for that of a later probe: an old position counted as one at a later time, and reads could miss commits. A probe now sets a session setting to its number and reads it back in the same query; a response with another number ends the connection. (A SELECT for that was tried: it counts as a read at the upstream, and TestReadYourWritesWithLaggingReplicas rejected it.) An odd response, such as one without rows, is an error now and no longer a panic.

TestSecondAnswerIsNotTakenForALaterProbe failed before.

--- a/internal/watcher/monitor.go
+++ b/internal/watcher/monitor.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -40,6 +42,8 @@
 	OnConnectError func()
 
 	loginTimeout pooler.LoginTimeout
+	// probes is the number of queries sent.
+	probes uint64
 }
 
 // Run probes until ctx ends.
@@ -100,11 +104,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.Timeout)
 	defer cancel()
 	start := time.Now()
-	results, err := conn.Exec(ctx, "SHOW upstream_position").ReadAll()
-	if err != nil {
-		return err
-	}
-	p, err := tracker.ParsePosition(string(results[0].Rows[0][0]))
+	p, err := m.queryPosition(ctx, conn)
 	if err != nil {
 		return err
 	}
@@ -123,6 +123,33 @@
 	return nil
 }
 
+// settingProbe is the session setting that holds a probe's number.
+const settingProbe = "shallotstage.probe"
+
+// queryPosition queries the upstream's position. The query carries a number that its
+// response must return, since nothing else ties a response to a query.
+func (m *Monitor) queryPosition(ctx context.Context, conn *pgconn.PgConn) (tracker.Position, error) {
+	m.probes++
+	number := strconv.FormatUint(m.probes, 10)
+	query := fmt.Sprintf("SET %[1]s = '%[2]s'; SHOW %[1]s; SHOW upstream_position", settingProbe, number)
+	results, err := conn.Exec(ctx, query).ReadAll()
+	if err != nil {
+		return tracker.Position{}, err
+	}
+	if len(results) != 3 || firstValue(results[1]) != number {
+		return tracker.Position{}, fmt.Errorf("watcher: response of upstream %s is not the one to probe %s", m.Upstream, number)
+	}
+	return tracker.ParsePosition(firstValue(results[2]))
+}
+
+// firstValue returns the first value of a result, or nothing.
+func firstValue(r *pgconn.Result) string {
+	if len(r.Rows) == 0 || len(r.Rows[0]) == 0 {
+		return ""
+	}
+	return string(r.Rows[0][0])
+}
+
 // setReachable records whether the upstream is reachable.
 func (m *Monitor) setReachable(reachable bool) {
 	changed := false
