Orders and calls of the command line have connections of their own

An HTTP client that keeps connections takes a second answer that comes after the next request for the answer to that one, so an order to the platform could count as accepted that was not. Their rate is low: each call now has a connection of its own, as promotions of the platform have had.

TestSecondAnswerIsNotThatOfTheNextRequest failed before.

--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -51,6 +51,8 @@
 	if err != nil {
 		return fmt.Errorf("requester: create request: %w", err)
 	}
+	// Nothing in a response ties it to its request but the connection.
+	req.Close = true
 	if r.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+r.Token)
 	}
