--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -11,6 +11,8 @@
 var (
 	// errIncomplete is returned for an answer that reports neither success nor failure.
 	errIncomplete = errors.New("answer has no completion")
+	// errLost is returned for a connection whose state became uncertain.
+	errLost = errors.New("its state is uncertain since an earlier request")
 	// errUnfit is returned for an answer that is certainly not the one to the request, and
 	// is no second answer of an earlier one either.
 	errUnfit = errors.New("answer does not fit the request")
@@ -206,6 +208,15 @@
 	return len(a.Receipt) == 0 || c.receipts.has(a.Receipt)
 }
 
+// hasUnread reports whether bytes were received that belong to no outstanding request. Its
+// error is the end of the connection.
+func (c *Conn) hasUnread() (bool, error) {
+	if c.r.Buffered() > 0 {
+		return true, nil
+	}
+	return c.peeker.HasUnread()
+}
+
 // isUsable reports whether an idle connection can be used: it is open, and nothing was
 // received since its last answer.
 func (c *Conn) isUsable() bool {
