--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -164,6 +164,7 @@
 	heldStreams map[*hostStream]bool
 	// updateCache holds the compressed parts of updates while this host leads.
 	updateCache updateCache
+	observer    observer
 }
 
 type proposal struct {
@@ -184,6 +185,7 @@
 		c.elector.Tick(now)
 		c.releaseHeldReports(now)
 		c.tick(now)
+		c.observe(now)
 	}, func() error { return c.drainOutput(ctx) })
 }
 
@@ -236,7 +238,11 @@
 // or applied, so the other hosts see this one as silent.
 func (c *Coordinator) save(ctx context.Context, out elector.Output) bool {
 	for {
+		begun := time.Now()
 		err := c.store.Save(out)
+		if out.HardState != nil || out.Snapshot != nil || len(out.Entries) > 0 {
+			c.recordSave(out, time.Since(begun))
+		}
 		if err == nil {
 			return true
 		}
--- a/internal/coordinator/open.go
+++ b/internal/coordinator/open.go
@@ -50,7 +50,7 @@
 	c.transport = newPeerTransport(c)
 	c.loadAddresses(loaded.Entries)
 	c.elector, err = elector.New(elector.Config{
-		ID: c.id, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout, LeaseDuration: leaderLease, MaxClockDrift: maxClockDrift, Jitter: jitter, ElectionStagger: electionStagger,
+		ID: c.id, HeartbeatInterval: heartbeatInterval, ElectionTimeout: electionTimeout, LeaseDuration: leaderLease, MaxClockDrift: maxClockDrift, Jitter: jitter, ElectionStagger: electionStagger, OnEvent: c.recordElectionStep,
 	}, loaded.Hard, loaded.Snapshot, loaded.Entries, c.Now())
 	return err
 }
--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -183,9 +183,11 @@
 
 // Status is the status of a control host.
 type Status struct {
-	Leads   bool
-	Term    uint64
-	Applied uint64
+	Leads bool
+	// HoldsLease is true while the host certainly leads.
+	HoldsLease bool
+	Term       uint64
+	Applied    uint64
 	// Version is the latest configuration that the host has applied.
 	Version   uint64
 	Voters    int
@@ -201,7 +203,7 @@
 	status := make(chan Status, 1)
 	err := c.call(ctx, func(done func(error)) {
 		status <- Status{
-			Leads: c.leadership.leading, Term: c.elector.Term(), Applied: c.applied, Version: c.state.Configuration().Version,
+			Leads: c.leadership.leading, HoldsLease: c.elector.HasLease(c.Now()), Term: c.elector.Term(), Applied: c.applied, Version: c.state.Configuration().Version,
 			Voters: len(c.elector.Membership().Voters), Hosts: len(c.leadership.hosts), Upstreams: len(c.state.Upstreams),
 			Evacuations: len(c.state.Evacuations),
 		}
--- a/internal/coordinator/peer_transport.go
+++ b/internal/coordinator/peer_transport.go
@@ -67,6 +67,7 @@
 	select {
 	case q <- m:
 	default:
+		t.c.observer.droppedMessages.Add(1)
 	}
 }
 
--- a/internal/launcher/control_metrics.go
+++ b/internal/launcher/control_metrics.go
@@ -33,6 +33,7 @@
 	for name, help := range map[string]string{
 		"answers":   "1 when the control goroutine answered in time.",
 		"leads":     "1 while the host leads.",
+		"lease":     "1 while the host certainly leads, so that it answers calls.",
 		"term":      "Term of the agreement.",
 		"applied":   "Index of the last applied entry.",
 		"version":   "Newest applied configuration.",
@@ -43,6 +44,17 @@
 		s.descs[name] = prometheus.NewDesc("shallotstage_control_"+name, help, nil, nil)
 	}
 	s.descs["evacuations"] = prometheus.NewDesc(evacuatedMetric, evacuatedHelp, nil, nil)
+	for name, help := range map[string]string{
+		"saves_total":            "Saves of the agreed state to the disk.",
+		"save_seconds_total":     "Time that these saves took.",
+		"slow_saves_total":       "Saves that took longer than 100 ms.",
+		"elections_total":        "Elections that the host started.",
+		"step_downs_total":       "Times that the host ceased to lead.",
+		"dropped_tasks_total":    "Work that found the queue of the control goroutine full.",
+		"dropped_messages_total": "Messages to other control hosts that found their queue full.",
+	} {
+		s.descs[name] = prometheus.NewDesc("shallotstage_control_"+name, help, nil, nil)
+	}
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(s)
 	limits.register(registry)
@@ -71,8 +83,25 @@
 		if status.Leads {
 			values["leads"] = 1
 		}
+		values["lease"] = 0
+		if status.HoldsLease {
+			values["lease"] = 1
+		}
 	}
+	s.collectCounters(ch)
 	for name, v := range values {
 		ch <- prometheus.MustNewConstMetric(s.descs[name], prometheus.GaugeValue, v)
 	}
 }
+
+// collectCounters collects the totals, which are known without the control goroutine.
+func (s *statusCollector) collectCounters(ch chan<- prometheus.Metric) {
+	counters := s.coordinator.Counters()
+	for name, v := range map[string]float64{
+		"saves_total": float64(counters.Saves), "save_seconds_total": counters.SaveTime.Seconds(), "slow_saves_total": float64(counters.SlowSaves),
+		"elections_total": float64(counters.Elections), "step_downs_total": float64(counters.StepDowns),
+		"dropped_tasks_total": float64(counters.DroppedTasks), "dropped_messages_total": float64(counters.DroppedMessages),
+	} {
+		ch <- prometheus.MustNewConstMetric(s.descs[name], prometheus.CounterValue, v)
+	}
+}
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -51,6 +51,10 @@
 	EventReadsLeaveRegion         = Event{1318, "reads_leave_region"}
 	EventEvacuationChanged        = Event{1421, "evacuation_changed"}
 	EventPrimaryDemoted           = Event{1418, "primary_demoted"}
+	EventElectionStep             = Event{1422, "election_step"}
+	EventControlSaveSlow          = Event{1423, "control_save_slow"}
+	EventControlWorkDropped       = Event{1424, "control_work_dropped"}
+	EventControlUncertain         = Event{1425, "control_uncertain"}
 	EventListenerFailed           = Event{1008, "part_failed"}
 	EventControlMembersPlanned    = Event{1416, "control_members_planned"}
 	EventReplicationStatusUnknown = Event{1417, "upstream_standing_unknown"}
@@ -99,5 +103,6 @@
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventWarmupGrantChanged, EventCancelNotDelivered,
 		EventDataCentreEvacuated, EventEvacuationChanged, EventUpstreamOverloaded, EventOwnerSlow, EventReadsLeaveRegion,
 		EventSessionClosed, EventHolderClosed, EventConnectionClosed,
+		EventElectionStep, EventControlSaveSlow, EventControlWorkDropped, EventControlUncertain,
 	}
 }
--- a/internal/tasker/tasker.go
+++ b/internal/tasker/tasker.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,8 +27,12 @@
 	once    sync.Once
 	tasks   chan func()
 	stopped chan struct{}
+	dropped atomic.Uint64
 }
 
+// Dropped returns how many functions Try has not queued because the queue was full.
+func (q *Queue) Dropped() uint64 { return q.dropped.Load() }
+
 func (q *Queue) init() {
 	q.once.Do(func() {
 		q.tasks = make(chan func(), capacity)
@@ -105,6 +110,7 @@
 	case q.tasks <- f:
 		return true
 	default:
+		q.dropped.Add(1)
 		return false
 	}
 }
--- a/pkg/elector/election.go
+++ b/pkg/elector/election.go
@@ -24,6 +24,7 @@
 	e.role = RolePreCandidate
 	e.leader = ""
 	e.votes = map[string]bool{e.cfg.ID: true}
+	e.report(Event{Kind: EventPreVoteStarted, Term: e.hardState.Term + 1})
 	if e.hasVoteQuorum() {
 		e.startElection(now)
 		return
@@ -36,6 +37,7 @@
 	e.leader = ""
 	e.setHardState(HardState{Term: e.hardState.Term + 1, VotedFor: e.cfg.ID})
 	e.votes = map[string]bool{e.cfg.ID: true}
+	e.report(Event{Kind: EventElectionStarted, Term: e.hardState.Term})
 	e.resetDeadline(now)
 	if e.hasVoteQuorum() {
 		e.becomeLeader(now)
@@ -81,9 +83,10 @@
 	if m.Kind == MessagePreVote {
 		response = MessagePreVoteResponse
 	}
-	grant := !e.leaseMayBeHeld(m.From, now) && e.log.isUpToDate(m.LogTerm, m.Index) && m.Term > e.hardState.Term
-	if m.Kind == MessageVote && m.Term == e.hardState.Term {
-		grant = (e.hardState.VotedFor == "" || e.hardState.VotedFor == m.From) && e.log.isUpToDate(m.LogTerm, m.Index)
+	refusal := e.refusal(m, now)
+	grant := refusal == ""
+	if !grant {
+		e.report(Event{Kind: EventVoteRefused, Term: e.hardState.Term, Peer: m.From, Reason: refusal})
 	}
 	if m.Kind == MessageVote && grant {
 		e.setHardState(HardState{Term: m.Term, VotedFor: m.From})
@@ -99,6 +102,23 @@
 	e.send(Message{Kind: response, To: m.From, Term: term, Reject: !grant})
 }
 
+// refusal returns why a request for a vote or a pre-vote is refused, or "".
+func (e *Elector) refusal(m Message, now time.Time) Reason {
+	if m.Kind == MessageVote && m.Term == e.hardState.Term {
+		if e.hardState.VotedFor != "" && e.hardState.VotedFor != m.From {
+			return ReasonVoted
+		}
+	} else if e.leaseMayBeHeld(m.From, now) {
+		return ReasonLease
+	} else if m.Term <= e.hardState.Term {
+		return ReasonOldTerm
+	}
+	if !e.log.isUpToDate(m.LogTerm, m.Index) {
+		return ReasonLogBehind
+	}
+	return ""
+}
+
 func (e *Elector) handleVoteResponse(m Message, now time.Time) {
 	expectedRole := RoleCandidate
 	if m.Kind == MessagePreVoteResponse {
@@ -131,6 +151,7 @@
 		p.lastAckSentAt = now
 	}
 	e.appendEntry(Entry{Kind: EntryEmpty})
+	e.report(Event{Kind: EventElected, Term: e.hardState.Term})
 	e.heartbeat(now)
 }
 
@@ -140,6 +161,13 @@
 	// Another leader or term supersedes the leadership held before a restart, so
 	// the normal election timeout applies again.
 	e.fastElectionUntil = time.Time{}
+	if e.role == RoleLeader {
+		reason := ReasonNoQuorum
+		if term > e.hardState.Term {
+			reason = ReasonNewerTerm
+		}
+		e.report(Event{Kind: EventSteppedDown, Term: term, Reason: reason})
+	}
 	if term > e.hardState.Term {
 		e.setHardState(HardState{Term: term})
 	}
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -76,6 +76,8 @@
 	ElectionStagger time.Duration
 	// InitialMembership is the membership before the first membership entry.
 	InitialMembership Membership
+	// OnEvent is told of the steps of elections, if set. It must not call the Elector.
+	OnEvent func(Event)
 }
 
 // Elector is the Raft state machine of one control host.
@@ -231,6 +233,7 @@
 	}
 	if e.role == RoleLeader && e.membershipIndex <= e.log.commit && !e.membership.IsVoter(e.cfg.ID) {
 		// The membership change that removed this leader is committed.
+		e.report(Event{Kind: EventSteppedDown, Term: e.hardState.Term, Reason: ReasonRemoved})
 		e.role = RoleFollower
 		e.leader = ""
 	}
--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -18,6 +18,7 @@
 		// A host in contact with a leader ignores higher terms, so that a host
 		// that was partitioned for a long time cannot depose the leader.
 		if m.Term > e.hardState.Term && e.leaseMayBeHeld(m.From, now) {
+			e.report(Event{Kind: EventVoteRefused, Term: e.hardState.Term, Peer: m.From, Reason: ReasonLease})
 			return
 		}
 		if m.Term > e.hardState.Term {
