--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -145,7 +145,9 @@
 	queue tasker.Queue
 	run   context.Context
 
-	store   *storer.Storer
+	store *storer.Storer
+	// write stores an output on the disk. Open sets it.
+	write   func(elector.Output) error
 	elector *elector.Elector
 	state   *keeper.State
 	// pending holds the proposals of this host by log index.
@@ -239,7 +241,7 @@
 func (c *Coordinator) save(ctx context.Context, out elector.Output) bool {
 	for {
 		begun := time.Now()
-		err := c.store.Save(out)
+		err := c.write(out)
 		if out.HardState != nil || out.Snapshot != nil || len(out.Entries) > 0 {
 			c.recordSave(out, time.Since(begun))
 		}
--- a/internal/coordinator/open.go
+++ b/internal/coordinator/open.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	c.store = store
+	c.store, c.write = store, store.Save
 	if err := c.load(); err != nil {
 		_ = store.Close()
 		return err
