Messages between control hosts are queued beside calls, not behind them

The queue of the control goroutine dropped votes and heartbeats once it was full of calls and announcements, and each waited behind up to 1024 of them. They have a queue of their own that is worked off first. TestWorkThatFillsTheQueueDoesNotDisplaceThatOfTryFirst cannot be written against the former queue, which had no such call.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -179,7 +179,7 @@
 // HandleMessage queues a message received from another control host. The
 // message is dropped if the queue is full.
 func (c *Controller) HandleMessage(m elector.Message) {
-	c.queue.Try(func() { c.elector.Step(m, time.Now()) })
+	c.queue.TryFirst(func() { c.elector.Step(m, time.Now()) })
 }
 
 // processOutput stores, sends and applies the elector's output until there is
--- a/internal/coordinator/peer_transport.go
+++ b/internal/coordinator/peer_transport.go
@@ -211,6 +211,6 @@
 			return fmt.Errorf("coordinator: message for %s reached %s", m.To, c.id)
 		}
 		c.transport.recordReceived(m.From)
-		c.submit(func() { c.elector.Step(m, c.Now()) })
+		c.queue.TryFirst(func() { c.elector.Step(m, c.Now()) })
 	}
 }
--- a/internal/tasker/tasker.go
+++ b/internal/tasker/tasker.go
@@ -7,6 +7,11 @@
 //	go q.Run(ctx, 50*time.Millisecond, onTick, afterEach)
 //	q.Do(func() { ... })      // work that must not be lost
 //	q.Try(func() { ... })     // work that its sender repeats
+//	q.DoFirst(func() { ... }) // as Do, but before the work of Do and Try
+//	q.TryFirst(func() { ... })
+//
+// Work of Do and Try that fills its queue neither delays nor displaces that of DoFirst and
+// TryFirst.
 //
 // Functions that wait together run before afterEach is called once, so that one disk
 // sync covers them.
@@ -26,16 +31,18 @@
 type Queue struct {
 	once    sync.Once
 	tasks   chan func()
+	first   chan func()
 	stopped chan struct{}
 	dropped atomic.Uint64
 }
 
-// Dropped returns how many functions Try has not queued because the queue was full.
+// Dropped returns how many functions Try and TryFirst have not queued because the queue
+// was full.
 func (q *Queue) Dropped() uint64 { return q.dropped.Load() }
 
 func (q *Queue) init() {
 	q.once.Do(func() {
-		q.tasks = make(chan func(), capacity)
+		q.tasks, q.first = make(chan func(), capacity), make(chan func(), capacity)
 		q.stopped = make(chan struct{})
 	})
 }
@@ -51,6 +58,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case f := <-q.first:
+			f()
+			q.runWaiting()
 		case f := <-q.tasks:
 			f()
 			q.runWaiting()
@@ -66,6 +76,12 @@
 // runWaiting runs the functions that wait already.
 func (q *Queue) runWaiting() {
 	for range capacity {
+		select {
+		case f := <-q.first:
+			f()
+			continue
+		default:
+		}
 		select {
 		case f := <-q.tasks:
 			f()
@@ -85,13 +101,23 @@
 // called by a queued function.
 func (q *Queue) Do(f func()) bool {
 	q.init()
+	return q.do(q.tasks, f)
+}
+
+// DoFirst is Do for a function that runs before those of Do and Try.
+func (q *Queue) DoFirst(f func()) bool {
+	q.init()
+	return q.do(q.first, f)
+}
+
+func (q *Queue) do(tasks chan func(), f func()) bool {
 	select {
 	case <-q.stopped:
 		return false
 	default:
 	}
 	select {
-	case q.tasks <- f:
+	case tasks <- f:
 		return true
 	case <-q.stopped:
 		return false
@@ -101,13 +127,23 @@
 // Try queues f unless the queue is full or Run has returned.
 func (q *Queue) Try(f func()) bool {
 	q.init()
+	return q.try(q.tasks, f)
+}
+
+// TryFirst is Try for a function that runs before those of Do and Try.
+func (q *Queue) TryFirst(f func()) bool {
+	q.init()
+	return q.try(q.first, f)
+}
+
+func (q *Queue) try(tasks chan func(), f func()) bool {
 	select {
 	case <-q.stopped:
 		return false
 	default:
 	}
 	select {
-	case q.tasks <- f:
+	case tasks <- f:
 		return true
 	default:
 		q.dropped.Add(1)
--- a/internal/tasker/tasker_test.go
+++ b/internal/tasker/tasker_test.go
@@ -55,3 +55,24 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, ticks >= 3, qt.IsTrue)
 }
+
+// Messages between control hosts were dropped while calls filled the queue.
+func TestWorkThatFillsTheQueueDoesNotDisplaceThatOfTryFirst(t *testing.T) {
+	var q Queue
+	var order []string
+	for q.Try(func() { order = append(order, "call") }) {
+	}
+	qt.Assert(t, q.Dropped(), qt.Equals, uint64(1))
+	qt.Assert(t, q.TryFirst(func() { order = append(order, "message") }), qt.IsTrue)
+	ctx, cancel := context.WithCancel(t.Context())
+	err := q.Run(ctx, time.Hour, func() {}, func() error {
+		if len(order) == capacity+1 {
+			cancel()
+		}
+		return nil
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, order, qt.HasLen, capacity+1)
+	// Run itself may have chosen one call before it.
+	qt.Assert(t, order[0] == "message" || order[1] == "message", qt.IsTrue)
+}
