--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -145,7 +145,9 @@
 	queue tasker.Queue
 	run   context.Context
 
-	store   *storer.Storer
+	store *storer.Storer
+	// write stores an output on the disk. Open sets it.
+	write   func(elector.Output) error
 	elector *elector.Elector
 	state   *keeper.State
 	// pending holds the proposals of this host by log index.
@@ -164,6 +166,7 @@
 	heldStreams map[*hostStream]bool
 	// updateCache holds the compressed parts of updates while this host leads.
 	updateCache updateCache
+	observer    observer
 }
 
 type proposal struct {
@@ -184,6 +187,7 @@
 		c.elector.Tick(now)
 		c.releaseHeldReports(now)
 		c.tick(now)
+		c.observe(now)
 	}, func() error { return c.drainOutput(ctx) })
 }
 
@@ -236,7 +240,11 @@
 // or applied, so the other hosts see this one as silent.
 func (c *Coordinator) save(ctx context.Context, out elector.Output) bool {
 	for {
-		err := c.store.Save(out)
+		begun := time.Now()
+		err := c.write(out)
+		if out.HardState != nil || out.Snapshot != nil || len(out.Entries) > 0 {
+			c.recordSave(out, time.Since(begun))
+		}
 		if err == nil {
 			return true
 		}
