--- a/pkg/elector/election.go
+++ b/pkg/elector/election.go
@@ -104,13 +104,14 @@
 
 // refusal returns why a request for a vote or a pre-vote is refused, or "".
 func (e *Elector) refusal(m Message, now time.Time) Reason {
-	if m.Kind == MessageVote && m.Term == e.hardState.Term {
+	switch {
+	case m.Kind == MessageVote && m.Term == e.hardState.Term:
 		if e.hardState.VotedFor != "" && e.hardState.VotedFor != m.From {
 			return ReasonVoted
 		}
-	} else if e.leaseMayBeHeld(m.From, now) {
+	case e.leaseMayBeHeld(m.From, now):
 		return ReasonLease
-	} else if m.Term <= e.hardState.Term {
+	case m.Term <= e.hardState.Term:
 		return ReasonOldTerm
 	}
 	if !e.log.isUpToDate(m.LogTerm, m.Index) {
