Control hosts store beside the control goroutine

Callers saw: every control host answered 503 "does not certainly lead" for seconds, and entry hosts found no leader. The control goroutine waited for each save, so a host that saved sent no heartbeat, answered none and granted no vote. A save of more than the lease (300 ms) ended the certainty, one of more than 675 ms the leadership, and elections, which need three saves in a row, never ended while saves took longer than the election timeout. Event 1423 shows saves of 1.3 to 8.9 s in the tests of internal/coordinator beside load 12 to 15 on 8 cores, with 1425 (no certain leader) of up to 16 s in the same tests.

Output is now stored beside the control goroutine, one batch at a time, and Stored tells the elector. What promises nothing durable goes on: heartbeats, their answers, leases, calls, commits by a quorum of others. What does wait: no message leaves before the term and the vote that it relies on are stored, a follower acknowledges and a leader counts only stored entries. A vote that arrives after its candidate asked for pre-votes of the next term still counts, no pre-vote is granted while a vote is being stored, and a candidate allows the voters the time that its own vote took: without these, each slow election is superseded before its votes arrive. No timeout changed. A compaction is part of the same batch. A disk that refuses writes still makes its host silent.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -190,8 +190,11 @@
 		if out.IsEmpty() {
 			return nil
 		}
-		if err := c.store.Save(out); err != nil {
-			return err
+		if out.NeedsStorage() {
+			if err := c.store.Save(out); err != nil {
+				return err
+			}
+			c.elector.Stored(time.Now())
 		}
 		if out.Snapshot != nil {
 			stateMachine, err := planner.Unmarshal(out.Snapshot.Data)
@@ -223,14 +226,15 @@
 
 // compact replaces the log by a snapshot after compactEntries applied entries.
 func (c *Controller) compact(applied uint64) error {
-	if applied < c.elector.FirstIndex()+compactEntries {
+	if applied < c.elector.FirstIndex()+compactEntries || !c.elector.CanCompact(applied) {
 		return nil
 	}
 	body, err := c.stateMachine.Marshal()
 	if err != nil {
 		return err
 	}
-	return c.store.SaveSnapshot(c.elector.Compact(applied, body))
+	c.elector.Compact(applied, body)
+	return nil
 }
 
 // apply applies a committed entry to the state machine and completes the
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -21,6 +21,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -147,9 +148,13 @@
 
 	store *storer.Storer
 	// write stores an output on the disk. Open sets it.
-	write   func(elector.Output) error
-	elector *elector.Elector
-	state   *keeper.State
+	write func(elector.Output) error
+	// saves is the save under way, if any.
+	saves sync.WaitGroup
+	// isStoreFailing is true after the disk refused a save, until one succeeds.
+	isStoreFailing bool
+	elector        *elector.Elector
+	state          *keeper.State
 	// pending holds the proposals of this host by log index.
 	pending map[uint64]proposal
 	// applied is the index of the last applied entry, and logBytes the size of
@@ -179,7 +184,10 @@
 
 // Run takes part in consensus until ctx ends. It then closes the data directory.
 func (c *Coordinator) Run(ctx context.Context) error {
-	defer func() { _ = c.store.Close() }()
+	defer func() {
+		c.saves.Wait()
+		_ = c.store.Close()
+	}()
 	c.run = ctx
 	go c.announce(ctx)
 	return c.queue.Run(ctx, tickInterval, func() {
@@ -195,8 +203,8 @@
 // such work repeat it.
 func (c *Coordinator) submit(f func()) bool { return c.queue.Try(f) }
 
-// drainOutput stores, sends and applies the output of the elector until there is
-// none left.
+// drainOutput sends and applies the output of the elector until there is none left, and
+// starts to store what it must. Everything else goes on while that is stored.
 func (c *Coordinator) drainOutput(ctx context.Context) error {
 	for {
 		c.updateLeadership()
@@ -204,8 +212,9 @@
 		if out.IsEmpty() {
 			return nil
 		}
-		if !c.save(ctx, out) {
-			return nil
+		if out.NeedsStorage() {
+			write := c.write
+			c.saves.Go(func() { c.save(ctx, out, write) })
 		}
 		if out.Snapshot != nil {
 			state, err := keeper.Unmarshal(out.Snapshot.Data, c.Decode)
@@ -217,7 +226,9 @@
 			c.transport.addAddresses(state.Members)
 		}
 		for _, m := range out.Messages {
-			c.transport.send(m)
+			if !c.isStoreFailing {
+				c.transport.send(m)
+			}
 		}
 		for _, e := range out.Committed {
 			c.apply(e)
@@ -236,22 +247,26 @@
 	}
 }
 
-// save stores an output. While the disk refuses writes, nothing is sent, answered
-// or applied, so the other hosts see this one as silent.
-func (c *Coordinator) save(ctx context.Context, out elector.Output) bool {
+// save stores an output and tells the elector. While the disk refuses writes, nothing is
+// sent, so the other hosts see this one as silent.
+func (c *Coordinator) save(ctx context.Context, out elector.Output, write func(elector.Output) error) {
 	for {
 		begun := time.Now()
-		err := c.write(out)
-		if out.HardState != nil || out.Snapshot != nil || len(out.Entries) > 0 {
-			c.recordSave(out, time.Since(begun))
-		}
+		err := write(out)
+		c.recordSave(out, time.Since(begun))
+		c.queue.DoFirst(func() {
+			c.isStoreFailing = err != nil
+			if err == nil {
+				c.elector.Stored(c.Now())
+			}
+		})
 		if err == nil {
-			return true
+			return
 		}
 		c.Log.Error(logger.EventControlStateNotStored, zap.Error(err))
 		select {
 		case <-ctx.Done():
-			return false
+			return
 		case <-time.After(saveRetryDelay):
 		}
 	}
@@ -259,18 +274,16 @@
 
 // compact replaces the log with a snapshot once the log exceeds its limits.
 func (c *Coordinator) compact() {
-	if c.applied < c.elector.FirstIndex()+compactEntries && c.logBytes < compactBytes {
+	if c.applied < c.elector.FirstIndex()+compactEntries && c.logBytes < compactBytes || !c.elector.CanCompact(c.applied) {
 		return
 	}
 	body, err := c.state.Marshal()
-	if err == nil {
-		err = c.store.SaveSnapshot(c.elector.Compact(c.applied, body))
-	}
 	if err != nil {
 		// The log stays as it is; the next entry triggers another attempt.
 		c.Log.Error(logger.EventControlStateNotStored, zap.Error(err))
 		return
 	}
+	c.elector.Compact(c.applied, body)
 	c.logBytes = 0
 }
 
--- a/internal/coordinator/observation.go
+++ b/internal/coordinator/observation.go
@@ -81,8 +81,10 @@
 	for _, e := range out.Entries {
 		bytes += len(e.Data)
 	}
-	if out.Snapshot != nil {
-		bytes += len(out.Snapshot.Data)
+	for _, s := range []*elector.Snapshot{out.Compaction, out.Snapshot} {
+		if s != nil {
+			bytes += len(s.Data)
+		}
 	}
 	c.Log.Warn(logger.EventControlSaveSlow, zap.Duration("took", duration), zap.Bool("vote", out.HardState != nil), zap.Int("entries", len(out.Entries)), zap.Int("bytes", bytes))
 }
--- a/internal/storer/storer.go
+++ b/internal/storer/storer.go
@@ -208,10 +208,15 @@
 
 // Save stores what an output of the elector requires and syncs it.
 func (s *Storer) Save(out elector.Output) error {
-	if out.HardState == nil && out.Snapshot == nil && len(out.Entries) == 0 {
+	if !out.NeedsStorage() {
 		return nil
 	}
 	return s.db.Update(func(tx *bbolt.Tx) error {
+		if out.Compaction != nil {
+			if err := saveSnapshot(tx, *out.Compaction, false); err != nil {
+				return err
+			}
+		}
 		if out.Snapshot != nil {
 			if err := saveSnapshot(tx, *out.Snapshot, true); err != nil {
 				return err
--- a/pkg/elector/election.go
+++ b/pkg/elector/election.go
@@ -13,7 +13,8 @@
 		return
 	}
 	e.resetDeadline(now)
-	if e.membership.IsVoter(e.cfg.ID) {
+	if e.membership.IsVoter(e.cfg.ID) && e.isPromiseStored() {
+		// Otherwise a vote or a request for votes is still to be sent.
 		e.startPreVote(now)
 	}
 }
@@ -23,9 +24,9 @@
 func (e *Elector) startPreVote(now time.Time) {
 	e.role = RolePreCandidate
 	e.leader = ""
-	e.votes = map[string]bool{e.cfg.ID: true}
+	e.preVotes = map[string]bool{e.cfg.ID: true}
 	e.report(Event{Kind: EventPreVoteStarted, Term: e.hardState.Term + 1})
-	if e.hasVoteQuorum() {
+	if e.isQuorum(e.preVotes) {
 		e.startElection(now)
 		return
 	}
@@ -36,10 +37,11 @@
 	e.role = RoleCandidate
 	e.leader = ""
 	e.setHardState(HardState{Term: e.hardState.Term + 1, VotedFor: e.cfg.ID})
-	e.votes = map[string]bool{e.cfg.ID: true}
+	e.votes, e.votesTerm = map[string]bool{e.cfg.ID: true}, e.hardState.Term
 	e.report(Event{Kind: EventElectionStarted, Term: e.hardState.Term})
+	e.electionAt = now
 	e.resetDeadline(now)
-	if e.hasVoteQuorum() {
+	if e.isQuorum(e.votes) {
 		e.becomeLeader(now)
 		return
 	}
@@ -54,10 +56,10 @@
 	}
 }
 
-func (e *Elector) hasVoteQuorum() bool {
+func (e *Elector) isQuorum(votes map[string]bool) bool {
 	n := 0
 	for _, id := range e.membership.Voters {
-		if e.votes[id] {
+		if votes[id] {
 			n++
 		}
 	}
@@ -83,6 +85,11 @@
 	if m.Kind == MessagePreVote {
 		response = MessagePreVoteResponse
 	}
+	if m.Kind == MessagePreVote && !e.isPromiseStored() {
+		// Another election would supersede the vote that is being stored.
+		e.report(Event{Kind: EventVoteRefused, Term: e.hardState.Term, Peer: m.From, Reason: ReasonStoring})
+		return
+	}
 	refusal := e.refusal(m, now)
 	grant := refusal == ""
 	if !grant {
@@ -104,13 +111,13 @@
 
 // refusal returns why a request for a vote or a pre-vote is refused, or "".
 func (e *Elector) refusal(m Message, now time.Time) Reason {
-	if m.Kind == MessageVote && m.Term == e.hardState.Term {
-		if e.hardState.VotedFor != "" && e.hardState.VotedFor != m.From {
-			return ReasonVoted
-		}
-	} else if e.leaseMayBeHeld(m.From, now) {
+	isVoteOfThisTerm := m.Kind == MessageVote && m.Term == e.hardState.Term
+	switch {
+	case isVoteOfThisTerm && e.hardState.VotedFor != "" && e.hardState.VotedFor != m.From:
+		return ReasonVoted
+	case !isVoteOfThisTerm && e.leaseMayBeHeld(m.From, now):
 		return ReasonLease
-	} else if m.Term <= e.hardState.Term {
+	case !isVoteOfThisTerm && m.Term <= e.hardState.Term:
 		return ReasonOldTerm
 	}
 	if !e.log.isUpToDate(m.LogTerm, m.Index) {
@@ -120,22 +127,25 @@
 }
 
 func (e *Elector) handleVoteResponse(m Message, now time.Time) {
-	expectedRole := RoleCandidate
-	if m.Kind == MessagePreVoteResponse {
-		expectedRole = RolePreCandidate
-	}
-	if e.role != expectedRole || m.Reject {
+	// A vote may arrive after this host has asked for pre-votes of the next term.
+	isCandidate := e.role == RoleCandidate || e.role == RolePreCandidate
+	if m.Reject || !isCandidate || e.votes == nil || e.votesTerm != e.hardState.Term {
 		return
 	}
 	e.votes[m.From] = true
-	if !e.hasVoteQuorum() {
+	if e.isQuorum(e.votes) {
+		e.becomeLeader(now)
+	}
+}
+
+func (e *Elector) handlePreVoteResponse(m Message, now time.Time) {
+	if m.Reject || e.role != RolePreCandidate {
 		return
 	}
-	if e.role == RolePreCandidate {
+	e.preVotes[m.From] = true
+	if e.isQuorum(e.preVotes) {
 		e.startElection(now)
-		return
 	}
-	e.becomeLeader(now)
 }
 
 func (e *Elector) becomeLeader(now time.Time) {
--- a/pkg/elector/elector.go
+++ b/pkg/elector/elector.go
@@ -11,11 +11,13 @@
 //	e.Step(message, now)            // handle a received message
 //	e.Tick(now)                     // advance the timers
 //	index, err := e.Propose(data, now)
-//	out := e.Output()               // store, sync, send, apply
+//	out := e.Output()               // send, apply, and store beside that
+//	e.Stored(now)                   // once out is stored and synced
 //
 // An Elector is a deterministic state machine without goroutines, clocks, disks
-// or sockets. The caller serialises the calls and processes each Output before
-// the next one.
+// or sockets. The caller serialises the calls. While an Output is being stored, the
+// caller goes on with the other calls: heartbeats, their answers and leases do not wait
+// for the disk.
 package elector
 
 import (
@@ -97,7 +99,14 @@
 	// fastElectionUntil is the time until which a host that led before it
 	// restarted starts an election at every heartbeat interval.
 	fastElectionUntil time.Time
-	votes             map[string]bool
+	// preVotes are the granted pre-votes, and votes those granted in votesTerm.
+	preVotes  map[string]bool
+	votes     map[string]bool
+	votesTerm uint64
+	// electionAt is when this host last became a candidate.
+	electionAt time.Time
+	// matched is the last index known to match the log of the leader of the term.
+	matched uint64
 
 	progress      map[string]*progress
 	round         uint64
@@ -106,8 +115,13 @@
 	// leaseUntil is when the leader's lease expires.
 	leaseUntil time.Time
 
-	out              Output
-	hardStateChanged bool
+	out Output
+	// handedHardState is the one that Output has returned last for storage, and
+	// storedHardState the one that is known to be stored.
+	handedHardState, storedHardState HardState
+	// storing is the batch that is being stored, or nil.
+	storing *batch
+	held    []heldMessage
 	// hasUnsentEntries is true if some entries may not have been sent to every
 	// member.
 	hasUnsentEntries bool
@@ -133,7 +147,7 @@
 	if cfg.LeaseDuration <= 0 || cfg.LeaseDuration > cfg.ElectionTimeout {
 		cfg.LeaseDuration = cfg.ElectionTimeout
 	}
-	e := &Elector{cfg: cfg, hardState: hardState, role: RoleFollower, membership: cfg.InitialMembership.clone()}
+	e := &Elector{cfg: cfg, hardState: hardState, handedHardState: hardState, storedHardState: hardState, role: RoleFollower, membership: cfg.InitialMembership.clone()}
 	e.log.restore(snapshot)
 	if snapshot.Index > 0 {
 		e.membership = snapshot.Membership.clone()
@@ -144,7 +158,7 @@
 		}
 	}
 	e.log.entries = append([]Entry(nil), entries...)
-	e.log.stable = e.log.last()
+	e.log.handed, e.log.stable = e.log.last(), e.log.last()
 	e.refreshMembership()
 	e.resetDeadline(now)
 	if hardState.Term > 0 {
@@ -213,31 +227,23 @@
 	return e.role == RoleLeader && ok && t == e.hardState.Term
 }
 
-// Output returns the pending work and clears it.
+// Output returns the pending work and clears it. See Stored for what is to be stored.
 func (e *Elector) Output() Output {
 	if e.hasUnsentEntries && e.role == RoleLeader {
 		// Batch all entries since the last Output into one message.
 		e.sendAppends(false)
 	}
 	e.hasUnsentEntries = false
-	out := e.out
-	e.out = Output{}
-	if e.hardStateChanged {
-		hardState := e.hardState
-		out.HardState = &hardState
-		e.hardStateChanged = false
-	}
-	if e.log.stable < e.log.last() {
-		out.Entries = append([]Entry(nil), e.log.slice(e.log.stable+1, e.log.last())...)
-		e.log.stable = e.log.last()
-	}
+	out := Output{Messages: e.out.Messages}
+	e.out.Messages = nil
+	e.takeBatch(&out)
 	if e.role == RoleLeader && e.membershipIndex <= e.log.commit && !e.membership.IsVoter(e.cfg.ID) {
 		// The membership change that removed this leader is committed.
 		e.report(Event{Kind: EventSteppedDown, Term: e.hardState.Term, Reason: ReasonRemoved})
 		e.role = RoleFollower
 		e.leader = ""
 	}
-	if e.log.applied < e.log.commit {
+	if e.log.applied < e.log.commit && e.out.Snapshot == nil {
 		out.Committed = append([]Entry(nil), e.log.slice(e.log.applied+1, e.log.commit)...)
 		e.log.applied = e.log.commit
 	}
@@ -278,13 +284,19 @@
 	return nil
 }
 
-// Compact replaces the log up to index by a snapshot. The entry at index must
-// have been applied.
-func (e *Elector) Compact(index uint64, data []byte) Snapshot {
-	e.log.compact(index, data, e.membershipAt(index))
-	return e.log.snapshot
+// Compact replaces the log up to index by a snapshot, which the next Output returns to be
+// stored. The entry at index must have been applied. See CanCompact.
+func (e *Elector) Compact(index uint64, data []byte) {
+	if e.log.compact(index, data, e.membershipAt(index)) {
+		s := e.log.snapshot
+		e.out.Compaction = &s
+	}
 }
 
+// CanCompact reports whether Output has returned the entry at index to be stored. Before
+// that, Compact does nothing.
+func (e *Elector) CanCompact(index uint64) bool { return index <= e.log.handed }
+
 // membershipAt returns the membership set by the entries up to index.
 func (e *Elector) membershipAt(index uint64) Membership {
 	m := e.baseMembership()
@@ -328,18 +340,10 @@
 }
 
 func (e *Elector) setHardState(h HardState) {
-	if h != e.hardState {
-		e.hardState = h
-		e.hardStateChanged = true
-	}
-}
-
-func (e *Elector) send(m Message) {
-	m.From = e.cfg.ID
-	if m.Term == 0 {
-		m.Term = e.hardState.Term
+	if h.Term > e.hardState.Term {
+		e.matched = 0
 	}
-	e.out.Messages = append(e.out.Messages, m)
+	e.hardState = h
 }
 
 func (e *Elector) resetDeadline(now time.Time) {
--- a/pkg/elector/event.go
+++ b/pkg/elector/event.go
@@ -25,6 +25,8 @@
 	ReasonOldTerm Reason = "old_term"
 	// ReasonVoted means that this host voted for another candidate in the term.
 	ReasonVoted Reason = "voted_for_another"
+	// ReasonStoring means that this host is storing its term or its vote.
+	ReasonStoring Reason = "storing"
 	// ReasonNoQuorum means that no quorum answered the leader in time.
 	ReasonNoQuorum Reason = "no_quorum"
 	// ReasonNewerTerm means that a host with a newer term was heard.
--- a/pkg/elector/explore_test.go
+++ b/pkg/elector/explore_test.go
@@ -31,9 +31,11 @@
 
 // member is a simulated control host.
 type member struct {
-	id          string
-	e           *Elector
-	disk        disk
+	id   string
+	e    *Elector
+	disk disk
+	// storing is the output that is being stored, or nil. A crash loses it.
+	storing     *Output
 	up          bool
 	paused      bool
 	clockRate   float64
@@ -55,6 +57,9 @@
 	// deliveriesPerStep is the number of messages that one step delivers. A low
 	// value lets messages queue up and arrive late.
 	deliveriesPerStep int
+	// saveProbability is how likely a save is over after each action of its host, and when
+	// storeSome is called.
+	saveProbability float64
 	// lease and stagger are the Config values of all hosts.
 	lease, stagger time.Duration
 	isolated       map[string]bool
@@ -90,6 +95,10 @@
 	settingsRand := rand.New(rand.NewPCG(seed, 8))
 	s.lease = electionTimeout - time.Duration(settingsRand.IntN(4))*electionTimeout/5
 	s.stagger = time.Duration(settingsRand.IntN(2)) * electionTimeout / 2
+	s.saveProbability = []float64{1, 0.5, 0.1, 0.03}[settingsRand.IntN(4)]
+	if fault == faultEarlySend || fault == faultEarlyCount || fault == faultEarlyAck {
+		s.saveProbability = 0.03
+	}
 	n := 3 + 2*s.rnd.IntN(2)
 	for i := range n + 1 {
 		id := fmt.Sprintf("c%d", i)
@@ -115,22 +124,40 @@
 		s.failf("restart of %s: %v", m.id, err)
 		return
 	}
-	m.e, m.up, m.paused = e, true, false
+	m.e, m.up, m.paused, m.storing = e, true, false, nil
 	m.applied, m.appliedIndex = nil, m.disk.snapshot.Index
 	if m.disk.snapshot.Index > 0 {
 		m.applied = strings.Split(string(m.disk.snapshot.Data), ",")
 	}
 }
 
-// processOutput stores, sends and applies the output of a host until there is
-// none left.
+// processOutput sends and applies the output of a host until there is none left, and
+// begins to store it. With a save that is over at once, it also stores it.
 func (s *schedule) processOutput(m *member) {
 	for {
+		s.injectFault(m)
 		out := m.e.Output()
 		if out.IsEmpty() {
-			break
+			if m.storing == nil || s.rnd.Float64() >= s.saveProbability {
+				break
+			}
+			s.endSave(m)
+			continue
+		}
+		if out.NeedsStorage() {
+			if m.storing != nil && s.injectedFault == faultEarlyStored {
+				s.persist(m, *m.storing)
+			} else if m.storing != nil {
+				s.failf("%s is given an output to store during a save", m.id)
+			}
+			m.storing = &out
+			if s.injectedFault == faultEarlyStored {
+				m.e.Stored(s.clock(m))
+			}
+		}
+		if out.Snapshot != nil {
+			m.applied, m.appliedIndex = strings.Split(string(out.Snapshot.Data), ","), out.Snapshot.Index
 		}
-		s.persist(m, out)
 		s.inFlight = append(s.inFlight, out.Messages...)
 		for _, e := range out.Committed {
 			s.apply(m, e)
@@ -139,16 +166,41 @@
 	s.checkLeader(m)
 }
 
+// endSave ends the save of a host.
+func (s *schedule) endSave(m *member) {
+	out := *m.storing
+	m.storing = nil
+	s.persist(m, out)
+	m.e.Stored(s.clock(m))
+}
+
+// storeSome ends the saves of some hosts.
+func (s *schedule) storeSome() {
+	for _, id := range s.ids {
+		if m := s.members[id]; m.up && !m.paused && m.storing != nil && s.rnd.Float64() < s.saveProbability {
+			s.endSave(m)
+			s.processOutput(m)
+		}
+	}
+}
+
 func (s *schedule) persist(m *member, out Output) {
+	if c := out.Compaction; c != nil {
+		drop := min(c.Index-m.disk.snapshot.Index, uint64(len(m.disk.entries)))
+		m.disk.snapshot, m.disk.entries = *c, slices.Clone(m.disk.entries[drop:])
+	}
 	if out.Snapshot != nil {
 		m.disk.snapshot, m.disk.entries = *out.Snapshot, nil
-		m.applied, m.appliedIndex = strings.Split(string(out.Snapshot.Data), ","), out.Snapshot.Index
 	}
 	if out.HardState != nil && s.injectedFault != faultVoteNoSync {
 		m.disk.hardState = *out.HardState
 	}
 	if len(out.Entries) > 0 && s.injectedFault != faultEntryNoSync {
 		keep := out.Entries[0].Index - m.disk.snapshot.Index - 1
+		if keep > uint64(len(m.disk.entries)) {
+			s.failf("%s stores entry %d after entry %d", m.id, out.Entries[0].Index, m.disk.snapshot.Index+uint64(len(m.disk.entries)))
+			return
+		}
 		m.disk.entries = append(slices.Clone(m.disk.entries[:keep]), out.Entries...)
 	}
 }
@@ -225,6 +277,7 @@
 	default:
 		s.compact()
 	}
+	s.storeSome()
 	s.checkLeases()
 }
 
@@ -267,85 +320,6 @@
 	}
 }
 
-func (s *schedule) crash() {
-	down := 0
-	for _, m := range s.members {
-		if !m.up {
-			down++
-		}
-	}
-	if m := s.randomMember(); m.up && down < 2 {
-		s.tracef("%s crashes at term %d", m.id, m.e.Term())
-		m.up = false
-		if s.rnd.IntN(2) == 0 {
-			s.restart()
-		}
-	}
-}
-
-func (s *schedule) restart() {
-	for _, id := range s.ids {
-		if m := s.members[id]; !m.up {
-			s.tracef("%s restarts", id)
-			s.start(m, Membership{Voters: s.ids[:len(s.ids)-1]})
-			return
-		}
-	}
-}
-
-// pause pauses a random host. If one is already paused, it resumes that host
-// instead.
-func (s *schedule) pause() {
-	m := s.randomMember()
-	for _, other := range s.members {
-		if other.paused {
-			m = other
-		}
-	}
-	m.paused = !m.paused
-	s.tracef("%s paused=%t", m.id, m.paused)
-}
-
-func (s *schedule) isolate() {
-	clear(s.isolated)
-	if s.rnd.IntN(2) == 0 {
-		m := s.randomMember()
-		s.isolated[m.id] = true
-		s.tracef("%s is isolated", m.id)
-	}
-}
-
-func (s *schedule) changeMembership() {
-	for _, id := range s.ids {
-		m := s.members[id]
-		if !m.up || m.e.Role() != RoleLeader {
-			continue
-		}
-		next := m.e.Membership()
-		target := s.ids[s.rnd.IntN(len(s.ids))]
-		if i := slices.Index(next.Voters, target); i >= 0 && len(next.Voters) > 2 {
-			next.Voters = slices.Delete(next.Voters, i, i+1)
-		} else if i < 0 {
-			next.Voters = append(next.Voters, target)
-		}
-		if m.e.ChangeMembership(next) == nil {
-			s.tracef("%s proposes voters %v", m.id, next.Voters)
-		}
-		s.processOutput(m)
-	}
-}
-
-func (s *schedule) compact() {
-	m := s.randomMember()
-	if !m.up || m.appliedIndex <= m.disk.snapshot.Index {
-		return
-	}
-	snapshot := m.e.Compact(m.appliedIndex, []byte(strings.Join(m.applied, ",")))
-	drop := snapshot.Index - m.disk.snapshot.Index
-	m.disk.snapshot = snapshot
-	m.disk.entries = slices.Clone(m.disk.entries[min(drop, uint64(len(m.disk.entries))):])
-}
-
 // checkRecovery ends all faults and checks that the hosts commit entries again.
 func (s *schedule) checkRecovery() {
 	clear(s.isolated)
@@ -367,6 +341,7 @@
 		s.inFlight = nil
 		s.tick()
 		s.propose()
+		s.storeSome()
 		if len(s.committed) > before+20 {
 			return
 		}
--- a/pkg/elector/log.go
+++ b/pkg/elector/log.go
@@ -4,7 +4,9 @@
 type raftLog struct {
 	snapshot Snapshot
 	entries  []Entry
-	// stable is the last index that Output has returned for storage.
+	// handed is the last index that Output has returned for storage, and stable the
+	// last one that is known to be stored.
+	handed  uint64
 	stable  uint64
 	commit  uint64
 	applied uint64
@@ -63,23 +65,34 @@
 		}
 		l.entries = append([]Entry(nil), l.entries[:e.Index-l.first()]...)
 		l.entries = append(l.entries, entries[i:]...)
-		l.stable = min(l.stable, e.Index-1)
+		l.handed, l.stable = min(l.handed, e.Index-1), min(l.stable, e.Index-1)
 		return
 	}
 }
 
-// restore replaces the whole log with a snapshot.
+// restore replaces the whole log with a snapshot, which is yet to be stored.
 func (l *raftLog) restore(s Snapshot) {
-	*l = raftLog{snapshot: s, stable: s.Index, commit: s.Index, applied: s.Index}
+	*l = raftLog{snapshot: s, handed: s.Index, stable: min(l.stable, l.commit), commit: s.Index, applied: s.Index}
+}
+
+// markStored records that the log is stored up to the entry with the index and term,
+// unless that entry was replaced meanwhile.
+func (l *raftLog) markStored(index, term uint64) {
+	if t, ok := l.term(index); ok && t == term {
+		l.stable = max(l.stable, index)
+	}
 }
 
 // compact replaces the entries up to index with a snapshot. It does nothing if
-// the entry is not applied or already compacted.
-func (l *raftLog) compact(index uint64, data []byte, m Membership) {
+// the entry is not applied, not handed out or already compacted, and then returns false.
+// Stored entries that later ones replace would stay after the snapshot if the later ones
+// were compacted before they are handed out.
+func (l *raftLog) compact(index uint64, data []byte, m Membership) bool {
 	t, ok := l.term(index)
-	if !ok || index <= l.snapshot.Index || index > l.applied {
-		return
+	if !ok || index <= l.snapshot.Index || index > min(l.applied, l.handed) {
+		return false
 	}
 	l.entries = append([]Entry(nil), l.slice(index+1, l.last())...)
 	l.snapshot = Snapshot{Index: index, Term: t, Membership: m, Data: data}
+	return true
 }
--- a/pkg/elector/malformed_test.go
+++ b/pkg/elector/malformed_test.go
@@ -59,7 +59,9 @@
 				}()
 				e.Step(m, now)
 				e.Tick(now)
-				_ = e.Output()
+				if out := e.Output(); out.NeedsStorage() && rnd.IntN(2) == 0 {
+					e.Stored(now)
+				}
 			}()
 		}
 	}
--- a/pkg/elector/replacement_test.go
+++ b/pkg/elector/replacement_test.go
@@ -78,6 +78,9 @@
 		if out.IsEmpty() {
 			return
 		}
+		if out.NeedsStorage() {
+			c.hosts[id].Stored(c.clock())
+		}
 		for _, m := range out.Messages {
 			// Network latency and the duration of a disk sync.
 			c.inFlight = append(c.inFlight, delayedMessage{m, c.now + oneWayLatency + time.Duration(c.rnd.IntN(8))*time.Millisecond})
--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -32,7 +32,7 @@
 			return
 		}
 		if m.Term == e.hardState.Term+1 {
-			e.handleVoteResponse(m, now)
+			e.handlePreVoteResponse(m, now)
 		}
 		return
 	}
@@ -74,7 +74,8 @@
 	response := Message{Kind: MessageAppendResponse, To: m.From, Round: m.Round}
 	if m.Index < e.log.commit {
 		// Committed entries always match.
-		response.Index = e.log.commit
+		e.matched = max(e.matched, e.log.commit)
+		response.Index = e.storedMatch(e.log.commit)
 		e.send(response)
 		return
 	}
@@ -88,7 +89,8 @@
 	e.refreshMembership()
 	lastMatched := m.Index + uint64(len(m.Entries))
 	e.log.commit = max(e.log.commit, min(m.Commit, lastMatched))
-	response.Index = lastMatched
+	e.matched = max(e.matched, lastMatched)
+	response.Index = e.storedMatch(lastMatched)
 	e.send(response)
 }
 
@@ -111,15 +113,15 @@
 
 func (e *Elector) handleSnapshot(m Message, now time.Time) {
 	e.recordLeaderContact(m, now)
-	response := Message{Kind: MessageSnapshotResponse, To: m.From, Round: m.Round, Index: e.log.commit}
+	response := Message{Kind: MessageSnapshotResponse, To: m.From, Round: m.Round}
 	if m.Snapshot != nil && m.Snapshot.Index > e.log.commit {
 		s := *m.Snapshot
 		e.log.restore(s)
 		e.refreshMembership()
-		e.out.Snapshot = &s
-		e.out.Committed = nil
-		response.Index = s.Index
+		e.out.Snapshot, e.out.Compaction = &s, nil
 	}
+	e.matched = max(e.matched, e.log.commit)
+	response.Index = e.storedMatch(e.log.commit)
 	e.send(response)
 }
 
@@ -169,7 +171,7 @@
 }
 
 // advanceCommit commits the entries that a quorum of the voters has stored. The
-// leader's own entries count, because it stores them before it sends them.
+// leader sends its entries before it has stored them, and counts only stored ones.
 func (e *Elector) advanceCommit() {
 	if e.role != RoleLeader {
 		return
@@ -177,7 +179,7 @@
 	matches := make([]uint64, 0, len(e.membership.Voters))
 	for _, id := range e.membership.Voters {
 		if id == e.cfg.ID {
-			matches = append(matches, e.log.last())
+			matches = append(matches, e.log.stable)
 		} else if p := e.progress[id]; p != nil {
 			matches = append(matches, p.match)
 		}
--- a/pkg/elector/restart_test.go
+++ b/pkg/elector/restart_test.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 }
 
 func newThreeHostCluster(t *testing.T) *threeHostCluster {
-	s := &schedule{members: map[string]*member{}, leaderOfTerm: map[uint64]string{}, committed: map[uint64]string{}, isolated: map[string]bool{}}
+	s := &schedule{members: map[string]*member{}, leaderOfTerm: map[uint64]string{}, committed: map[uint64]string{}, isolated: map[string]bool{}, saveProbability: 1, rnd: rand.New(rand.NewPCG(1, 1))}
 	s.ids = []string{"a", "b", "c"}
 	cluster := &threeHostCluster{t: t, s: s}
 	for _, id := range s.ids {
@@ -37,7 +38,7 @@
 	}
 	e, err := New(cfg, m.disk.hardState, m.disk.snapshot, m.disk.entries, cluster.s.clock(m))
 	qt.Assert(cluster.t, err, qt.IsNil)
-	m.e, m.up, m.applied, m.appliedIndex = e, true, nil, m.disk.snapshot.Index
+	m.e, m.up, m.storing, m.applied, m.appliedIndex = e, true, nil, nil, m.disk.snapshot.Index
 }
 
 // advance advances the simulated time and delivers every message instantly.
@@ -134,8 +135,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	e.Tick(now)
 	e.Step(Message{Kind: MessagePreVoteResponse, From: "b", To: "a", Term: 2}, now)
+	e.Output()
+	e.Stored(now)
 	e.Step(Message{Kind: MessageVoteResponse, From: "b", To: "a", Term: 2}, now)
 	e.Output()
+	e.Stored(now)
 	e.Step(Message{Kind: MessageAppendResponse, From: "b", To: "a", Term: 2, Index: 3, Round: 1}, now)
 	qt.Assert(t, e.CommitIndex(), qt.Equals, uint64(3))
 	qt.Assert(t, e.HasLease(now), qt.IsFalse, qt.Commentf("nothing was returned to be applied"))
