Test: upstreams get only what callers sent, under series of faults

Change: the fleet of stuttering upstreams is run with statements in pieces at random cuts, data with blanks at both ends and in between or up to 64 KiB long, callers that leave in the middle of statements, answers and transactions or idle past tx_idle_ms, SIGTERM, SIGHUP, SIGSTOP and SIGKILL in series on two entry hosts at a time, keys that are given to other organisations or taken away, public routes, routes that are given to other services, and primaries that crash and come back; -stutter-causes selects them, and adds low rates and answers that are sent twice. Each line at an upstream is compared byte for byte with what a caller sent (but for names of prepared statements and AFTER before what reads), its organisation with the holders of the key, and commits with what callers asked for.

--- a/cmd/shallotstage-host/stutter_callers_test.go
+++ b/cmd/shallotstage-host/stutter_callers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -17,8 +18,19 @@
 	// leave is the share of statements after which a caller leaves, leaveWithin that of
 	// those that it begins to send and never ends.
 	leave, leaveWithin float64
+	// long is the share of data that is up to maxLongData bytes long, idle that of
+	// statements in transactions before which a caller waits up to maxIdle.
+	long, idle float64
 }
 
+const (
+	// publicKey is sent on public routes, whose statements run for publicOrganisation.
+	publicKey          = "nobody"
+	publicOrganisation = "public"
+	maxLongData        = 64 << 10
+	maxIdle            = 4 * time.Second
+)
+
 // stutterRoute is a route of the fleet with the mix of its operations.
 type stutterRoute struct {
 	database, kind, service string
@@ -27,6 +39,8 @@
 	// see all.
 	ownCommits, allCommits bool
 	targetMS, stalenessMS  int
+	// public is true if callers need no key. Their organisation is then publicOrganisation.
+	public bool
 }
 
 // stutterCaller is a caller that runs operations and records them.
@@ -41,11 +55,11 @@
 	conn  net.Conn
 	r     *bufio.Reader
 	n     int
-	// ownFloor is the number of commits up to the last one of the session.
-	ownFloor int
-	values   map[string]string
-	prepared map[string]string
-	state    string
+	// ownFloors are the numbers of commits up to the last one of the session, by service.
+	ownFloors map[string]int
+	values    map[string]string
+	prepared  map[string]string
+	state     string
 }
 
 // isDrawn reports an event with the given probability.
@@ -58,11 +72,14 @@
 // connect opens a session with some values and prepared statements.
 func (c *stutterCaller) connect() bool {
 	c.route, c.key = c.fleet.drawRoute(c.rnd), c.fleet.drawKey(c.rnd)
+	if c.route.public {
+		c.key = publicKey
+	}
 	conn, err := net.DialTimeout("tcp", c.fleet.drawEntry(c.rnd), time.Second)
 	if err != nil {
 		return false
 	}
-	c.conn, c.r, c.state, c.ownFloor = conn, bufio.NewReader(conn), "I", 0
+	c.conn, c.r, c.state, c.ownFloors = conn, bufio.NewReader(conn), "I", map[string]int{}
 	c.values, c.prepared = map[string]string{}, map[string]string{}
 	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
 	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", c.route.database, c.key); err != nil {
@@ -109,6 +126,9 @@
 
 // data returns random data.
 func (c *stutterCaller) data() string {
+	if c.isDrawn(c.habits.long) {
+		return strings.Repeat(fmt.Sprintf("%x", c.rnd.Uint64()), 1+c.rnd.IntN(maxLongData/16))
+	}
 	if c.isDrawn(c.habits.blanks) {
 		return fmt.Sprintf("  %x  %x ", c.rnd.Uint32(), c.rnd.Uint32())
 	}
@@ -144,12 +164,12 @@
 		c.pause(200 * time.Millisecond)
 		return
 	}
-	op := &operation{service: c.route.service}
+	op := &operation{}
 	switch {
 	case c.route.allCommits:
-		op.floor = c.fleet.ledger.acknowledgedCommits(c.route.service)
+		op.floors = c.fleet.ledger.acknowledgedCommits()
 	case c.route.ownCommits:
-		op.floor = c.ownFloor
+		op.floors = maps.Clone(c.ownFloors)
 	}
 	draw := c.rnd.Float64()
 	switch {
@@ -184,6 +204,9 @@
 			return
 		}
 		c.pause(40 * time.Millisecond)
+		if c.isDrawn(c.habits.idle) {
+			c.pause(maxIdle)
+		}
 	}
 	if c.isDrawn(0.1) {
 		c.query(op, "ROLLBACK")
@@ -273,6 +296,7 @@
 		return
 	}
 	if q.text == "COMMIT" || !q.op.transaction && isForwarded(q.text) && strings.Contains(q.text+q.shape, "WRITE") {
-		c.ownFloor = max(c.ownFloor, l.acknowledgeCommit(q.id, q.signature))
+		service, number := l.acknowledgeCommit(q.id, q.signature)
+		c.ownFloors[service] = max(c.ownFloors[service], number)
 	}
 }
--- a/cmd/shallotstage-host/stutter_fleet_test.go
+++ b/cmd/shallotstage-host/stutter_fleet_test.go
@@ -43,6 +43,8 @@
 	// organisations are the present holders of the keys.
 	organisations map[string]string
 	version       int
+	// rate is the rate of each organisation in operations a second.
+	rate int
 }
 
 // newStutterFleet starts a fleet whose upstreams answer as faults says, and waits until it
@@ -50,7 +52,7 @@
 func newStutterFleet(t *testing.T, seed uint64, faults answerFaults) *stutterFleet {
 	f := &stutterFleet{
 		fleet: newFleetOfSize(t, stutterControls+stutterEntries), seed: seed, rnd: rand.New(rand.NewPCG(seed, 11)),
-		ledger: newLedger(), stop: make(chan struct{}), organisations: map[string]string{},
+		ledger: newLedger(), stop: make(chan struct{}), organisations: map[string]string{}, rate: 10000,
 	}
 	f.zones = map[string]string{}
 	for i := range stutterControls + stutterEntries {
@@ -160,7 +162,7 @@
 				held[i].until = acknowledged.Add(configurationApplies)
 			}
 		}
-		if !present {
+		if !present && organisation != "" {
 			f.ledger.holders[key] = append(held, holding{organisation: organisation, from: from})
 		}
 	}
@@ -170,8 +172,8 @@
 func (f *stutterFleet) configuration() string {
 	var routes, services, tenants []string
 	for i, r := range f.routes {
-		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"%s","path_prefix":"/","type":"%s","timeout_ms":4000,"target_latency_ms":%d,"max_staleness_ms":%d,"max_attempts":2,"service":"%s"}`,
-			i, r.database, r.kind, r.targetMS, r.stalenessMS, r.service))
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"%s","path_prefix":"/","type":"%s","timeout_ms":4000,"target_latency_ms":%d,"max_staleness_ms":%d,"max_attempts":2,"service":"%s","public":%t}`,
+			i, r.database, r.kind, r.targetMS, r.stalenessMS, r.service, r.public))
 	}
 	for _, s := range f.services {
 		services = append(services, fmt.Sprintf(`{"name":"%s","health_check":"/health","max_conns":%d,"sync_replicas":0}`, s.name, stutterMaxConns))
@@ -183,7 +185,7 @@
 				keys = append(keys, `"`+key+`"`)
 			}
 		}
-		tenants = append(tenants, fmt.Sprintf(`{"name":"organisation%d","api_keys":[%s],"rate_per_s":10000,"burst":10000}`, i, strings.Join(keys, ",")))
+		tenants = append(tenants, fmt.Sprintf(`{"name":"organisation%d","api_keys":[%s],"rate_per_s":%d,"burst":%d}`, i, strings.Join(keys, ","), f.rate, f.rate))
 	}
 	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"tx_idle_ms":3000},"tenants":[%s]}`,
 		f.version, strings.Join(routes, ","), strings.Join(services, ","), strings.Join(tenants, ","))
--- a/cmd/shallotstage-host/stutter_ledger_test.go
+++ b/cmd/shallotstage-host/stutter_ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -68,9 +69,8 @@
 	transaction, commitSent bool
 	// promise is a code that promised that nothing of the operation is kept.
 	promise string
-	// floor is the number of commits of the service that its reads must see.
-	service string
-	floor   int
+	// floors are the numbers of commits that its reads must see, by service.
+	floors map[string]int
 }
 
 // sentStatement is a statement that a caller sent, with its answer.
@@ -101,7 +101,7 @@
 func (l *ledger) violate(rule, format string, arguments ...any) {
 	l.violations[rule]++
 	if len(l.examples[rule]) < maxExamples {
-		l.examples[rule] = append(l.examples[rule], fmt.Sprintf(format, arguments...))
+		l.examples[rule] = append(l.examples[rule], fmt.Sprintf("%.400s", fmt.Sprintf(format, arguments...)))
 	}
 }
 
@@ -125,24 +125,25 @@
 	}
 }
 
-// acknowledgeCommit records that a caller was told of a commit. It returns the number of
-// commits up to it, or zero if the signature is not that of the statement or nothing was written.
-func (l *ledger) acknowledgeCommit(id, signature string) int {
+// acknowledgeCommit records that a caller was told of a commit. It returns its service and the
+// number of commits up to it, or zero if the signature is not that of the statement or nothing
+// was written.
+func (l *ledger) acknowledgeCommit(id, signature string) (service string, number int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.runs[signature]
 	if r == nil || r.id != id || !r.committed {
-		return 0
+		return "", 0
 	}
 	l.acknowledged[r.service] = max(l.acknowledged[r.service], r.visible)
-	return r.visible
+	return r.service, r.visible
 }
 
-// acknowledgedCommits returns the number of a service's commits that callers know of.
-func (l *ledger) acknowledgedCommits(service string) int {
+// acknowledgedCommits returns the numbers of commits that callers know of, by service.
+func (l *ledger) acknowledgedCommits() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.acknowledged[service]
+	return maps.Clone(l.acknowledged)
 }
 
 // setPromise records that a caller was promised that nothing of its operation is kept.
@@ -209,9 +210,12 @@
 // judgeLine checks that a line of an upstream was sent by a caller or is one that hosts
 // may send themselves.
 func (l *ledger) judgeLine(line receivedLine) {
-	text := line.text
+	text, q := line.text, l.sent[line.id]
 	if tail, ok := strings.CutPrefix(text, "AFTER "); ok {
 		_, text, _ = strings.Cut(tail, " ")
+		if !strings.HasPrefix(text, "BEGIN") && !strings.HasPrefix(text, "READ ") && (q == nil || !strings.HasPrefix(q.shape, "READ ")) {
+			l.violate("UNASKED", "a host put AFTER before a statement that does not read: %s %q", line.id, line.text)
+		}
 	}
 	if line.id == "-" {
 		if !l.mayIssue(text) {
@@ -219,14 +223,13 @@
 		}
 		return
 	}
-	q := l.sent[line.id]
 	switch {
 	case q == nil:
 		l.violate("UNASKED", "no caller sent %s %q", line.id, line.text)
 	case withoutName(text) != withoutName(q.text):
 		l.violate("UNASKED", "%s was sent as %q and arrived as %q", line.id, q.text, line.text)
-	case !l.mayHold(q, line):
-		l.violate("UNASKED", "%s of key %s arrived for organisation %q", line.id, q.key, line.organisation)
+	default:
+		l.judgeHolder(q, line)
 	}
 }
 
@@ -249,13 +252,24 @@
 	return false
 }
 
-func (l *ledger) mayHold(q *sentStatement, line receivedLine) bool {
+// judgeHolder checks that a statement arrived for an organisation that may be taken for the
+// holder of its key.
+func (l *ledger) judgeHolder(q *sentStatement, line receivedLine) {
+	former := false
 	for _, h := range l.holders[q.key] {
-		if h.organisation == line.organisation && !line.at.Before(h.from) && (h.until.IsZero() || q.at.Before(h.until)) {
-			return true
+		if h.organisation != line.organisation || line.at.Before(h.from) {
+			continue
+		}
+		if h.until.IsZero() || q.at.Before(h.until) {
+			return
 		}
+		former = true
 	}
-	return false
+	if former {
+		l.violate("CONFIG", "%s of key %s arrived for its former organisation %q", q.id, q.key, line.organisation)
+		return
+	}
+	l.violate("UNASKED", "%s of key %s arrived for organisation %q", q.id, q.key, line.organisation)
 }
 
 // judgeAnswer checks a success. users are the operations by the transaction in which they
@@ -293,8 +307,8 @@
 		}
 		users[r.transaction] = q.op
 	}
-	if r.service == q.op.service && r.visible < q.op.floor && len(r.rows) > 0 {
-		l.violate("STALE", "%s %q saw %d of %d commits on %s", q.id, q.text, r.visible, q.op.floor, r.conn)
+	if floor := q.op.floors[r.service]; r.visible < floor && len(r.rows) > 0 {
+		l.violate("STALE", "%s %q saw %d of %d commits on %s", q.id, q.text, r.visible, floor, r.conn)
 	}
 }
 
--- a/cmd/shallotstage-host/stutter_test.go
+++ b/cmd/shallotstage-host/stutter_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,12 +48,13 @@
 	return selected
 }
 
-// runStutter runs a fleet with faults and checks what both sides recorded.
-func runStutter(t *testing.T, seed uint64, faults answerFaults, habits callerHabits, disturb func(f *stutterFleet)) {
+// runStutter runs a fleet with faults and checks what both sides recorded against the given
+// rules; nil means all.
+func runStutter(t *testing.T, seed uint64, faults answerFaults, habits callerHabits, rules []string, disturbances ...func(f *stutterFleet)) {
 	f := newStutterFleet(t, seed, selectFaults(faults))
 	stop := f.serve(habits)
 	defer stop()
-	if disturb != nil {
+	for _, disturb := range disturbances {
 		f.wg.Go(func() { disturb(f) })
 	}
 	time.Sleep(*stutterDuration)
@@ -69,6 +72,9 @@
 			t.Logf("%s: %s", rule, example)
 		}
 	}
+	if rules != nil {
+		maps.DeleteFunc(l.violations, func(rule string, _ int) bool { return !slices.Contains(rules, rule) })
+	}
 	qt.Check(t, l.confirmed >= minConfirmed, qt.IsTrue, qt.Commentf("%d confirmed", l.confirmed))
 	qt.Check(t, float64(l.served) >= minServedShare*float64(len(l.sent)), qt.IsTrue, qt.Commentf("%d of %d served", l.served, len(l.sent)))
 	qt.Assert(t, l.violations, qt.HasLen, 0, qt.Commentf("rules broken"))
@@ -85,15 +91,18 @@
 	}
 }
 
+// secondAnswers are upstreams that answer twice, cut answers off and lose them.
+var secondAnswers = answerFaults{
+	repeat: map[answerKind]float64{answerSigned: 0.03, answerAck: 0.03, answerError: 0.5, answerStatus: 0.3, answerStartup: 0.3},
+	chunks: 0.01, pieces: 0.3, cut: 0.002, lost: 0.001, busy: 0.01,
+}
+
 // TestSecondAnswersReachNoOtherCaller fails if an answer that an upstream sends twice is
 // taken for that of another statement.
 //
 //	go test ./cmd/shallotstage-host -run SecondAnswers -args -seeds 50
 func TestSecondAnswersReachNoOtherCaller(t *testing.T) {
 	eachSeed(t, func(t *testing.T, seed uint64) {
-		runStutter(t, seed, answerFaults{
-			repeat: map[answerKind]float64{answerSigned: 0.03, answerAck: 0.03, answerError: 0.5, answerStatus: 0.3, answerStartup: 0.3},
-			chunks: 0.01, pieces: 0.3, cut: 0.002, lost: 0.001, busy: 0.01,
-		}, callerHabits{leave: 0.01}, nil)
+		runStutter(t, seed, secondAnswers, callerHabits{leave: 0.01}, nil)
 	})
 }
--- a/cmd/shallotstage-host/stutter_upstreams_test.go
+++ b/cmd/shallotstage-host/stutter_upstreams_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// crash closes all connections and accepts none from then on.
+// crash closes all connections and accepts none until resume is called.
 func (u *stutterUpstream) crash() {
 	u.service.mu.Lock()
 	defer u.service.mu.Unlock()
@@ -125,6 +125,18 @@
 	clear(u.conns)
 }
 
+// resume makes the upstream accept connections at its address again.
+func (u *stutterUpstream) resume(t *testing.T) {
+	u.service.mu.Lock()
+	defer u.service.mu.Unlock()
+	l, err := net.Listen("tcp", u.listener.Addr().String())
+	if !qt.Check(t, err, qt.IsNil) {
+		return
+	}
+	u.listener, u.down = l, false
+	go u.accept(l)
+}
+
 // heartbeat returns the body of the next heartbeat, or nothing while the upstream is down.
 func (u *stutterUpstream) heartbeat() string {
 	s := u.service
