--- a/cmd/shallotstage-host/unasked_callers_test.go
+++ b/cmd/shallotstage-host/unasked_callers_test.go
@@ -9,17 +9,23 @@
 	"time"
 )
 
+// forwardedVerbs are the first words of the statements that an upstream must sign.
+var forwardedVerbs = map[string]bool{"READ": true, "WRITE": true, "EXECUTE": true, "COMMIT": true}
+
 // strictCaller is a client that records each statement before it sends it.
 type strictCaller struct {
-	name, organisation, key string
-	addresses               []string
-	ledger                  *ledger
-	rnd                     *rand.Rand
-	services                int
+	name, key string
+	addresses []string
+	ledger    *ledger
+	rnd       *rand.Rand
+	services  int
 	// alphabet holds the characters of random data.
 	alphabet string
 	// splits makes it send some lines in pieces.
 	splits bool
+	// hostile makes it send statements within others, halves of statements, and
+	// statements ahead.
+	hostile bool
 	// largest is the largest size of random data.
 	largest int
 
@@ -82,7 +88,7 @@
 
 // record records a statement with the id of the present operation.
 func (c *strictCaller) record(id, text string) {
-	s := sentStatement{text: text, organisation: c.organisation, service: c.service, inTransaction: c.inTx}
+	s := sentStatement{text: text, key: c.key, service: c.service, inTransaction: c.inTx, at: time.Now()}
 	if rest, ok := strings.CutPrefix(text, "EXECUTE "); ok {
 		name, arguments, found := strings.Cut(rest, " ")
 		s.text, s.shape = "EXECUTE "+arguments, c.prepared[name]
@@ -108,6 +114,10 @@
 		switch word {
 		case "COMPLETE":
 			answer = word
+			if verb, _, _ := strings.Cut(text, " "); forwardedVerbs[verb] && rest != "sig-"+id {
+				c.codes["other signature"]++
+				c.ledger.noteForeign(fmt.Sprintf("%s %.80q (in a transaction: %v) was answered with %q", id, text, c.inTx, rest))
+			}
 		case "ERROR":
 			answer, _, _ = strings.Cut(rest, " ")
 		case "READY":
@@ -151,6 +161,11 @@
 	}
 	c.n++
 	id := fmt.Sprintf("%s-%d", c.name, c.n)
+	if c.hostile && c.rnd.IntN(2) == 0 {
+		c.misbehave(id)
+		c.close()
+		return
+	}
 	ok := false
 	if c.rnd.IntN(4) == 0 {
 		ok = c.transaction(id)
@@ -166,6 +181,39 @@
 	}
 }
 
+// misbehave sends what a caller must not send, of which an upstream may get only what is a
+// statement of its own. The session ends after it.
+func (c *strictCaller) misbehave(id string) {
+	write := func(id string) string { return "QUERY " + id + " WRITE x1 " + c.data() }
+	lines := ""
+	switch c.rnd.IntN(4) {
+	case 0:
+		separator := []string{"\n", "\r", "\n\n", "\r\r", "\n\r"}[c.rnd.IntN(5)]
+		lines = write(id) + separator + write(id+"-within") + "\r\n"
+	case 1:
+		lines = write(id)
+	case 2:
+		c.inTx = true
+		for _, text := range []string{"BEGIN", "WRITE x1 " + c.data(), "READ x1", "WRITE x2 " + c.data(), "COMMIT"} {
+			c.record(id, text)
+			lines += "QUERY " + id + " " + text + "\r\n"
+		}
+		c.inTx = false
+	case 3:
+		lines = "QUERY " + id + "  READ x1\r\nQUERY - WRITE x1 1\r\nquery " + id + " read x\r\nQUERY " + id + " AFTER 1.1 READ x1\r\n" + write(id)[:8] + "\r\n"
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(time.Duration(50+c.rnd.IntN(100)) * time.Millisecond))
+	c.send(lines)
+	if c.rnd.IntN(3) == 0 {
+		return
+	}
+	for {
+		if _, err := c.r.ReadByte(); err != nil {
+			return
+		}
+	}
+}
+
 func (c *strictCaller) transaction(id string) bool {
 	begin := "BEGIN"
 	if answer, state := c.query(id, begin); answer != "COMPLETE" || state != "T" {
--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,11 +21,15 @@
 	ledgerDuration = flag.Duration("ledger", 5*time.Second, "duration of the comparison of what clients sent with what upstreams ran")
 	ledgerSeed     = flag.Uint64("ledger-seed", 1, "its random seed")
 	ledgerProgram  = flag.String("ledger-program", "", "program to run in place of this build")
-	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,stutter")
+	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys")
+	ledgerHostile  = flag.Bool("ledger-hostile", true, "whether a quarter of the clients misbehaves")
+	ledgerAlphabet = flag.String("ledger-alphabet", "abcdefghijklm     \t.", "characters of the data")
+	ledgerWork     = flag.Duration("ledger-work", 0, "time that an upstream takes for a statement")
 	ledgerCallers  = flag.Int("ledger-callers", 32, "number of clients")
 )
 
-const ledgerAlphabet = "abcdefghijklm     \t."
+// ledgerKeys is the number of keys and organisations.
+const ledgerKeys = 8
 
 // TestUpstreamsRunOnlyWhatClientsSent compares each statement that upstreams get with what
 // clients sent, byte for byte.
@@ -35,13 +42,43 @@
 		f.program = *ledgerProgram
 	}
 	rnd := rand.New(rand.NewPCG(*ledgerSeed, 9))
-	l := &ledger{sent: map[string][]sentStatement{}}
+	l := &ledger{sent: map[string][]sentStatement{}, holders: map[string][]holder{}}
+	for i := range ledgerKeys {
+		l.moveKey(fmt.Sprintf("k%d", i), fmt.Sprintf("t%d", i))
+	}
 	zones := []string{"a", "b", "c"}
 	f.zones = map[string]string{}
 	var groups []*strictGroup
 	for i := range services {
 		groups = append(groups, newStrictGroup(t, l, fmt.Sprintf("s%d", i), zones))
 	}
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var order struct{ ID string }
+		if json.NewDecoder(r.Body).Decode(&order) == nil {
+			for _, g := range groups {
+				if g.promote(order.ID) {
+					return
+				}
+			}
+		}
+		w.WriteHeader(http.StatusConflict)
+	}))
+	t.Cleanup(platform.Close)
+	f.platformAddress = strings.TrimPrefix(platform.URL, "http://")
+	for _, g := range groups {
+		for _, u := range g.upstreams {
+			u.work = *ledgerWork
+			if strings.Contains(*ledgerFaults, "lose") {
+				var mu sync.Mutex
+				u.lose = func() (lost, end bool) {
+					mu.Lock()
+					defer mu.Unlock()
+					n := rnd.IntN(400)
+					return n == 0, n == 1
+				}
+			}
+		}
+	}
 	if strings.Contains(*ledgerFaults, "stutter") {
 		for _, g := range groups {
 			for _, u := range g.upstreams {
@@ -72,7 +109,7 @@
 	}
 	control := func(i int) string { return "http://" + f.address(soakIP(i%controls), portControl) }
 	f.waitFor("the configuration", func() bool {
-		return call("PUT", control(rnd.IntN(controls))+"/config", ledgerConfiguration(services)) == 200
+		return call("PUT", control(rnd.IntN(controls))+"/config", ledgerConfiguration(3, services, 0)) == 200
 	})
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
@@ -102,8 +139,8 @@
 	var callers []*strictCaller
 	for i := range *ledgerCallers {
 		c := &strictCaller{
-			name: fmt.Sprintf("c%d", i), organisation: fmt.Sprintf("t%d", i%8), key: fmt.Sprintf("k%d", i%8), addresses: addresses, ledger: l,
-			rnd: rand.New(rand.NewPCG(*ledgerSeed, uint64(100+i))), services: services, alphabet: ledgerAlphabet, splits: i%2 == 0, largest: 100 << 10, codes: map[string]int{},
+			name: fmt.Sprintf("c%d", i), key: fmt.Sprintf("k%d", i%8), addresses: addresses, ledger: l,
+			rnd: rand.New(rand.NewPCG(*ledgerSeed, uint64(100+i))), services: services, alphabet: *ledgerAlphabet, splits: i%2 == 0, hostile: *ledgerHostile && i%4 == 3, largest: 100 << 10, codes: map[string]int{},
 		}
 		callers = append(callers, c)
 		wg.Go(func() {
@@ -117,7 +154,9 @@
 			}
 		})
 	}
+	round, shift := 0, 0
 	for deadline := time.Now().Add(*ledgerDuration); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		round++
 		p := entryHosts[rnd.IntN(entries)]
 		if strings.Contains(*ledgerFaults, "term") {
 			_ = p.cmd.Process.Signal(syscall.SIGTERM)
@@ -127,6 +166,25 @@
 		if strings.Contains(*ledgerFaults, "hup") {
 			_ = p.cmd.Process.Signal(syscall.SIGHUP)
 		}
+		if strings.Contains(*ledgerFaults, "freeze") {
+			_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(time.Duration(rnd.IntN(2500)) * time.Millisecond)
+			_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		}
+		if strings.Contains(*ledgerFaults, "drain") && round%8 == 0 {
+			groups[rnd.IntN(services)].drainPrimary(round%16 == 0)
+		}
+		if strings.Contains(*ledgerFaults, "keys") && round%8 == 0 {
+			shift++
+			for i := range ledgerKeys {
+				l.moveKey(fmt.Sprintf("k%d", i), fmt.Sprintf("t%d", (i+shift)%ledgerKeys))
+			}
+			if call("PUT", control(rnd.IntN(controls))+"/config", ledgerConfiguration(3+shift, services, shift)) == 200 {
+				for i := range ledgerKeys {
+					l.keyMoved(fmt.Sprintf("k%d", i))
+				}
+			}
+		}
 		if strings.Contains(*ledgerFaults, "kill") {
 			_ = p.cmd.Process.Kill()
 			_, _ = p.cmd.Process.Wait()
@@ -143,13 +201,18 @@
 	}
 	sent, ran, violations := l.counts()
 	t.Logf("seed %d: %d operations served, %d statements sent, %d run, %d not as sent, answers %v", *ledgerSeed, served, sent, ran, violations, codes)
+	for _, what := range l.foreign[:min(10, len(l.foreign))] {
+		t.Log(what)
+	}
 	qt.Assert(t, ran > 0, qt.IsTrue)
 	for _, v := range l.violations[:min(20, violations)] {
 		t.Error(v)
 	}
 }
 
-func ledgerConfiguration(services int) string {
+// ledgerConfiguration returns a configuration in which the keys are shifted by some
+// organisations.
+func ledgerConfiguration(version, services, shift int) string {
 	var routes, names, tenants []string
 	for i := range services {
 		names = append(names, fmt.Sprintf(`{"name":"s%d","max_conns":32}`, i))
@@ -158,7 +221,12 @@
 		}
 	}
 	for i := range 8 {
-		tenants = append(tenants, fmt.Sprintf(`{"name":"t%d","api_keys":["k%d"],"rate_per_s":10000,"burst":10000}`, i, i))
+		// One organisation is over its rate most of the time.
+		rate := 10000
+		if i == 7 {
+			rate = 4
+		}
+		tenants = append(tenants, fmt.Sprintf(`{"name":"t%d","api_keys":["k%d"],"rate_per_s":%d,"burst":%d}`, (i+shift)%ledgerKeys, i, rate, rate))
 	}
-	return `{"version":3,"routes":[` + strings.Join(routes, ",") + `],"services":[` + strings.Join(names, ",") + `],"limits":{"tx_idle_ms":3000},"tenants":[` + strings.Join(tenants, ",") + `]}`
+	return fmt.Sprintf(`{"version":%d,"routes":[`, version) + strings.Join(routes, ",") + `],"services":[` + strings.Join(names, ",") + `],"limits":{"tx_idle_ms":3000},"tenants":[` + strings.Join(tenants, ",") + `]}`
 }
--- a/cmd/shallotstage-host/unasked_upstreams_test.go
+++ b/cmd/shallotstage-host/unasked_upstreams_test.go
@@ -17,7 +17,10 @@
 
 // sentStatement is a statement as a client sent it.
 type sentStatement struct {
-	text, organisation, service string
+	text, service string
+	// key is the client's key. An upstream's statement has none.
+	key string
+	at  time.Time
 	// inTransaction is true if the client sent it within a transaction.
 	inTransaction bool
 	// shape is the access and shape of an EXECUTE.
@@ -28,8 +31,57 @@
 type ledger struct {
 	mu         sync.Mutex
 	sent       map[string][]sentStatement
+	holders    map[string][]holder
 	ran        int
 	violations []string
+	// foreign are the successes without the signature of their statement.
+	foreign []string
+}
+
+// noteForeign records a success without the signature of its statement.
+func (l *ledger) noteForeign(what string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.foreign = append(l.foreign, what)
+}
+
+// holder is an organisation that holds a key from the sending of a configuration on, and until
+// the acknowledgement of the next one.
+type holder struct {
+	organisation     string
+	sent, supplanted time.Time
+}
+
+// moveKey records that a key passes to an organisation with a configuration that is about to be
+// sent.
+func (l *ledger) moveKey(key, organisation string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holders[key] = append(l.holders[key], holder{organisation: organisation, sent: time.Now()})
+}
+
+// keyMoved records that the configuration was acknowledged.
+func (l *ledger) keyMoved(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range len(l.holders[key]) - 1 {
+		if h := &l.holders[key][i]; h.supplanted.IsZero() {
+			h.supplanted = time.Now()
+		}
+	}
+}
+
+// configApply is within what a configuration must be in force after its acknowledgement.
+const configApply = 4 * time.Second
+
+// mayRunFor reports whether a statement may run for an organisation.
+func (l *ledger) mayRunFor(s sentStatement, organisation string) bool {
+	for _, h := range l.holders[s.key] {
+		if h.organisation == organisation && (h.supplanted.IsZero() || s.at.Before(h.supplanted.Add(configApply))) {
+			return true
+		}
+	}
+	return false
 }
 
 // record records a statement before it is sent.
@@ -79,7 +131,7 @@
 			l.addViolation("%s has a position before %.200q", id, text)
 		}
 	}
-	got := sentStatement{text: text, organisation: c.organisation, service: c.service}
+	got := sentStatement{text: text, service: c.service, inTransaction: c.inTransaction}
 	if word == "EXECUTE" {
 		name, arguments, found := strings.Cut(rest, " ")
 		got.text, got.shape = "EXECUTE "+arguments, c.prepared[name]
@@ -87,8 +139,18 @@
 			got.text = "EXECUTE"
 		}
 	}
-	got.inTransaction = c.inTransaction
+	if word == "COMMIT" {
+		for _, other := range c.writeIDs {
+			if other != id {
+				l.addViolation("%s commits the write of %s", id, other)
+			}
+		}
+	}
 	for _, want := range l.sent[id] {
+		if !l.mayRunFor(want, c.organisation) {
+			continue
+		}
+		want.key, want.at = "", time.Time{}
 		if word == "READ" || strings.HasPrefix(got.shape, "READ") {
 			// A read of its own may be wrapped in a transaction of the system.
 			want.inTransaction = got.inTransaction
@@ -108,38 +170,77 @@
 	service   string
 	upstreams []*strictUpstream
 
-	mu     sync.Mutex
-	offset int
-	items  map[string]string
+	mu sync.Mutex
+	// term and offset are the newest position; primary is the index of the upstream that leads.
+	term, offset, primary int
+	items                 map[string]string
+	draining              map[int]bool
+}
+
+// leads reports whether an upstream is the primary.
+func (u *strictUpstream) leads() bool {
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	return u.group.upstreams[u.group.primary] == u
+}
+
+// promote makes the named upstream the primary. It reports whether it is of the group.
+func (g *strictGroup) promote(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, u := range g.upstreams {
+		if u.id == id {
+			if i != g.primary {
+				g.primary = i
+				g.term++
+			}
+			return true
+		}
+	}
+	return false
+}
+
+// drainPrimary makes the primary announce its end, or all of them that they go on.
+func (g *strictGroup) drainPrimary(drain bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.draining)
+	if drain {
+		g.draining[g.primary] = true
+	}
 }
 
 // strictUpstream is an upstream that reads lines as the protocol says: they end with CR LF.
 type strictUpstream struct {
 	group    *strictGroup
 	id, zone string
-	primary  bool
 	listener net.Listener
 	born     int64
 	// stutter returns how long after an answer it is sent again, or zero.
 	stutter func() time.Duration
-	work    time.Duration
+	// lose reports whether an answer is lost; the connection then ends if the second result is
+	// true.
+	lose func() (lost, end bool)
+	work time.Duration
 }
 
 // strictConn is one connection of an entry host.
 type strictConn struct {
-	organisation, service string
-	inTransaction, failed bool
-	writes                map[string]string
-	prepared              map[string]string
+	organisation, service           string
+	inTransaction, failed, readOnly bool
+	// writes and writeIDs are the writes of the open transaction and their ids.
+	writes   map[string]string
+	writeIDs []string
+	prepared map[string]string
 }
 
 func newStrictGroup(t *testing.T, l *ledger, service string, zones []string) *strictGroup {
-	g := &strictGroup{ledger: l, service: service, items: map[string]string{}}
+	g := &strictGroup{ledger: l, service: service, term: 1, items: map[string]string{}, draining: map[int]bool{}}
 	for i, zone := range zones {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
 		t.Cleanup(func() { _ = listener.Close() })
-		u := &strictUpstream{group: g, id: fmt.Sprintf("i-%s-%d", service, i), zone: zone, primary: i == 0, listener: listener, born: time.Now().UnixMilli()}
+		u := &strictUpstream{group: g, id: fmt.Sprintf("i-%s-%d", service, i), zone: zone, listener: listener, born: time.Now().UnixMilli()}
 		g.upstreams = append(g.upstreams, u)
 		go func() {
 			for {
@@ -155,12 +256,19 @@
 }
 
 func (u *strictUpstream) heartbeat(sequence int) string {
-	role := "replica"
-	if u.primary {
+	role, state := "replica", "ready"
+	if u.leads() {
 		role = "primary"
 	}
-	return fmt.Sprintf(`{"service":"%s","address":"%s","zone":"%s","version":"v1","slots":5,"state":"ready","cold_remaining_ms":0,"db_role":"%s","seq":%d,"born":%d}`,
-		u.group.service, u.listener.Addr(), u.zone, role, sequence, u.born)
+	u.group.mu.Lock()
+	defer u.group.mu.Unlock()
+	for i := range u.group.draining {
+		if u.group.upstreams[i] == u {
+			state = "draining"
+		}
+	}
+	return fmt.Sprintf(`{"service":"%s","address":"%s","zone":"%s","version":"v1","slots":5,"state":"%s","cold_remaining_ms":0,"db_role":"%s","seq":%d,"born":%d}`,
+		u.group.service, u.listener.Addr(), u.zone, state, role, sequence, u.born)
 }
 
 // readStrictLine reads up to CR LF.
@@ -225,6 +333,15 @@
 		if u.work > 0 && parts[1] != placeholderID {
 			time.Sleep(u.work)
 		}
+		if u.lose != nil && parts[1] != placeholderID {
+			lost, end := u.lose()
+			if end {
+				return
+			}
+			if lost {
+				continue
+			}
+		}
 		if send(answer) != nil {
 			return
 		}
@@ -245,13 +362,16 @@
 func (u *strictUpstream) position() string {
 	u.group.mu.Lock()
 	defer u.group.mu.Unlock()
-	return fmt.Sprintf("1.%d", u.group.offset+1)
+	return fmt.Sprintf("%d.%d", u.group.term, u.group.offset+1)
 }
 
 // run runs one statement and returns its whole answer.
 func (u *strictUpstream) run(c *strictConn, id, text string) string {
 	body := ""
-	if u.primary || !c.refusesWrite(text) {
+	if c.failed && text != "ROLLBACK" && text != "RESET" {
+		return "ERROR MALFORMED\r\nREADY E " + u.position() + "\r\n"
+	}
+	if u.leads() || !c.refusesWrite(text) {
 		u.group.ledger.check(c, id, text)
 		body = u.execute(c, id, text)
 	} else {
@@ -272,7 +392,7 @@
 func (c *strictConn) refusesWrite(text string) bool {
 	word, rest, _ := strings.Cut(text, " ")
 	name, _, _ := strings.Cut(rest, " ")
-	return word == "WRITE" || text == "BEGIN" || word == "EXECUTE" && strings.HasPrefix(c.prepared[name], "WRITE")
+	return word == "WRITE" || text == "BEGIN" || c.inTransaction && !c.readOnly && text != "ROLLBACK" || word == "EXECUTE" && strings.HasPrefix(c.prepared[name], "WRITE")
 }
 
 func (u *strictUpstream) execute(c *strictConn, id, text string) string {
@@ -284,7 +404,7 @@
 	complete := "COMPLETE -\r\n"
 	switch word {
 	case "BEGIN":
-		c.inTransaction, c.writes = true, map[string]string{}
+		c.inTransaction, c.readOnly, c.writes, c.writeIDs = true, rest == "READ", map[string]string{}, nil
 		return complete
 	case "ROLLBACK":
 		c.inTransaction, c.failed = false, false
@@ -300,10 +420,12 @@
 		return complete
 	case "STATUS", "DEMOTE":
 		role := "replica"
-		if u.primary {
+		if u.leads() {
 			role = "primary"
 		}
-		return fmt.Sprintf("ROW %s 1 %s 1 0 0 5\r\nCOMPLETE -\r\n", role, u.position())
+		position := u.position()
+		term, _, _ := strings.Cut(position, ".")
+		return fmt.Sprintf("ROW %s %s %s 1 0 0 5\r\nCOMPLETE -\r\n", role, term, position)
 	case "COMMIT":
 		c.inTransaction = false
 		u.apply(c.writes)
@@ -324,7 +446,7 @@
 		return "ROW " + u.group.items[item] + "\r\nCOMPLETE sig-" + id + "\r\n"
 	case "WRITE":
 		if c.inTransaction {
-			c.writes[item] = data
+			c.writes[item], c.writeIDs = data, append(c.writeIDs, id)
 		} else {
 			u.apply(map[string]string{item: data})
 		}
