--- a/cmd/shallotstage-host/unasked_callers_test.go
+++ b/cmd/shallotstage-host/unasked_callers_test.go
@@ -16,7 +16,7 @@
 type strictCaller struct {
 	name, key string
 	addresses []string
-	ledger    *ledger
+	ledger    *strictLedger
 	rnd       *rand.Rand
 	services  int
 	// alphabet holds the characters of random data.
@@ -88,7 +88,7 @@
 
 // record records a statement with the id of the present operation.
 func (c *strictCaller) record(id, text string) {
-	s := sentStatement{text: text, key: c.key, service: c.service, inTransaction: c.inTx, at: time.Now()}
+	s := strictStatement{text: text, key: c.key, service: c.service, inTransaction: c.inTx, at: time.Now()}
 	if rest, ok := strings.CutPrefix(text, "EXECUTE "); ok {
 		name, arguments, found := strings.Cut(rest, " ")
 		s.text, s.shape = "EXECUTE "+arguments, c.prepared[name]
--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -42,7 +42,7 @@
 		f.program = *ledgerProgram
 	}
 	rnd := rand.New(rand.NewPCG(*ledgerSeed, 9))
-	l := &ledger{sent: map[string][]sentStatement{}, holders: map[string][]holder{}}
+	l := &strictLedger{sent: map[string][]strictStatement{}, holders: map[string][]holder{}}
 	for i := range ledgerKeys {
 		l.moveKey(fmt.Sprintf("k%d", i), fmt.Sprintf("t%d", i))
 	}
--- a/cmd/shallotstage-host/unasked_upstreams_test.go
+++ b/cmd/shallotstage-host/unasked_upstreams_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// sentStatement is a statement as a client sent it.
-type sentStatement struct {
+// strictStatement is a statement as a client sent it.
+type strictStatement struct {
 	text, service string
 	// key is the client's key. An upstream's statement has none.
 	key string
@@ -27,10 +27,10 @@
 	shape string
 }
 
-// ledger holds what clients sent and what upstreams ran, by the ids of the statements.
-type ledger struct {
+// strictLedger holds what clients sent and what upstreams ran, by the ids of the statements.
+type strictLedger struct {
 	mu         sync.Mutex
-	sent       map[string][]sentStatement
+	sent       map[string][]strictStatement
 	holders    map[string][]holder
 	ran        int
 	violations []string
@@ -39,7 +39,7 @@
 }
 
 // noteForeign records a success without the signature of its statement.
-func (l *ledger) noteForeign(what string) {
+func (l *strictLedger) noteForeign(what string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.foreign = append(l.foreign, what)
@@ -54,14 +54,14 @@
 
 // moveKey records that a key passes to an organisation with a configuration that is about to be
 // sent.
-func (l *ledger) moveKey(key, organisation string) {
+func (l *strictLedger) moveKey(key, organisation string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.holders[key] = append(l.holders[key], holder{organisation: organisation, sent: time.Now()})
 }
 
 // keyMoved records that the configuration was acknowledged.
-func (l *ledger) keyMoved(key string) {
+func (l *strictLedger) keyMoved(key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := range len(l.holders[key]) - 1 {
@@ -75,7 +75,7 @@
 const configApply = 4 * time.Second
 
 // mayRunFor reports whether a statement may run for an organisation.
-func (l *ledger) mayRunFor(s sentStatement, organisation string) bool {
+func (l *strictLedger) mayRunFor(s strictStatement, organisation string) bool {
 	for _, h := range l.holders[s.key] {
 		if h.organisation == organisation && (h.supplanted.IsZero() || s.at.Before(h.supplanted.Add(configApply))) {
 			return true
@@ -85,18 +85,18 @@
 }
 
 // record records a statement before it is sent.
-func (l *ledger) record(id string, s sentStatement) {
+func (l *strictLedger) record(id string, s strictStatement) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sent[id] = append(l.sent[id], s)
 }
 
-func (l *ledger) addViolation(format string, arguments ...any) {
+func (l *strictLedger) addViolation(format string, arguments ...any) {
 	l.violations = append(l.violations, fmt.Sprintf(format, arguments...))
 }
 
 // counts returns the number of statements that clients sent and that upstreams ran.
-func (l *ledger) counts() (sent, ran, violations int) {
+func (l *strictLedger) counts() (sent, ran, violations int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.sent {
@@ -109,7 +109,7 @@
 var ownTexts = map[string]bool{"BEGIN": true, "ROLLBACK": true, "RESET": true, "SET": true, "PREPARE": true, "CLOSE": true, "STATUS": true, "DEMOTE": true, "PAUSE": true, "RESUME": true}
 
 // check compares a statement that an upstream got with what clients sent.
-func (l *ledger) check(c *strictConn, id, text string) {
+func (l *strictLedger) check(c *strictConn, id, text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	word, rest, _ := strings.Cut(text, " ")
@@ -131,7 +131,7 @@
 			l.addViolation("%s has a position before %.200q", id, text)
 		}
 	}
-	got := sentStatement{text: text, service: c.service, inTransaction: c.inTransaction}
+	got := strictStatement{text: text, service: c.service, inTransaction: c.inTransaction}
 	if word == "EXECUTE" {
 		name, arguments, found := strings.Cut(rest, " ")
 		got.text, got.shape = "EXECUTE "+arguments, c.prepared[name]
@@ -166,7 +166,7 @@
 
 // strictGroup is a service of which all upstreams show each commit at once.
 type strictGroup struct {
-	ledger    *ledger
+	ledger    *strictLedger
 	service   string
 	upstreams []*strictUpstream
 
@@ -234,7 +234,7 @@
 	prepared map[string]string
 }
 
-func newStrictGroup(t *testing.T, l *ledger, service string, zones []string) *strictGroup {
+func newStrictGroup(t *testing.T, l *strictLedger, service string, zones []string) *strictGroup {
 	g := &strictGroup{ledger: l, service: service, term: 1, items: map[string]string{}, draining: map[int]bool{}}
 	for i, zone := range zones {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/connector/dialer.go
+++ b/internal/connector/dialer.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/shallotstage/shallotstage/internal/budgeter"
+	"github.com/shallotstage/shallotstage/internal/peeker"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
@@ -41,6 +42,9 @@
 	DialNet func(ctx context.Context, address string) (net.Conn, error)
 	// Budget bounds the answers that are being read; nil means no limit.
 	Budget *budgeter.Budget
+	// OnStrayAnswer is called for each answer that belongs to no outstanding request; nil
+	// disables it. It must be safe for concurrent use.
+	OnStrayAnswer func(a StrayAnswer)
 }
 
 // Dial opens a connection on behalf of an organisation.
@@ -54,9 +58,10 @@
 		return nil, Answer{}, &ConnectError{Upstream: u.ID, Err: err}
 	}
 	c := &Conn{
-		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec,
+		Organisation: organisation, Upstream: u.ID, net: conn, codec: d.Codec, peeker: peeker.New(conn), onStrayAnswer: d.OnStrayAnswer,
 		values: map[string]string{}, prepared: map[string]bool{}, state: StateIdle,
 	}
+	c.checked = true
 	c.r = bufio.NewReaderSize(answerReader{c}, readBufferSize)
 	c.holder = &budgeter.Holder{Budget: d.Budget, Kind: budgeter.KindUpstream, HoldsAnswers: true, Close: func() { _ = conn.Close() }}
 	a, err := c.handshake(ctx, u)
--- a/internal/logger/event.go
+++ b/internal/logger/event.go
@@ -31,6 +31,7 @@
 	EventUpstreamQueueRefused     = Event{1207, "upstream_queue_refused"}
 	EventUpstreamConnectFailed    = Event{1208, "upstream_connect_failed"}
 	EventUpstreamAnswerLate       = Event{1209, "upstream_answer_late"}
+	EventUpstreamAnswerStray      = Event{1210, "upstream_answer_stray"}
 	EventSettingsRead             = Event{1004, "settings_read"}
 	EventSettingsRefused          = Event{1005, "settings_refused"}
 	EventLogLinesDropped          = Event{1006, "log_lines_dropped"}
@@ -51,6 +52,10 @@
 	EventReadsLeaveRegion         = Event{1318, "reads_leave_region"}
 	EventEvacuationChanged        = Event{1421, "evacuation_changed"}
 	EventPrimaryDemoted           = Event{1418, "primary_demoted"}
+	EventElectionStep             = Event{1422, "election_step"}
+	EventControlSaveSlow          = Event{1423, "control_save_slow"}
+	EventControlWorkDropped       = Event{1424, "control_work_dropped"}
+	EventControlUncertain         = Event{1425, "control_uncertain"}
 	EventListenerFailed           = Event{1008, "part_failed"}
 	EventControlMembersPlanned    = Event{1416, "control_members_planned"}
 	EventReplicationStatusUnknown = Event{1417, "upstream_standing_unknown"}
@@ -93,11 +98,12 @@
 		EventVoteClearancePending,
 		EventSessionRefused, EventSessionBroken, EventTransactionExpired,
 		EventRequestServed, EventRequestRefused, EventRequestRetried,
-		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost, EventUpstreamQueueRefused, EventUpstreamConnectFailed, EventUpstreamAnswerLate,
+		EventUpstreamSuspect, EventUpstreamRecovered, EventUpstreamConnectionLost, EventUpstreamQueueRefused, EventUpstreamConnectFailed, EventUpstreamAnswerLate, EventUpstreamAnswerStray,
 		EventSettingsRead, EventSettingsRefused, EventLogLinesDropped, EventReadinessChanged,
 		EventControlStateNotStored, EventOperatorCallAnswered, EventPromotionOrdered, EventPromotionAnswered, EventTopologyUpdated, EventCommandApplied, EventPeersUpdated, EventOwnerLost, EventTokenHostLost, EventSampleFailed, EventListenerFailed, EventControlMembersPlanned, EventReplicationStatusUnknown,
 		EventPrimaryLeaseGained, EventPrimaryDemoted, EventPanicRecovered, EventReportRefused, EventPromotionUndecided, EventEntryIgnored, EventWarmupGrantChanged, EventCancelNotDelivered,
 		EventDataCentreEvacuated, EventEvacuationChanged, EventUpstreamOverloaded, EventOwnerSlow, EventReadsLeaveRegion,
 		EventSessionClosed, EventHolderClosed, EventConnectionClosed,
+		EventElectionStep, EventControlSaveSlow, EventControlWorkDropped, EventControlUncertain,
 	}
 }
