--- a/internal/peeker/peeker.go
+++ b/internal/peeker/peeker.go
@@ -20,8 +20,8 @@
 type Peeker struct {
 	raw  syscall.RawConn
 	look func(fd uintptr)
-	poll [1]unix.PollFd
-	// peeked is the number of bytes that look saw, or -1, and err its error.
+	b    [1]byte
+	// peeked is the number of bytes that look saw, and err its error.
 	peeked int
 	err    error
 }
@@ -41,17 +41,9 @@
 	return p
 }
 
-// lookAt polls first, since that allocates nothing.
 func (p *Peeker) lookAt(fd uintptr) {
-	p.poll[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN}
-	n, err := unix.Poll(p.poll[:], 0)
-	if n == 0 && err == nil {
-		p.peeked, p.err = -1, nil
-		return
-	}
 	for {
-		var b [1]byte
-		p.peeked, _, p.err = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		p.peeked, _, p.err = unix.Recvfrom(int(fd), p.b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		if !errors.Is(p.err, unix.EINTR) {
 			return
 		}
@@ -76,5 +68,5 @@
 	case p.peeked == 0:
 		return false, io.EOF
 	}
-	return p.peeked > 0, nil
+	return true, nil
 }
