A second answer's position is not the primary's present one

The acknowledgement of a BEGIN carries the primary's position, which reads from replicas are held to. A second acknowledgement of an earlier BEGIN was taken for that of a later one: an old position counted as of now, and reads could miss commits. It is noticed only by the next answer, and not at all in queries of the position, which are a BEGIN and a ROLLBACK: if both answers come again, they fit.

Positions of acknowledgements are dropped if the batch or an earlier one met a second answer. Ahead of every other query of the position in a row on a connection goes a RESET, in the same write, so that the transaction states of the two differ.

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -5,9 +5,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/queuer"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
 // PreparedStatement is a prepared statement that a batch needs on its connection.
@@ -231,9 +233,22 @@
 	defer func() { c.broken = c.broken || !reusable }()
 	answers, err := c.run(deadline, b)
 	reusable = true
+	if c.doubtful {
+		clearPositions(answers)
+	}
 	return answers, err
 }
 
+// clearPositions removes the positions of acknowledgements: one of them may be the second
+// answer to an earlier request.
+func clearPositions(answers []Answer) {
+	for i := range answers {
+		if len(answers[i].Receipt) == 0 {
+			answers[i].Position = tracker.Position{}
+		}
+	}
+}
+
 func (c *Conn) run(deadline time.Time, b Batch) ([]Answer, error) {
 	if b.HasForward() && !c.allowsForward() {
 		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
@@ -252,6 +267,7 @@
 	if err := c.Prepare(deadline, b.Prepare); err != nil {
 		return nil, &RunError{Err: err}
 	}
+	separated := c.separate(b)
 	answers := make([]Answer, 0, len(b.Requests))
 	for i := range b.Requests {
 		send := b.Requests[i : i+1]
@@ -262,9 +278,17 @@
 		if forwarded && !c.allowsForward() {
 			return answers, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
 		}
-		if err := c.Send(deadline, send...); err != nil {
+		out := send
+		if len(separated) > 0 {
+			out = slices.Concat(separated, send)
+		}
+		if err := c.Send(deadline, out...); err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
 		}
+		if err := c.receiveSeparated(separated); err != nil {
+			return answers, &RunError{Err: err}
+		}
+		separated = nil
 		a, rolledBack, err := c.receive(send[0], send[1:])
 		if err != nil {
 			return answers, &RunError{MayHaveRun: forwarded, Err: err}
@@ -283,6 +307,34 @@
 	return answers, nil
 }
 
+// separate returns what to send ahead of a batch. The acknowledgements of two batches without
+// a caller's statement differ in nothing, so second answers to the one would be taken for those
+// to the other. A reset ahead of every other such batch makes their transaction states differ.
+func (c *Conn) separate(b Batch) []Request {
+	follows := c.queried && !b.HasForward() && c.state == StateIdle
+	c.queried = !b.HasForward() && !follows
+	if !follows {
+		return nil
+	}
+	return []Request{{Verb: VerbReset}}
+}
+
+// receiveSeparated reads the answers to what separate returned.
+func (c *Conn) receiveSeparated(sent []Request) error {
+	for _, r := range sent {
+		a, err := c.Receive(r)
+		if err != nil {
+			return err
+		}
+		if a.Failure != FailureNone {
+			return c.fail("reset", errAmbiguousFailure)
+		}
+		clear(c.values)
+		clear(c.prepared)
+	}
+	return nil
+}
+
 func (c *Conn) allowsForward() bool { return c.mayForward == nil || c.mayForward() }
 
 // receiveRollback reads the answer to a rollback. It only decides whether the
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -54,6 +54,8 @@
 	doubtful bool
 	// failed is true once a failure was received, which may come a second time.
 	failed bool
+	// queried is true if the last batch had no caller's statement and no reset ahead.
+	queried bool
 	// checked is true from the check of an idle connection to its first use.
 	checked bool
 	// deadline is that of the last request.
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -94,40 +94,6 @@
 	return p.dial(ctx, organisation)
 }
 
-// replace closes a connection in whose place a new one is opened.
-func (p *Pool) replace(c *Conn) {
-	_ = c.net.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.opening++
-}
-
-// AcquireIdle removes an idle connection of any organisation from the pool,
-// without a slot. It returns nil if there is none.
-func (p *Pool) AcquireIdle() *Conn {
-	for {
-		c := p.popIdle()
-		if c == nil || c.isUsable() {
-			return c
-		}
-		c.broken = true
-		p.Release(c)
-	}
-}
-
-func (p *Pool) popIdle() *Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) == 0 {
-		return nil
-	}
-	last := len(p.idle) - 1
-	c := p.idle[last]
-	p.idle = p.idle[:last]
-	c.positionOnly = true
-	return c
-}
-
 // AcquireSlot waits for a slot for the next statement of an open transaction.
 func (p *Pool) AcquireSlot(ctx context.Context, c *Conn, limits Limits) error {
 	_, err := p.waitForSlot(ctx, &queuer.Waiter{Organisation: c.Organisation, Kind: limits.Kind, InTransaction: true}, limits)
