Requests that confirm a refusal keep the session's values

A RESET made the connection's next user set its values again, one round trip each, after each refusal but the first. Where a value is set, the same SET is sent instead: its acknowledgement says as much.

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -309,14 +309,14 @@
 
 // separate returns what to send ahead of a batch. The acknowledgements of two batches without
 // a caller's statement differ in nothing, so second answers to the one would be taken for those
-// to the other. A reset ahead of every other such batch makes their transaction states differ.
+// to the other. A barrier ahead of every other such batch makes their transaction states differ.
 func (c *Conn) separate(b Batch) []Request {
 	follows := c.queried && !b.HasForward() && c.state == StateIdle
 	c.queried = !b.HasForward() && !follows
 	if !follows {
 		return nil
 	}
-	return []Request{{Verb: VerbReset}}
+	return []Request{c.barrier()}
 }
 
 // receiveSeparated reads the answers to what separate returned.
@@ -327,10 +327,8 @@
 			return err
 		}
 		if a.Failure != FailureNone {
-			return c.fail("reset", errAmbiguousFailure)
+			return c.fail("separate batches", errAmbiguousFailure)
 		}
-		clear(c.values)
-		clear(c.prepared)
 	}
 	return nil
 }
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -54,7 +54,7 @@
 	doubtful bool
 	// failed is true once a failure was received, which may come a second time.
 	failed bool
-	// queried is true if the last batch had no caller's statement and no reset ahead.
+	// queried is true if the last batch had no caller's statement and no barrier ahead.
 	queried bool
 	// checked is true from the check of an idle connection to its first use.
 	checked bool
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -148,12 +148,15 @@
 	return Answer{}, false, c.fail("read answer", errTooManyStrayAnswers)
 }
 
-// barrier returns a request without effect on data that leaves no transaction open.
+// barrier returns a request without effect on data that leaves no transaction open. It keeps
+// the connection's session values.
 func (c *Conn) barrier() Request {
 	if c.state != StateIdle {
 		return Request{Verb: VerbRollback}
 	}
-	clear(c.values)
+	for name, value := range c.values {
+		return Request{Verb: VerbSet, Text: name + " " + value}
+	}
 	clear(c.prepared)
 	return Request{Verb: VerbReset}
 }
