--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -184,7 +184,9 @@
 
 // Run takes part in consensus until ctx ends. It then closes the data directory.
 func (c *Coordinator) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
+		cancel()
 		c.saves.Wait()
 		_ = c.store.Close()
 	}()
