The PostgreSQL side's control hosts store beside the control goroutine, too

Its control goroutine waited for each save as the coordinator's did: with saves of 2 s and an election timeout of 1 s, TestLeaderLeadsOnWhileSavesAreSlow failed after the first save on the code before, and holds.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -22,6 +22,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,7 +113,12 @@
 
 	queue tasker.Queue
 
-	store        *storer.Storer
+	store *storer.Storer
+	// write stores an output on the disk. Open sets it.
+	write func(elector.Output) error
+	// saves is the save under way, if any, and saveErr its error, which ends Run.
+	saves        sync.WaitGroup
+	saveErr      error
 	elector      *elector.Elector
 	stateMachine *planner.StateMachine
 	// controlHosts are the registered control hosts, published for other
@@ -128,7 +134,10 @@
 
 // Run takes part in consensus until ctx ends. It closes the data directory.
 func (c *Controller) Run(ctx context.Context) error {
-	defer func() { _ = c.store.Close() }()
+	defer func() {
+		c.saves.Wait()
+		_ = c.store.Close()
+	}()
 	return c.queue.Run(ctx, tickInterval, func() {
 		c.elector.Tick(time.Now())
 		c.tick(time.Now())
@@ -165,7 +174,7 @@
 		_ = store.Close()
 		return err
 	}
-	c.store, c.stateMachine, c.elector = store, stateMachine, e
+	c.store, c.write, c.stateMachine, c.elector = store, store.Save, stateMachine, e
 	c.proposals = map[uint64]proposal{}
 	c.publishMembers()
 	c.pages.Store(stateMachine.PageCount())
@@ -182,19 +191,17 @@
 	c.queue.TryFirst(func() { c.elector.Step(m, time.Now()) })
 }
 
-// processOutput stores, sends and applies the elector's output until there is
-// none left.
+// processOutput sends and applies the elector's output until there is none left, and
+// starts to store what it must. Everything else goes on while that is stored.
 func (c *Controller) processOutput() error {
-	for {
+	for c.saveErr == nil {
 		out := c.elector.Output()
 		if out.IsEmpty() {
 			return nil
 		}
 		if out.NeedsStorage() {
-			if err := c.store.Save(out); err != nil {
-				return err
-			}
-			c.elector.Stored(time.Now())
+			write := c.write
+			c.saves.Go(func() { c.save(out, write) })
 		}
 		if out.Snapshot != nil {
 			stateMachine, err := planner.Unmarshal(out.Snapshot.Data)
@@ -222,6 +229,19 @@
 			c.pages.Store(c.stateMachine.PageCount())
 		}
 	}
+	return c.saveErr
+}
+
+// save stores an output and tells the elector.
+func (c *Controller) save(out elector.Output, write func(elector.Output) error) {
+	err := write(out)
+	c.queue.DoFirst(func() {
+		if err != nil {
+			c.saveErr = err
+			return
+		}
+		c.elector.Stored(time.Now())
+	})
 }
 
 // compact replaces the log by a snapshot after compactEntries applied entries.
