Recorder: signatures are never the same, and others fail the test

The recorder's upstreams signed all statements of one operation alike. Successes without the signature of their statement now fail the test; before they were counted.

--- a/cmd/shallotstage-host/unasked_callers_test.go
+++ b/cmd/shallotstage-host/unasked_callers_test.go
@@ -114,7 +114,7 @@
 		switch word {
 		case "COMPLETE":
 			answer = word
-			if verb, _, _ := strings.Cut(text, " "); forwardedVerbs[verb] && rest != "sig-"+id {
+			if verb, _, _ := strings.Cut(text, " "); forwardedVerbs[verb] && !strings.HasPrefix(rest, "sig-"+id+"-") {
 				c.codes["other signature"]++
 				c.ledger.noteForeign(fmt.Sprintf("%s %.80q (in a transaction: %v) was answered with %q", id, text, c.inTx, rest))
 			}
--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -201,8 +201,8 @@
 	}
 	sent, ran, violations := l.counts()
 	t.Logf("seed %d: %d operations served, %d statements sent, %d run, %d not as sent, answers %v", *ledgerSeed, served, sent, ran, violations, codes)
-	for _, what := range l.foreign[:min(10, len(l.foreign))] {
-		t.Log(what)
+	for _, what := range l.foreign[:min(20, len(l.foreign))] {
+		t.Error(what)
 	}
 	qt.Assert(t, ran > 0, qt.IsTrue)
 	for _, v := range l.violations[:min(20, violations)] {
--- a/cmd/shallotstage-host/unasked_upstreams_test.go
+++ b/cmd/shallotstage-host/unasked_upstreams_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,6 +223,8 @@
 	// true.
 	lose func() (lost, end bool)
 	work time.Duration
+	// signatures is the number of signatures so far.
+	signatures atomic.Int64
 }
 
 // strictConn is one connection of an entry host.
@@ -359,6 +362,11 @@
 	u.group.ledger.addViolation(format, arguments...)
 }
 
+// signature returns the completion of a statement. No two are the same.
+func (u *strictUpstream) signature(id string) string {
+	return fmt.Sprintf("COMPLETE sig-%s-%x\r\n", id, u.signatures.Add(1))
+}
+
 func (u *strictUpstream) position() string {
 	u.group.mu.Lock()
 	defer u.group.mu.Unlock()
@@ -429,7 +437,7 @@
 	case "COMMIT":
 		c.inTransaction = false
 		u.apply(c.writes)
-		return "COMPLETE sig-" + id + "\r\n"
+		return u.signature(id)
 	case "EXECUTE":
 		shape, ok := c.prepared[name]
 		if !ok {
@@ -443,14 +451,14 @@
 	case "READ":
 		u.group.mu.Lock()
 		defer u.group.mu.Unlock()
-		return "ROW " + u.group.items[item] + "\r\nCOMPLETE sig-" + id + "\r\n"
+		return "ROW " + u.group.items[item] + "\r\n" + u.signature(id)
 	case "WRITE":
 		if c.inTransaction {
 			c.writes[item], c.writeIDs = data, append(c.writeIDs, id)
 		} else {
 			u.apply(map[string]string{item: data})
 		}
-		return "COMPLETE sig-" + id + "\r\n"
+		return u.signature(id)
 	}
 	return complete
 }
