--- a/cmd/shallotstage-host/soak_callers_test.go
+++ b/cmd/shallotstage-host/soak_callers_test.go
@@ -88,7 +88,7 @@
 			row = fields[1]
 		case "COMPLETE":
 			answer = "COMPLETE"
-			if want := "sig-" + id; fields[1] != want && fields[1] != "-" {
+			if want := "sig-" + id; fields[1] != want {
 				c.history.addViolation("%s was answered with %s", id, fields[1])
 			}
 		case "ERROR":
--- a/cmd/shallotstage-host/soak_test.go
+++ b/cmd/shallotstage-host/soak_test.go
@@ -121,7 +121,7 @@
 func (s *soak) injectFault() {
 	entry, control := s.entries[s.rnd.IntN(len(s.entries))], s.controls[s.rnd.IntN(soakControls)]
 	pause := time.Duration(200+s.rnd.IntN(1300)) * time.Millisecond
-	switch kind := s.rnd.IntN(15); kind {
+	switch kind := s.rnd.IntN(17); kind {
 	case 0, 1:
 		s.kill(entry, syscall.SIGKILL)
 		s.restart("entry", entry)
@@ -163,6 +163,13 @@
 		s.sendGarbage(control, portPeer, portMetrics, portControl)
 	case 11:
 		s.evacuate(soakZones[s.rnd.IntN(len(soakZones))])
+	case 12:
+		// Upstreams answer twice.
+		s.group.setRepeats(soakRepeats)
+		time.Sleep(2 * pause)
+		s.group.setRepeats(0)
+	case 13:
+		s.disturbInSeries(entry, control)
 	default:
 		s.configure()
 		s.checkConfiguration()
@@ -240,7 +247,8 @@
 // TestSoak runs a fleet of processes under random faults: single hosts are killed,
 // stopped or suspended, all control hosts are killed at once, primaries crash or
 // announce their end, settings change during shutdowns, garbage is sent to all ports,
-// data centres are evacuated, and configurations are submitted twice. Replaced primaries go on until they are told. It checks the answers to callers and
+// data centres are evacuated, upstreams answer twice, signals come in series and at once, and configurations are submitted twice.
+// Replaced primaries go on until they are told. It checks the answers to callers and
 // operators, and that all callers are served again after the faults.
 //
 //	go test ./cmd/shallotstage-host -run Soak -args -soak 10m -soak-entries 24 -soak-seed 7
@@ -262,8 +270,8 @@
 	s.check()
 	s.checkLogs()
 	s.group.mu.Lock()
-	t.Logf("seed %d: %d writes committed, answers %v, %d promotions, %d commits at replaced primaries, %d demotions, %d evacuations, all callers served %s after the last fault",
-		*soakSeed, len(s.history.committed), s.history.answers, s.group.promotions, s.group.strayCommits, s.group.demotions, s.evacuations, took)
+	t.Logf("seed %d: %d writes committed, answers %v, %d promotions, %d commits at replaced primaries, %d demotions, %d evacuations, %d answers sent again, all callers served %s after the last fault",
+		*soakSeed, len(s.history.committed), s.history.answers, s.group.promotions, s.group.strayCommits, s.group.demotions, s.evacuations, s.group.repeated, took)
 	s.group.mu.Unlock()
 	qt.Assert(t, s.history.allViolations(), qt.HasLen, 0)
 	qt.Assert(t, took < recoveryLimit, qt.IsTrue, qt.Commentf("%s", took))
--- a/cmd/shallotstage-host/soak_upstreams_test.go
+++ b/cmd/shallotstage-host/soak_upstreams_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -37,6 +38,10 @@
 	// fencingToken is the highest token of a promotion request so far.
 	fencingToken int
 	promotions   int
+	// repeats is the share, from 0 to 1, of answers that are sent again, up to
+	// maxRepeatDelay later; repeated counts them.
+	repeats  float64
+	repeated int
 	// strayCommits and demotions count what replaced primaries were asked.
 	strayCommits, demotions int
 	// statements counts the callers' statements that arrived, by data centre and by
@@ -247,8 +252,9 @@
 	}
 	s := &fakeSession{}
 	answer := u.ready(s)
+	var mu sync.Mutex
 	for {
-		if _, err := conn.Write([]byte(answer)); err != nil {
+		if u.send(&mu, conn, answer) != nil {
 			return
 		}
 		line, err := r.ReadString('\n')
@@ -266,6 +272,26 @@
 	}
 }
 
+// send sends an answer, which may be sent again later. mu guards the connection's writes.
+func (u *fakeUpstream) send(mu *sync.Mutex, conn net.Conn, answer string) error {
+	write := func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		_, err := conn.Write([]byte(answer))
+		return err
+	}
+	u.group.mu.Lock()
+	repeat := rand.Float64() < u.group.repeats
+	if repeat {
+		u.group.repeated++
+	}
+	u.group.mu.Unlock()
+	if repeat {
+		time.AfterFunc(rand.N(maxRepeatDelay), func() { _ = write() })
+	}
+	return write()
+}
+
 // ready returns the READY line that ends an answer.
 func (u *fakeUpstream) ready(s *fakeSession) string {
 	u.group.mu.Lock()
