A second acknowledgement confirms no refusal

A write or commit that ran was refused as not run, which its caller repeats, and a caller's write was sent into a transaction that another request had begun.

A doubted refusal is confirmed by the acknowledgement of a barrier. That acknowledgement carries as little as the refusal: if an upstream sends the answers to a refused read and to the pipelined ROLLBACK a second time in one piece, the refusal is doubted and the second acknowledgement "confirms" it, while the write is still running.

An acknowledgement outside a transaction now confirms only if it is the first on its connection. Otherwise a doubted refusal of a statement may have run; that of a read or of BEGIN is passed on and the connection closed, as nothing of it lasts. Writes and transactions take no connection on which they could only be doubted, so that true refusals remain promises.

The cost in new connections to upstreams was not measured.

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -50,6 +50,11 @@
 	return false
 }
 
+// mayWrite reports whether the batch or the transaction that it begins may write.
+func (b Batch) mayWrite() bool {
+	return !b.ReadOnly && !b.PositionOnly && len(b.Requests) > 0 && !b.Requests[0].ReadOnly
+}
+
 // RunError is returned when a batch ended before its last request was answered.
 type RunError struct {
 	// MayHaveRun is true if a forwarded statement without an answer may have been
@@ -185,6 +190,10 @@
 		}
 	}
 	conn, err := l.pool.Acquire(ctx, l.organisation, b.Values, limits)
+	if err == nil && b.mayWrite() && conn.wouldDoubt() {
+		// A refused write must be a promise that nothing ran.
+		conn, err = l.pool.replace(ctx, conn)
+	}
 	if err != nil {
 		return err
 	}
@@ -238,6 +247,7 @@
 	if b.HasForward() && !c.allowsForward() {
 		return nil, &RunError{Err: &EvacuatedError{Upstream: c.Upstream}}
 	}
+	c.readOnly = b.ReadOnly
 	if err := c.settle(deadline); err != nil {
 		return nil, &RunError{Err: err}
 	}
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -53,6 +53,11 @@
 	doubtful bool
 	// failed is true once a failure was received, which may come a second time.
 	failed bool
+	// acknowledged is true once a request without receipt was acknowledged outside a
+	// transaction: that acknowledgement may come a second time, too.
+	acknowledged bool
+	// readOnly is true while a batch runs that only reads.
+	readOnly bool
 	// checked is true from the check of an idle connection to its first use.
 	checked bool
 	// deadline is that of the last request.
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -84,6 +84,7 @@
 func (c *Conn) accept(a Answer) {
 	c.state = a.State
 	c.receipts.add(a.Receipt)
+	c.acknowledged = c.acknowledged || isIdle(a)
 }
 
 // skip reports a stray answer and ensures that the connection is not reused.
@@ -94,19 +95,29 @@
 
 // receiveFailure handles a failure in place of the answer to r. Nothing in a failure ties it
 // to its request: the first on a connection is believed, any other may be the second answer
-// to an earlier request.
+// to an earlier request. Its error means that r may have run.
 func (c *Conn) receiveFailure(r Request, a Answer, next []Request) (Answer, bool, error) {
 	isFirst := !c.failed && !c.doubtful
 	c.failed, c.state = true, a.State
-	if isFirst {
-		return a, false, nil
-	}
-	if r.Verb != VerbForward && r.Verb != VerbBegin {
-		// Nothing of a caller was sent.
-		c.broken = true
+	switch {
+	case isFirst:
 		return a, false, nil
+	case r.Verb == VerbForward && (!c.readOnly || c.canConfirm()), r.Verb == VerbBegin && c.canConfirm():
+		return c.confirm(r, a, next)
 	}
-	return c.confirm(r, a, next)
+	// Nothing of a caller was sent that has an effect.
+	c.broken = true
+	return a, false, nil
+}
+
+// canConfirm reports whether the next acknowledgement outside a transaction cannot be the second
+// one of an earlier request.
+func (c *Conn) canConfirm() bool { return !c.acknowledged }
+
+// isIdle reports whether an answer acknowledges a request without receipt and leaves no
+// transaction open.
+func isIdle(a Answer) bool {
+	return a.Completed && a.Rows == 0 && len(a.Receipt) == 0 && a.State == StateIdle
 }
 
 // confirm decides whether a failure is the answer to r, a caller's statement or the begin of
@@ -123,15 +134,15 @@
 		switch {
 		case err != nil:
 			return a, false, err
-		case a.Failure != FailureNone:
+		case a.Failure != FailureNone, isIdle(a) && !c.canConfirm():
 			c.reportStray(StrayDoubtful, r.Verb)
 			return Answer{}, false, c.fail("read answer", errAmbiguousFailure)
 		case c.receipts.has(a.Receipt):
 			c.skip(StrayRepeated, r.Verb)
 		case len(a.Receipt) > 0:
 			return c.acceptAfterFailure(r, a, next)
-		case a.Completed && a.Rows == 0 && a.State == StateIdle:
-			c.state = a.State
+		case isIdle(a):
+			c.accept(a)
 			failure.State = a.State
 			return failure, len(next) > 0, nil
 		case r.Verb == VerbBegin:
@@ -216,3 +227,7 @@
 	c.checked = !unread && err == nil
 	return c.checked
 }
+
+// wouldDoubt reports whether a failure could not be told from the second answer to an earlier
+// request.
+func (c *Conn) wouldDoubt() bool { return c.failed && !c.canConfirm() }
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -89,17 +89,18 @@
 		if c.isUsable() {
 			return c, nil
 		}
-		p.replace(c)
+		return p.replace(ctx, c)
 	}
 	return p.dial(ctx, organisation)
 }
 
-// replace closes a connection in whose place a new one is opened.
-func (p *Pool) replace(c *Conn) {
+// replace closes a connection that holds a slot and opens a new one in its place.
+func (p *Pool) replace(ctx context.Context, c *Conn) (*Conn, error) {
 	_ = c.net.Close()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.opening++
+	p.mu.Unlock()
+	return p.dial(ctx, c.Organisation)
 }
 
 // AcquireIdle removes an idle connection of any organisation from the pool,
