A second answer to BEGIN hides no refusal of the next BEGIN

A caller got the rows of another caller's read, and a read that must see a position was answered without it.

"The first failure on a connection is believed" holds only while requests and answers are in step. A second answer to an earlier BEGIN, taken for that of the next one, is not noticed. If that BEGIN was in fact refused (LAGGING, READONLY), its refusal is believed as that of the statement after it, the statement runs alone, and its answer, with a receipt never seen, is that of the next user of the connection.

A statement that fails leaves its transaction open, unless it is a commit. So a failure in a transaction that ends outside of one ends the connection; one that is doubted as well may have run.

Not covered: the first write of a transaction whose BEGIN was refused READONLY on an upstream that becomes the primary before the write arrives.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -98,10 +98,17 @@
 // to an earlier request. Its error means that r may have run.
 func (c *Conn) receiveFailure(r Request, a Answer, next []Request) (Answer, bool, error) {
 	isFirst := !c.failed && !c.doubtful
+	// A statement that fails leaves its transaction open, unless it is a commit. Without one,
+	// the failure may be that of the BEGIN, and the statement's answer is still to come.
+	maybeBegin := r.Verb == VerbForward && c.state != StateIdle && a.State == StateIdle
 	c.failed, c.state = true, a.State
+	c.broken = c.broken || maybeBegin
 	switch {
 	case isFirst:
 		return a, false, nil
+	case maybeBegin:
+		c.reportStray(StrayDoubtful, r.Verb)
+		return Answer{}, false, c.fail("read answer", errAmbiguousFailure)
 	case r.Verb == VerbForward && (!c.readOnly || c.canConfirm()), r.Verb == VerbBegin && c.canConfirm():
 		return c.confirm(r, a, next)
 	}
