A second answer to BEGIN shows no present position

A sample of the primary's position was taken from a second answer to an earlier BEGIN, so that reads on replicas could miss commits that were acknowledged since. The second answer was noticed, when the true one was skipped as that of ROLLBACK, but the position was used all the same.

A sample in which a second answer was noticed is now an error and repeated on another connection; in other batches the positions of answers without a receipt are dropped. On a connection that has begun no transaction before, they hold.

Not covered: second answers to BEGIN and ROLLBACK in one piece are not noticed until the true ones come (TestSecondAnswersToASampleShowNoPosition).

--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shallotstage/shallotstage/pkg/queuer"
+	"github.com/shallotstage/shallotstage/pkg/tracker"
 )
 
 // PreparedStatement is a prepared statement that a batch needs on its connection.
@@ -238,8 +239,20 @@
 	// Until the answers are read, what the next bytes mean is uncertain.
 	reusable := false
 	defer func() { c.broken = c.broken || !reusable }()
+	hasBegun := c.hasBegun
 	answers, err := c.run(deadline, b)
 	reusable = true
+	if !c.doubtful || !hasBegun {
+		return answers, err
+	}
+	if b.PositionOnly && err == nil {
+		return nil, &RunError{Err: c.fail("query position", errAmbiguousPosition)}
+	}
+	for i := range answers {
+		if len(answers[i].Receipt) == 0 {
+			answers[i].Position = tracker.Position{}
+		}
+	}
 	return answers, err
 }
 
--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -56,6 +56,9 @@
 	// acknowledged is true once a request without receipt was acknowledged outside a
 	// transaction: that acknowledgement may come a second time, too.
 	acknowledged bool
+	// hasBegun is true once a transaction was begun: the position that a BEGIN showed may come
+	// a second time, too.
+	hasBegun bool
 	// readOnly is true while a batch runs that only reads.
 	readOnly bool
 	// checked is true from the check of an idle connection to its first use.
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -16,6 +16,8 @@
 	errUnfit = errors.New("answer does not fit the request")
 	// errTooManyStrayAnswers is returned if maxStrayAnswers were skipped.
 	errTooManyStrayAnswers = errors.New("too many answers to earlier requests")
+	// errAmbiguousPosition is returned for a position that may be that of an earlier request.
+	errAmbiguousPosition = errors.New("position may be that of an earlier request")
 	// errAmbiguousFailure is returned for a failure that may belong to an earlier request.
 	errAmbiguousFailure = errors.New("failure may be that of an earlier request")
 )
@@ -85,6 +87,7 @@
 	c.state = a.State
 	c.receipts.add(a.Receipt)
 	c.acknowledged = c.acknowledged || isIdle(a)
+	c.hasBegun = c.hasBegun || a.State == StateInTransaction
 }
 
 // skip reports a stray answer and ensures that the connection is not reused.
