A second answer of any age is recognised

A second answer that came after 256 others on its connection was no longer known and became the answer to the next request.

A connection is closed at its release once it has received as many receipts as it remembers, now 1024 (8 KB). The cost in new connections was not measured.

--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -227,6 +227,12 @@
 	return len(a.Receipt) == 0 || c.receipts.has(a.Receipt)
 }
 
+// isReusable reports whether a connection can serve another lease: its state is certain, no
+// transaction is open, and every second answer would be recognised.
+func (c *Conn) isReusable() bool {
+	return !c.broken && !c.doubtful && c.state == StateIdle && !c.receipts.isFull()
+}
+
 // isUsable reports whether an idle connection can be used: it is open, and nothing was
 // received since its last answer.
 func (c *Conn) isUsable() bool {
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -29,12 +29,11 @@
 	mu       sync.Mutex
 	upstream keeper.Upstream
 	limit    int
-	// idleTimeout is how long an idle connection is kept open; zero means for
-	// ever.
+	// idleTimeout is how long an idle connection is kept open; zero means for ever.
 	idleTimeout time.Duration
-	// open is the number of connections that are in use, idle or being opened.
-	open int
-	// opening is the number of connections being opened.
+	// open is the number of connections that are in use, idle or being opened, and opening
+	// that of those being opened.
+	open     int
 	opening  int
 	idle     []*Conn
 	queue    queuer.Queue
@@ -43,9 +42,8 @@
 	overload overload
 	// refusals are the counters of the set; nil without a set.
 	refusals *refusals
-	// dialBlockedUntil is when a connection may be opened again after the
-	// upstream refused one because of its limit, and dialBackoff the length of
-	// that time.
+	// dialBlockedUntil is when a connection may be opened again after the upstream
+	// refused one because of its limit, and dialBackoff the length of that time.
 	dialBlockedUntil time.Time
 	dialBackoff      time.Duration
 }
@@ -85,13 +83,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if c, ok := grant.Connection.(*Conn); ok {
-		if c.isUsable() {
-			return c, nil
-		}
+	c, ok := grant.Connection.(*Conn)
+	switch {
+	case !ok:
+		return p.dial(ctx, organisation)
+	case !c.isUsable():
 		return p.replace(ctx, c)
 	}
-	return p.dial(ctx, organisation)
+	return c, nil
 }
 
 // replace closes a connection that holds a slot and opens a new one in its place.
@@ -348,8 +347,7 @@
 	})
 }
 
-// Release returns a connection to the pool. A broken one, or one with an open
-// transaction, is closed.
+// Release returns a connection to the pool, or closes it if it cannot be reused.
 func (p *Pool) Release(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -359,7 +357,7 @@
 
 // put adds a connection to the idle ones, or closes it.
 func (p *Pool) put(c *Conn) {
-	if c.broken || c.doubtful || c.state != StateIdle || p.closed || p.open > p.limit {
+	if !c.isReusable() || p.closed || p.open > p.limit {
 		_ = c.net.Close()
 		p.open--
 		return
--- a/internal/connector/receipts.go
+++ b/internal/connector/receipts.go
@@ -3,9 +3,9 @@
 import "github.com/cespare/xxhash/v2"
 
 const (
-	// maxReceipts is the number of receipts that a connection remembers. It covers the
-	// answers of more than a second at the rate of one connection.
-	maxReceipts = 256
+	// maxReceipts is the number of receipts that a connection remembers, 8 KB. One with as many
+	// is not reused: a second answer may come at any time.
+	maxReceipts = 1024
 	// firstReceipts is the number for which room is made at first.
 	firstReceipts = 8
 )
@@ -32,6 +32,9 @@
 	return false
 }
 
+// isFull reports whether the next receipt takes the place of another.
+func (s *receipts) isFull() bool { return len(s.sums) == maxReceipts }
+
 // add adds a receipt in place of the oldest one. The empty one is ignored.
 func (s *receipts) add(receipt []byte) {
 	if len(receipt) == 0 {
