--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -113,16 +113,24 @@
 	e.recordLeaderContact(m, now)
 	response := Message{Kind: MessageSnapshotResponse, To: m.From, Round: m.Round, Index: e.log.commit}
 	if m.Snapshot != nil && m.Snapshot.Index > e.log.commit {
-		s := *m.Snapshot
-		e.log.restore(s)
-		e.refreshMembership()
-		e.out.Snapshot = &s
-		e.out.Committed = nil
-		response.Index = s.Index
+		e.installSnapshot(*m.Snapshot)
+		response.Index = m.Snapshot.Index
 	}
 	e.send(response)
 }
 
+func (e *Elector) installSnapshot(s Snapshot) {
+	if t, ok := e.log.term(s.Index); ok && t == s.Term {
+		// The entries after it may be acknowledged, and so committed.
+		e.log.commit = s.Index
+		return
+	}
+	e.log.restore(s)
+	e.refreshMembership()
+	e.out.Snapshot = &s
+	e.out.Committed = nil
+}
+
 func (e *Elector) handleAppendResponse(m Message) {
 	p := e.progress[m.From]
 	if e.role != RoleLeader || p == nil {
