--- a/internal/connector/batch.go
+++ b/internal/connector/batch.go
@@ -52,6 +52,11 @@
 	return false
 }
 
+// mayWrite reports whether the batch or the transaction that it begins may write.
+func (b Batch) mayWrite() bool {
+	return !b.ReadOnly && !b.PositionOnly && len(b.Requests) > 0 && !b.Requests[0].ReadOnly
+}
+
 // RunError is returned when a batch ended before its last request was answered.
 type RunError struct {
 	// MayHaveRun is true if a forwarded statement without an answer may have been
@@ -187,6 +192,10 @@
 		}
 	}
 	conn, err := l.pool.Acquire(ctx, l.organisation, b.Values, limits)
+	if err == nil && b.mayWrite() && conn.wouldDoubt() {
+		// A refused write must be a promise that nothing ran.
+		conn, err = l.pool.replace(ctx, conn)
+	}
 	if err != nil {
 		return err
 	}
@@ -231,11 +240,16 @@
 	// Until the answers are read, what the next bytes mean is uncertain.
 	reusable := false
 	defer func() { c.broken = c.broken || !reusable }()
+	hasBegun := c.hasBegun
 	answers, err := c.run(deadline, b)
 	reusable = true
-	if c.doubtful {
-		clearPositions(answers)
+	if !c.doubtful || !hasBegun {
+		return answers, err
+	}
+	if b.PositionOnly && err == nil {
+		return nil, &RunError{Err: c.fail("query position", errAmbiguousPosition)}
 	}
+	clearPositions(answers)
 	return answers, err
 }
 
@@ -256,6 +270,7 @@
 	if c.broken {
 		return nil, &RunError{Err: fmt.Errorf("connector: connection to upstream %s: %w", c.Upstream, errLost)}
 	}
+	c.readOnly = b.ReadOnly
 	if err := c.settle(deadline); err != nil {
 		return nil, &RunError{Err: err}
 	}
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -18,6 +18,8 @@
 	errUnfit = errors.New("answer does not fit the request")
 	// errTooManyStrayAnswers is returned if maxStrayAnswers were skipped.
 	errTooManyStrayAnswers = errors.New("too many answers to earlier requests")
+	// errAmbiguousPosition is returned for a position that may be that of an earlier request.
+	errAmbiguousPosition = errors.New("position may be that of an earlier request")
 	// errAmbiguousFailure is returned for a failure that may belong to an earlier request.
 	errAmbiguousFailure = errors.New("failure may be that of an earlier request")
 )
@@ -86,6 +88,8 @@
 func (c *Conn) accept(a Answer) {
 	c.state = a.State
 	c.receipts.add(a.Receipt)
+	c.acknowledged = c.acknowledged || isIdle(a)
+	c.hasBegun = c.hasBegun || a.State == StateInTransaction
 }
 
 // skip reports a stray answer and ensures that the connection is not reused.
@@ -96,19 +100,36 @@
 
 // receiveFailure handles a failure in place of the answer to r. Nothing in a failure ties it
 // to its request: the first on a connection is believed, any other may be the second answer
-// to an earlier request.
+// to an earlier request. Its error means that r may have run.
 func (c *Conn) receiveFailure(r Request, a Answer, next []Request) (Answer, bool, error) {
 	isFirst := !c.failed && !c.doubtful
+	// A statement that fails leaves its transaction open, unless it is a commit. Without one,
+	// the failure may be that of the BEGIN, and the statement's answer is still to come.
+	maybeBegin := r.Verb == VerbForward && c.state != StateIdle && a.State == StateIdle
 	c.failed, c.state = true, a.State
-	if isFirst {
-		return a, false, nil
-	}
-	if r.Verb != VerbForward && r.Verb != VerbBegin {
-		// Nothing of a caller was sent.
-		c.broken = true
+	c.broken = c.broken || maybeBegin
+	switch {
+	case isFirst:
 		return a, false, nil
+	case maybeBegin:
+		c.reportStray(StrayDoubtful, r.Verb)
+		return Answer{}, false, c.fail("read answer", errAmbiguousFailure)
+	case r.Verb == VerbForward && (!c.readOnly || c.canConfirm()), r.Verb == VerbBegin && c.canConfirm():
+		return c.confirm(r, a, next)
 	}
-	return c.confirm(r, a, next)
+	// Nothing of a caller was sent that has an effect.
+	c.broken = true
+	return a, false, nil
+}
+
+// canConfirm reports whether the next acknowledgement outside a transaction cannot be the second
+// one of an earlier request.
+func (c *Conn) canConfirm() bool { return !c.acknowledged }
+
+// isIdle reports whether an answer acknowledges a request without receipt and leaves no
+// transaction open.
+func isIdle(a Answer) bool {
+	return a.Completed && a.Rows == 0 && len(a.Receipt) == 0 && a.State == StateIdle
 }
 
 // confirm decides whether a failure is the answer to r, a caller's statement or the begin of
@@ -125,15 +146,15 @@
 		switch {
 		case err != nil:
 			return a, false, err
-		case a.Failure != FailureNone:
+		case a.Failure != FailureNone, isIdle(a) && !c.canConfirm():
 			c.reportStray(StrayDoubtful, r.Verb)
 			return Answer{}, false, c.fail("read answer", errAmbiguousFailure)
 		case c.receipts.has(a.Receipt):
 			c.skip(StrayRepeated, r.Verb)
 		case len(a.Receipt) > 0:
 			return c.acceptAfterFailure(r, a, next)
-		case a.Completed && a.Rows == 0 && a.State == StateIdle:
-			c.state = a.State
+		case isIdle(a):
+			c.accept(a)
 			failure.State = a.State
 			return failure, len(next) > 0, nil
 		case r.Verb == VerbBegin:
@@ -211,6 +232,12 @@
 	return len(a.Receipt) == 0 || c.receipts.has(a.Receipt)
 }
 
+// isReusable reports whether a connection can serve another lease: its state is certain, no
+// transaction is open, and every second answer would be recognised.
+func (c *Conn) isReusable() bool {
+	return !c.broken && !c.doubtful && c.state == StateIdle && !c.receipts.isFull()
+}
+
 // hasUnread reports whether bytes were received that belong to no outstanding request. Its
 // error is the end of the connection.
 func (c *Conn) hasUnread() (bool, error) {
@@ -230,3 +257,7 @@
 	c.checked = !unread && err == nil
 	return c.checked
 }
+
+// wouldDoubt reports whether a failure could not be told from the second answer to an earlier
+// request.
+func (c *Conn) wouldDoubt() bool { return c.failed && !c.canConfirm() }
--- a/internal/connector/idle.go
+++ b/internal/connector/idle.go
@@ -1,5 +1,7 @@
 package connector
 
+import "context"
+
 // AcquireIdle removes an idle connection of any organisation from the pool,
 // without a slot. It returns nil if there is none.
 func (p *Pool) AcquireIdle() *Conn {
@@ -26,10 +28,11 @@
 	return c
 }
 
-// replace closes a connection in whose place a new one is opened.
-func (p *Pool) replace(c *Conn) {
+// replace closes a connection that holds a slot and opens a new one in its place.
+func (p *Pool) replace(ctx context.Context, c *Conn) (*Conn, error) {
 	_ = c.net.Close()
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.opening++
+	p.mu.Unlock()
+	return p.dial(ctx, c.Organisation)
 }
--- a/pkg/elector/replication.go
+++ b/pkg/elector/replication.go
@@ -115,16 +115,24 @@
 	e.recordLeaderContact(m, now)
 	response := Message{Kind: MessageSnapshotResponse, To: m.From, Round: m.Round}
 	if m.Snapshot != nil && m.Snapshot.Index > e.log.commit {
-		s := *m.Snapshot
-		e.log.restore(s)
-		e.refreshMembership()
-		e.out.Snapshot, e.out.Compaction = &s, nil
+		e.installSnapshot(*m.Snapshot)
 	}
 	e.matched = max(e.matched, e.log.commit)
 	response.Index = e.storedMatch(e.log.commit)
 	e.send(response)
 }
 
+func (e *Elector) installSnapshot(s Snapshot) {
+	if t, ok := e.log.term(s.Index); ok && t == s.Term {
+		// The entries after it may be acknowledged, and so committed.
+		e.log.commit = s.Index
+		return
+	}
+	e.log.restore(s)
+	e.refreshMembership()
+	e.out.Snapshot, e.out.Compaction = &s, nil
+}
+
 func (e *Elector) handleAppendResponse(m Message) {
 	p := e.progress[m.From]
 	if e.role != RoleLeader || p == nil {
