--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -204,6 +206,17 @@
 	for _, what := range l.foreign[:min(20, len(l.foreign))] {
 		t.Error(what)
 	}
+	logs, err := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	qt.Assert(t, err, qt.IsNil)
+	for _, path := range logs {
+		body, err := os.ReadFile(path)
+		qt.Assert(t, err, qt.IsNil)
+		for _, sign := range []string{"DATA RACE", "panic:", "fatal error:", "panic_recovered"} {
+			if i := strings.Index(string(body), sign); i >= 0 {
+				t.Errorf("%s: %.2000s", path, body[i:])
+			}
+		}
+	}
 	qt.Assert(t, ran > 0, qt.IsTrue)
 	for _, v := range l.violations[:min(20, violations)] {
 		t.Error(v)
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -1,6 +1,7 @@
 package transactor
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -79,7 +80,7 @@
 		r.preparedStmt = preparedStmt
 		r.reads, r.writes = preparedStmt.readOnly, !preparedStmt.readOnly
 	case VerbMalformed:
-		return refuser.New(refuser.ReasonProtocolViolation, "statement cannot be understood")
+		return refuser.New(refuser.ReasonProtocolViolation, cmp.Or(r.statement.Problem, "statement cannot be understood"))
 	}
 	return nil
 }
--- a/internal/transactor/statement.go
+++ b/internal/transactor/statement.go
@@ -39,6 +39,8 @@
 	// Value is the session value for VerbSet, the access and shape for
 	// VerbPrepare, or the arguments for VerbExecute.
 	Value string
+	// Problem says why a malformed statement cannot be understood; it may be empty.
+	Problem string
 	// ReadOnly is true for VerbBegin of a read-only transaction and for
 	// VerbPrepare of a read-only statement.
 	ReadOnly bool
