A pool's upstream is read under its lock

Cause: the fields that Configure replaces were read without the lock in four places.

Change: dial takes the upstream under the lock, refusals are built before it is released.

Result: TestPoolDialsWhileItsUpstreamIsConfigured failed before with -race and passes.

--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -105,11 +105,11 @@
 func (p *Pool) waitForSlot(ctx context.Context, w *queuer.Waiter, limits Limits) (queuer.Grant, error) {
 	p.mu.Lock()
 	if p.closed && !w.InTransaction {
-		p.mu.Unlock()
+		defer p.mu.Unlock()
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
 	}
 	if p.limit <= 0 && !w.InTransaction {
-		p.mu.Unlock()
+		defer p.mu.Unlock()
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: &OwnerError{Err: errors.New("this host opens no connections of its own")}}
 	}
 	w.EnqueuedAt = time.Now()
@@ -120,7 +120,7 @@
 	}
 	if d := p.queue.Offer(w.EnqueuedAt, w); !d.Admitted {
 		p.recordRefusal(true)
-		p.mu.Unlock()
+		defer p.mu.Unlock()
 		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: d.ExpectedWait, MayWait: d.MayWait, RoomIn: d.RoomIn}
 	}
 	w.Granted = make(chan queuer.Grant, 1)
@@ -276,7 +276,7 @@
 // dial opens a connection. The connection and its slot are already counted.
 func (p *Pool) dial(ctx context.Context, organisation string) (*Conn, error) {
 	begin := time.Now()
-	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
+	c, _, err := p.dialer.Dial(ctx, p.currentUpstream(), organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
--- a/internal/connector/pool_test.go
+++ b/internal/connector/pool_test.go
@@ -86,3 +86,30 @@
 	qt.Assert(t, (<-w.Granted).Connection, qt.IsNil, qt.Commentf("it may open one"))
 	qt.Assert(t, p.open, qt.Equals, 1)
 }
+
+// The dial of a connection read the upstream while a new view changed it; -race tells.
+func TestPoolDialsWhileItsUpstreamIsConfigured(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	u := keeper.Upstream{ID: "u", Address: l.Addr().String(), Slots: 4}
+	qt.Assert(t, l.Close(), qt.IsNil)
+	p := newPool(&Dialer{}, u)
+	p.Configure(u, PoolLimits{MaxConnections: 4})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for range 50 {
+			_, err := p.Acquire(context.Background(), "a", nil, Limits{Deadline: time.Now().Add(time.Minute)})
+			qt.Check(t, err, qt.IsNotNil)
+		}
+	}()
+	for n := 0; ; n++ {
+		select {
+		case <-ended:
+			return
+		default:
+			u.Slots = 4 + n%2
+			p.Configure(u, PoolLimits{MaxConnections: 4})
+		}
+	}
+}
