A probe gets its upstream's address under the tracker's lock

Cause: the probe's goroutine kept a pointer to state that the lock guards. The address of a state never changes, so it is taken when the probe starts.

Ruled out as the cause of work that nobody had sent: a probe sends nothing.

Result: TestUpstreamIsProbedWhileItIsUpdated failed before with -race and passes.

--- a/internal/transactor/prober.go
+++ b/internal/transactor/prober.go
@@ -52,18 +52,19 @@
 		return
 	}
 	s.probing = true
+	address := s.upstream.Address
 	t.mu.Unlock()
-	go t.probe(ctx, id, s)
+	go t.probe(ctx, id, address, s)
 }
 
-func (t *UpstreamTracker) probe(ctx context.Context, id string, s *upstreamState) {
+func (t *UpstreamTracker) probe(ctx context.Context, id, address string, s *upstreamState) {
 	connect := t.Connect
 	if connect == nil {
 		connect = connectTCP
 	}
 	for ctx.Err() == nil {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		err := connect(probeCtx, s.upstream.Address)
+		err := connect(probeCtx, address)
 		cancel()
 		if t.ConnectRefused != nil && errors.Is(err, syscall.ECONNREFUSED) {
 			t.ConnectRefused(id)
--- a/internal/transactor/upstream_tracker_test.go
+++ b/internal/transactor/upstream_tracker_test.go
@@ -1,6 +1,7 @@
 package transactor
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -19,3 +20,27 @@
 	next := &keeper.View{Revision: 7, Index: 52, Primaries: map[string]string{"s": "c"}}
 	qt.Assert(t, tracker.Primary("s", next), qt.Equals, "c")
 }
+
+// A probe read the upstream while a new view changed it; -race tells.
+func TestUpstreamIsProbedWhileItIsUpdated(t *testing.T) {
+	probed, updated := make(chan struct{}, 100), make(chan struct{})
+	tracker := &UpstreamTracker{Now: time.Now, Connect: func(context.Context, string) error {
+		probed <- struct{}{}
+		return nil
+	}}
+	update := func(slots int) {
+		tracker.Update(map[string]keeper.Upstream{"u": {ID: "u", Address: "127.0.0.1:1", Slots: slots}})
+	}
+	update(1)
+	go func() {
+		defer close(updated)
+		for n := range 100 {
+			update(n)
+		}
+	}()
+	for range 100 {
+		tracker.StartProbe(t.Context(), "u")
+	}
+	<-probed
+	<-updated
+}
