--- a/pkg/elector/storage.go
+++ b/pkg/elector/storage.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// maxVoteTimeouts bounds, in election timeouts, the time that a candidate allows the voters
+// to store their votes.
+const maxVoteTimeouts = 4
+
 // batch is what Output has returned to be stored.
 type batch struct {
 	hardState HardState
@@ -108,7 +112,7 @@
 		e.resetDeadline(now)
 		if e.role == RoleCandidate {
 			// The voters may take as long to store their votes.
-			e.deadline = e.deadline.Add(now.Sub(e.electionAt))
+			e.deadline = e.deadline.Add(min(now.Sub(e.electionAt), maxVoteTimeouts*e.cfg.ElectionTimeout))
 		}
 	}
 }
