A leader without a lease lets calls wait for it

Cause: a control host that leads but holds no lease for a moment, as after its election or after its machine stood still for 300 ms, refused every call at once with 503, and no other host could serve it. Ruled out: hosts that don't lead; they send callers on at once as before. The lease is still checked after the call has arrived, so nothing older is read.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -169,6 +169,8 @@
 	leaderHintAt time.Time
 	// heldStreams are the entry host streams with a held report.
 	heldStreams map[*hostStream]bool
+	// heldCalls are the calls that wait for the lease of this host.
+	heldCalls []heldCall
 	// updateCache holds the compressed parts of updates while this host leads.
 	updateCache updateCache
 	observer    observer
@@ -208,6 +210,7 @@
 // drainOutput sends and applies the output of the elector until there is none left, and
 // starts to store what it must. Everything else goes on while that is stored.
 func (c *Coordinator) drainOutput(ctx context.Context) error {
+	c.releaseHeldCalls(c.Now())
 	for {
 		c.updateLeadership()
 		out := c.elector.Output()
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -51,6 +51,8 @@
 	promotionRequests chan PromotionRequest
 	// primaryLease is the setting of the same name.
 	primaryLease bool
+	// now is the clock of the hosts; nil means time.Now.
+	now func() time.Time
 	// upstreams answers queries for the status of upstreams; nil means that none
 	// answers.
 	upstreams *scriptedUpstreams
@@ -100,12 +102,15 @@
 func (f *controlFleet) start(node string, l net.Listener, dir string, bootstrap bool) *controlHost {
 	address := l.Addr().String()
 	h := &controlHost{dir: dir, address: address, done: make(chan error, 1)}
+	if f.now == nil {
+		f.now = time.Now
+	}
 	h.Coordinator = &Coordinator{
 		Settings: Settings{
 			Node: node, DataDir: dir, PeerAddress: address, OperatorAddress: "operator-of-" + node, DataCentre: "a", Region: "r",
 			Bootstrap: bootstrap, Founders: f.founders, Voters: 3, PrimaryLease: f.primaryLease,
 		},
-		Seeds: func() []string { return f.founders }, Decode: decodeVersion, Now: time.Now, Dial: linker.Linker{}.Dial,
+		Seeds: func() []string { return f.founders }, Decode: decodeVersion, Now: f.now, Dial: linker.Linker{}.Dial,
 		Promote: func(_ context.Context, o PromotionRequest) (PromotionOutcome, error) {
 			f.promotionRequests <- o
 			return PromotionAccepted, nil
--- a/internal/coordinator/operator.go
+++ b/internal/coordinator/operator.go
@@ -11,11 +11,7 @@
 // Configure replicates a validated configuration document. It returns nil once
 // the version, or a higher one, is committed.
 func (c *Coordinator) Configure(ctx context.Context, version uint64, document []byte) error {
-	return c.call(ctx, func(done func(error)) {
-		if !c.elector.HasLease(c.Now()) {
-			done(ErrNotLeader)
-			return
-		}
+	return c.callLeader(ctx, func(done func(error)) {
 		if version <= c.state.Configuration().Version {
 			done(nil)
 			return
@@ -30,7 +26,7 @@
 // latest.
 func (c *Coordinator) ConfigurationDocument(ctx context.Context) ([]byte, error) {
 	document := make(chan []byte, 1)
-	err := c.call(ctx, func(done func(error)) {
+	err := c.callLeader(ctx, func(done func(error)) {
 		d, err := c.currentDocument()
 		document <- d
 		done(err)
@@ -100,11 +96,7 @@
 // the changes in it are committed, and an AnnouncementConflictError if it contradicts what
 // is agreed.
 func (c *Coordinator) RecordAnnouncement(ctx context.Context, u keeper.Upstream) error {
-	return c.call(ctx, func(done func(error)) {
-		if !c.elector.HasLease(c.Now()) {
-			done(ErrNotLeader)
-			return
-		}
+	return c.callLeader(ctx, func(done func(error)) {
 		if reason := c.contradiction(u); reason != "" {
 			done(&AnnouncementConflictError{Upstream: u.ID, Reason: reason})
 			return
@@ -128,11 +120,7 @@
 
 // RemoveUpstream removes an upstream that announced its shutdown.
 func (c *Coordinator) RemoveUpstream(ctx context.Context, id string, incarnationStart int64) error {
-	return c.call(ctx, func(done func(error)) {
-		if !c.elector.HasLease(c.Now()) {
-			done(ErrNotLeader)
-			return
-		}
+	return c.callLeader(ctx, func(done func(error)) {
 		if _, ok := c.state.Upstreams[id]; !ok {
 			done(nil)
 			return
@@ -157,11 +145,7 @@
 // proposeEvacuation replicates a command even if the state shows its result already: an
 // earlier command whose answer was lost may still be on its way to the state.
 func (c *Coordinator) proposeEvacuation(ctx context.Context, command keeper.Command) error {
-	return c.call(ctx, func(done func(error)) {
-		if !c.elector.HasLease(c.Now()) {
-			done(ErrNotLeader)
-			return
-		}
+	return c.callLeader(ctx, func(done func(error)) {
 		c.propose(command, func(_ keeper.Outcome, err error) { done(err) })
 	})
 }
