--- a/cmd/shallotstage-host/unasked_callers_test.go
+++ b/cmd/shallotstage-host/unasked_callers_test.go
@@ -26,6 +26,9 @@
 	// hostile makes it send statements within others, halves of statements, and
 	// statements ahead.
 	hostile bool
+	// rests makes it rest within transactions, and in the middle of lines, for longer than a
+	// transaction may.
+	rests bool
 	// largest is the largest size of random data.
 	largest int
 
@@ -80,12 +83,20 @@
 	if c.splits && len(line) > 2 && c.rnd.IntN(4) == 0 {
 		at := 1 + c.rnd.IntN(len(line)-1)
 		_, _ = c.conn.Write([]byte(line[:at]))
-		time.Sleep(time.Duration(c.rnd.IntN(4)) * time.Millisecond)
+		c.rest(time.Duration(c.rnd.IntN(4)) * time.Millisecond)
 		line = line[at:]
 	}
 	_, _ = c.conn.Write([]byte(line))
 }
 
+// rest waits, now and then for longer than a transaction may stay idle.
+func (c *strictCaller) rest(usual time.Duration) {
+	if c.rests && c.rnd.IntN(40) == 0 {
+		usual = ledgerTxIdle + time.Duration(c.rnd.IntN(200)-100)*time.Millisecond
+	}
+	time.Sleep(usual)
+}
+
 // record records a statement with the id of the present operation.
 func (c *strictCaller) record(id, text string) {
 	s := strictStatement{text: text, key: c.key, service: c.service, inTransaction: c.inTx, at: time.Now()}
@@ -228,7 +239,7 @@
 		if answer, state := c.query(id, text); answer != "COMPLETE" || state != "T" {
 			return false
 		}
-		time.Sleep(time.Duration(c.rnd.IntN(3)) * time.Millisecond)
+		c.rest(time.Duration(c.rnd.IntN(3)) * time.Millisecond)
 	}
 	end := "COMMIT"
 	switch c.rnd.IntN(8) {
--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -23,13 +23,16 @@
 	ledgerDuration = flag.Duration("ledger", 5*time.Second, "duration of the comparison of what clients sent with what upstreams ran")
 	ledgerSeed     = flag.Uint64("ledger-seed", 1, "its random seed")
 	ledgerProgram  = flag.String("ledger-program", "", "program to run in place of this build")
-	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys")
+	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys,rest")
 	ledgerHostile  = flag.Bool("ledger-hostile", true, "whether a quarter of the clients misbehaves")
 	ledgerAlphabet = flag.String("ledger-alphabet", "abcdefghijklm     \t.", "characters of the data")
 	ledgerWork     = flag.Duration("ledger-work", 0, "time that an upstream takes for a statement")
 	ledgerCallers  = flag.Int("ledger-callers", 32, "number of clients")
 )
 
+// ledgerTxIdle is how long a transaction may stay idle.
+const ledgerTxIdle = time.Second
+
 // ledgerKeys is the number of keys and organisations.
 const ledgerKeys = 8
 
@@ -142,7 +145,7 @@
 	for i := range *ledgerCallers {
 		c := &strictCaller{
 			name: fmt.Sprintf("c%d", i), key: fmt.Sprintf("k%d", i%8), addresses: addresses, ledger: l,
-			rnd: rand.New(rand.NewPCG(*ledgerSeed, uint64(100+i))), services: services, alphabet: *ledgerAlphabet, splits: i%2 == 0, hostile: *ledgerHostile && i%4 == 3, largest: 100 << 10, codes: map[string]int{},
+			rnd: rand.New(rand.NewPCG(*ledgerSeed, uint64(100+i))), services: services, alphabet: *ledgerAlphabet, splits: i%2 == 0, rests: strings.Contains(*ledgerFaults, "rest"), hostile: *ledgerHostile && i%4 == 3, largest: 100 << 10, codes: map[string]int{},
 		}
 		callers = append(callers, c)
 		wg.Go(func() {
@@ -241,5 +244,5 @@
 		}
 		tenants = append(tenants, fmt.Sprintf(`{"name":"t%d","api_keys":["k%d"],"rate_per_s":%d,"burst":%d}`, (i+shift)%ledgerKeys, i, rate, rate))
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[`, version) + strings.Join(routes, ",") + `],"services":[` + strings.Join(names, ",") + `],"limits":{"tx_idle_ms":3000},"tenants":[` + strings.Join(tenants, ",") + `]}`
+	return fmt.Sprintf(`{"version":%d,"routes":[`, version) + strings.Join(routes, ",") + `],"services":[` + strings.Join(names, ",") + fmt.Sprintf(`],"limits":{"tx_idle_ms":%d},"tenants":[`, ledgerTxIdle.Milliseconds()) + strings.Join(tenants, ",") + `]}`
 }
