The first message to a control host after a silence is not lost

A connection on which nothing had come back for 1.2 s is replaced when the next message is to be sent, and that message was dropped. Followers say nothing to each other while a leader leads, so the first pre-vote after its loss, and the first answers, were lost to connections from an earlier election, and elections took further timeouts. The message goes out over the next connection now, as does one whose sending failed on a connection that had worked.

--- a/internal/coordinator/peer_transport.go
+++ b/internal/coordinator/peer_transport.go
@@ -107,14 +107,20 @@
 // run keeps one connection open and sends the queued messages. For a host that no
 // longer gets messages, only a waiting goroutine remains.
 func (t *peerTransport) run(ctx context.Context, to string, q chan elector.Message) {
+	var unsent *elector.Message
 	for {
 		var first elector.Message
-		select {
-		case <-ctx.Done():
-			return
-		case first = <-q:
+		if unsent != nil {
+			first = *unsent
+		} else {
+			select {
+			case <-ctx.Done():
+				return
+			case first = <-q:
+			}
 		}
-		if err := t.stream(ctx, to, first, q); err != nil && ctx.Err() == nil {
+		var err error
+		if unsent, err = t.stream(ctx, to, first, q); err != nil && unsent == nil && ctx.Err() == nil {
 			select {
 			case <-ctx.Done():
 				return
@@ -124,34 +130,39 @@
 	}
 }
 
-func (t *peerTransport) stream(ctx context.Context, to string, first elector.Message, q chan elector.Message) error {
+// stream sends messages over one connection. If the connection must be replaced, it returns
+// the message that is to be sent over the next one.
+func (t *peerTransport) stream(ctx context.Context, to string, first elector.Message, q chan elector.Message) (unsent *elector.Message, err error) {
 	address := t.addressOf(to)
 	if address == "" {
-		return fmt.Errorf("coordinator: address of control host %s is unknown", to)
+		return nil, fmt.Errorf("coordinator: address of control host %s is unknown", to)
 	}
 	dialCtx, stop := context.WithTimeout(ctx, peerDialTimeout)
 	conn, err := t.c.Dial(dialCtx, address)
 	stop()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
 	stream, err := conn.NewStream(ctx, rpcExchange, linker.JSONEncoding{})
 	if err != nil {
-		return fmt.Errorf("coordinator: open stream to %s: %w", to, err)
+		return nil, fmt.Errorf("coordinator: open stream to %s: %w", to, err)
 	}
 	opened := time.Now()
-	for m := first; ; {
+	for m, isFirst := first, true; ; isFirst = false {
 		if err := stream.MsgSend(&m, linker.JSONEncoding{}); err != nil {
-			return fmt.Errorf("coordinator: send to %s: %w", to, err)
+			if !isFirst {
+				unsent = &m
+			}
+			return unsent, fmt.Errorf("coordinator: send to %s: %w", to, err)
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return nil, nil
 		case m = <-q:
 		}
 		if t.isSilent(to, opened) || t.addressOf(to) != address {
-			return fmt.Errorf("coordinator: connection to %s is silent or its address has changed", to)
+			return &m, fmt.Errorf("coordinator: connection to %s is silent or its address has changed", to)
 		}
 	}
 }
