--- a/pkg/elector/election.go
+++ b/pkg/elector/election.go
@@ -88,6 +88,7 @@
 	if m.Kind == MessagePreVote && !e.isPromiseStored() {
 		// Another election would supersede the vote that is being stored.
 		e.report(Event{Kind: EventVoteRefused, Term: e.hardState.Term, Peer: m.From, Reason: ReasonStoring})
+		e.out.Messages = append(e.out.Messages, Message{Kind: MessagePreVoteResponse, From: e.cfg.ID, To: m.From, Term: e.storedHardState.Term, Reject: true})
 		return
 	}
 	refusal := e.refusal(m, now)
