--- a/cmd/shallotstage-host/control_faults_test.go
+++ b/cmd/shallotstage-host/control_faults_test.go
@@ -19,9 +19,9 @@
 	// controlHostCount is five voters and a spare.
 	controlHostCount = 6
 	entryHostCount   = 24
-	// stableWindow is the time after the end of a fault by which an operator gets the
+	// calmBeforeReads is the time after the end of a fault by which an operator gets the
 	// configuration.
-	stableWindow = 6 * time.Second
+	calmBeforeReads = 6 * time.Second
 )
 
 // controlFaults is a fleet whose control hosts fail together.
@@ -154,7 +154,7 @@
 	f.waitFor("the configuration after "+fault, f.isReadable)
 	took := time.Since(begun)
 	f.t.Logf("%s: readable after %s", fault, took.Round(time.Millisecond))
-	qt.Check(f.t, took < stableWindow, qt.IsTrue, qt.Commentf("%s: %s", fault, took))
+	qt.Check(f.t, took < calmBeforeReads, qt.IsTrue, qt.Commentf("%s: %s", fault, took))
 }
 
 // The configuration could not be read after faults of all control hosts at once.
