--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shallotstage/shallotstage/internal/connector"
 	"github.com/shallotstage/shallotstage/internal/linker"
+	"github.com/shallotstage/shallotstage/pkg/elector"
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
@@ -51,6 +52,8 @@
 	promotionRequests chan PromotionRequest
 	// primaryLease is the setting of the same name.
 	primaryLease bool
+	// saveDelay is the time that each save takes; nothing is stored then. Zero stores.
+	saveDelay time.Duration
 	// upstreams answers queries for the status of upstreams; nil means that none
 	// answers.
 	upstreams *scriptedUpstreams
@@ -118,6 +121,12 @@
 		h.QueryStatus, h.Demote = f.upstreams.queryStatus, f.upstreams.demote
 	}
 	qt.Assert(f.t, h.Open(), qt.IsNil)
+	if f.saveDelay > 0 {
+		h.write = func(elector.Output) error {
+			<-time.After(f.saveDelay)
+			return nil
+		}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go func() { _ = h.ServePeers(ctx, l) }()
--- a/internal/coordinator/slow_save_test.go
+++ b/internal/coordinator/slow_save_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"maps"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -12,8 +13,12 @@
 	"github.com/shallotstage/shallotstage/pkg/keeper"
 )
 
-// slowSaves is the number of saves during which a leader must keep leading.
-const slowSaves = 12
+// stableWindow is the time after the end of a fault by which an operator gets the
+// configuration.
+const stableWindow = 6 * time.Second
+
+// slowSaveCount is the number of saves during which a leader must keep leading.
+const slowSaveCount = 12
 
 // A leader lost its leadership while it or its followers saved.
 func TestLeaderLeadsOnWhileSavesAreSlow(t *testing.T) {
@@ -41,7 +46,7 @@
 				}
 				before := f.hosts[leader].Counters().StepDowns
 				term := f.status(leader).Term
-				for sequence := uint64(1); saves.Load() < slowSaves; sequence++ {
+				for sequence := uint64(1); saves.Load() < slowSaveCount; sequence++ {
 					u := keeper.Upstream{ID: "u" + strconv.FormatUint(sequence, 10), Service: "s", Address: "127.0.0.1:" + strconv.FormatUint(sequence, 10), Lifecycle: keeper.LifecycleReady, Role: keeper.RoleReplica}
 					_ = f.hosts[leader].RecordAnnouncement(t.Context(), u)
 					qt.Assert(t, f.hosts[leader].Counters().StepDowns, qt.Equals, before, qt.Commentf("after %d saves", saves.Load()))
@@ -60,3 +65,24 @@
 	})
 	return s
 }
+
+// After a restart of all hosts no leader came while each save took longer than an election timeout.
+func TestConfigurationIsReadAfterARestartWithSlowSaves(t *testing.T) {
+	f := newControlFleet(t)
+	f.configure(1)
+	f.saveDelay = 800 * time.Millisecond
+	hosts := maps.Clone(f.hosts)
+	for node := range hosts {
+		f.stop(node)
+	}
+	for node, h := range hosts {
+		f.start(node, listen(t, h.address), h.dir, true)
+	}
+	begun := time.Now()
+	qt.Assert(t, f.readDocument(), qt.Equals, "1")
+	took := time.Since(begun)
+	t.Logf("the configuration was read after %s", took.Round(time.Millisecond))
+	qt.Assert(t, took < stableWindow, qt.IsTrue, qt.Commentf("%s", took))
+	f.configure(2)
+	qt.Assert(t, f.readDocument(), qt.Equals, "2")
+}
