--- a/pkg/elector/storage.go
+++ b/pkg/elector/storage.go
@@ -1,11 +1,17 @@
 package elector
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxVoteTimeouts bounds, in election timeouts, the time that a candidate allows the voters
 // to store their votes.
 const maxVoteTimeouts = 4
 
+// maxHeldMessages bounds the messages that wait for a save.
+const maxHeldMessages = 128
+
 // batch is what Output has returned to be stored.
 type batch struct {
 	hardState HardState
@@ -36,11 +42,17 @@
 	if m.Term == 0 {
 		m.Term = e.hardState.Term
 	}
-	if !e.isPromiseStored() {
-		e.held = append(e.held, heldMessage{m, e.hardState})
+	if e.isPromiseStored() {
+		e.out.Messages = append(e.out.Messages, m)
 		return
 	}
-	e.out.Messages = append(e.out.Messages, m)
+	if len(e.held) >= maxHeldMessages {
+		// A save that hangs: keep the first messages of the current promise, its vote among them.
+		e.held = slices.DeleteFunc(e.held, func(h heldMessage) bool { return !isSamePromise(h.hardState, e.hardState) })
+	}
+	if len(e.held) < maxHeldMessages {
+		e.held = append(e.held, heldMessage{m, e.hardState})
+	}
 }
 
 // takeBatch moves what must be stored into out. There is one batch at a time, so that the
