Stand-ins of the process tests sign as the wire asks

They gave all executions one signature, answered COMMIT or RESET like the wrong kind of request, or both. Hosts now tell second answers by these, so statements waited until their deadlines: cmd/shallotstage-host ran into its limit of 10 min. Each execution has a signature of its own now, COMMIT is signed and RESET acknowledged; what the tests ask is unchanged, the answer of TestFleetOfProcesses is matched with its number.

--- a/cmd/shallotstage-host/metered_upstream_test.go
+++ b/cmd/shallotstage-host/metered_upstream_test.go
@@ -104,13 +104,15 @@
 			state, answer = "I", "ERROR READONLY "+u.id+"\r\n"
 		case verb == "BEGIN":
 			state, writes = "T", text == "BEGIN"
-		case verb == "ROLLBACK" || verb == "COMMIT" || verb == "RESET":
+		case verb == "COMMIT":
+			state, writes, answer = "I", false, "COMPLETE "+newSignature()+"\r\n"
+		case verb == "ROLLBACK" || verb == "RESET":
 			state, writes = "I", false
 		case verb == "STATUS" || verb == "DEMOTE":
 			role := map[bool]string{true: "primary", false: "replica"}[isPrimary]
 			answer = "ROW " + role + " 1 1.7 0 0 0 0\r\nCOMPLETE -\r\n"
 		case verb == "READ" || verb == "WRITE":
-			answer = "ROW " + u.id + "\r\nCOMPLETE sig\r\n"
+			answer = "ROW " + u.id + "\r\nCOMPLETE " + newSignature() + "\r\n"
 		}
 	}
 }
--- a/cmd/shallotstage-host/misbehaving_test.go
+++ b/cmd/shallotstage-host/misbehaving_test.go
@@ -99,7 +99,7 @@
 		answer = "COMPLETE -\r\n"
 		switch {
 		case strings.Contains(line, readLarge):
-			answer = strings.Repeat(row, largeRows) + "COMPLETE sig\r\n"
+			answer = strings.Repeat(row, largeRows) + "COMPLETE " + newSignature() + "\r\n"
 		case strings.Contains(line, readEndless):
 			for err == nil {
 				_, err = conn.Write([]byte(row))
@@ -110,10 +110,12 @@
 			return
 		case strings.Contains(line, " BEGIN"):
 			state = "T"
-		case strings.Contains(line, " ROLLBACK"), strings.Contains(line, " COMMIT"), strings.Contains(line, " RESET"):
+		case strings.Contains(line, " COMMIT"):
+			state, answer = "I", "COMPLETE "+newSignature()+"\r\n"
+		case strings.Contains(line, " ROLLBACK"), strings.Contains(line, " RESET"):
 			state = "I"
 		case strings.Contains(line, " READ "), strings.Contains(line, " WRITE "):
-			answer = "ROW one\r\nCOMPLETE sig\r\n"
+			answer = "ROW one\r\nCOMPLETE " + newSignature() + "\r\n"
 		}
 	}
 }
--- a/cmd/shallotstage-host/process_test.go
+++ b/cmd/shallotstage-host/process_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -202,6 +203,12 @@
 	return l.Addr().String()
 }
 
+// signatures counts the executions of all stand-in upstreams.
+var signatures atomic.Int64
+
+// newSignature returns the signature of one execution, which no other has.
+func newSignature() string { return fmt.Sprintf("sig.%d", signatures.Add(1)) }
+
 func serveFakeUpstream(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
@@ -217,11 +224,11 @@
 		case strings.Contains(line, " BEGIN"):
 			state = "T"
 			_, err = fmt.Fprint(conn, "COMPLETE -\r\nREADY T 1.7\r\n")
-		case strings.Contains(line, " ROLLBACK"):
+		case strings.Contains(line, " ROLLBACK"), strings.Contains(line, " RESET"):
 			state = "I"
 			_, err = fmt.Fprint(conn, "COMPLETE -\r\nREADY I 1.7\r\n")
 		default:
-			_, err = fmt.Fprintf(conn, "ROW one\r\nCOMPLETE sig\r\nREADY %s 1.7\r\n", state)
+			_, err = fmt.Fprintf(conn, "ROW one\r\nCOMPLETE %s\r\nREADY %s 1.7\r\n", newSignature(), state)
 		}
 		if err != nil {
 			return
@@ -264,10 +271,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	// The proxy wraps the read in its own transaction, which must not be visible
 	// to callers.
-	for _, want := range []string{"READY I -", "ROW one", "COMPLETE sig", "READY I 1.7"} {
+	for _, want := range []string{"READY I -", "ROW one", `COMPLETE sig\.\d+`, `READY I 1\.7`} {
 		line, err := r.ReadString('\n')
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, strings.TrimSpace(line), qt.Equals, want)
+		qt.Assert(t, strings.TrimSpace(line), qt.Matches, want)
 	}
 	qt.Assert(t, call("GET", "http://"+f.address(entry.ip, portMetrics)+"/metrics", ""), qt.Equals, 200)
 	qt.Assert(t, call("GET", "http://"+f.address("127.0.0.2", portMetrics)+"/metrics", ""), qt.Equals, 200)
