--- a/internal/connector/codec.go
+++ b/internal/connector/codec.go
@@ -101,7 +101,7 @@
 	// Completed is true if the upstream reported that the request succeeded.
 	Completed bool
 	// Receipt is the part of Body that identifies one execution of a caller's statement:
-	// no two executions have the same. It is empty in answers to the proxy's own requests.
+	// no executions of two statements have the same. It is empty in answers to the proxy's own requests.
 	Receipt []byte
 	Failure Failure
 	// Detail is the upstream's message for a failure.
--- a/internal/connector/exchange.go
+++ b/internal/connector/exchange.go
@@ -45,7 +45,7 @@
 			return a, false, c.fail("read answer", err)
 		}
 		if kind == "" {
-			c.accept(a)
+			c.accept(r, a)
 			return a, false, nil
 		}
 		c.skip(kind, r.Verb)
@@ -72,7 +72,7 @@
 		return StrayUnfit, nil
 	case !a.Completed:
 		return "", errIncomplete
-	case c.receipts.has(a.Receipt):
+	case c.receipts.isOfAnother(a.Receipt, r):
 		return StrayRepeated, nil
 	case a.fits(r, c.state):
 		return "", nil
@@ -83,9 +83,9 @@
 	return StrayUnfit, nil
 }
 
-func (c *Conn) accept(a Answer) {
+func (c *Conn) accept(r Request, a Answer) {
 	c.state = a.State
-	c.receipts.add(a.Receipt)
+	c.receipts.add(a.Receipt, r.ID)
 }
 
 // skip reports a stray answer and ensures that the connection is not reused.
@@ -128,7 +128,7 @@
 		case a.Failure != FailureNone:
 			c.reportStray(StrayDoubtful, r.Verb)
 			return Answer{}, false, c.fail("read answer", errAmbiguousFailure)
-		case c.receipts.has(a.Receipt):
+		case c.receipts.isOfAnother(a.Receipt, r):
 			c.skip(StrayRepeated, r.Verb)
 		case len(a.Receipt) > 0:
 			return c.acceptAfterFailure(r, a, next)
--- a/internal/connector/unread_test.go
+++ b/internal/connector/unread_test.go
@@ -108,18 +108,29 @@
 // A connection remembers a bounded number of receipts, the newest ones.
 func TestReceiptsAreBounded(t *testing.T) {
 	var s receipts
-	receipt := func(n int) []byte { return []byte{byte(n >> 8), byte(n)} }
+	numbered := func(n int) []byte { return []byte{byte(n >> 8), byte(n)} }
 	for n := range 2 * maxReceipts {
-		s.add(receipt(n))
+		s.add(numbered(n), "a")
 	}
-	s.add(nil)
+	s.add(nil, "a")
 	qt.Assert(t, len(s.sums), qt.Equals, maxReceipts)
-	qt.Assert(t, s.has(receipt(maxReceipts-1)), qt.IsFalse)
-	qt.Assert(t, s.has(receipt(maxReceipts)), qt.IsTrue)
-	qt.Assert(t, s.has(receipt(2*maxReceipts-1)), qt.IsTrue)
+	qt.Assert(t, s.has(numbered(maxReceipts-1)), qt.IsFalse)
+	qt.Assert(t, s.has(numbered(maxReceipts)), qt.IsTrue)
+	qt.Assert(t, s.has(numbered(2*maxReceipts-1)), qt.IsTrue)
 	qt.Assert(t, s.has(nil), qt.IsFalse)
 }
 
+// A statement that ran again on the same connection and got the same receipt waited in vain
+// for another one.
+func TestReceiptOfTheSameStatementIsNotASecondOne(t *testing.T) {
+	var s receipts
+	s.add([]byte("r"), "a")
+	qt.Assert(t, s.isOfAnother([]byte("r"), Request{Verb: VerbForward, ID: "a"}), qt.IsFalse)
+	qt.Assert(t, s.isOfAnother([]byte("r"), Request{Verb: VerbForward, ID: "b"}), qt.IsTrue)
+	qt.Assert(t, s.isOfAnother([]byte("r"), Request{Verb: VerbBegin}), qt.IsTrue)
+	qt.Assert(t, s.isOfAnother([]byte("q"), Request{Verb: VerbForward, ID: "b"}), qt.IsFalse)
+}
+
 // BenchmarkExchange and BenchmarkHasUnread compare the check before a request with the
 // request itself.
 func BenchmarkExchange(b *testing.B) {
@@ -155,12 +166,12 @@
 func BenchmarkReceipts(b *testing.B) {
 	var s receipts
 	for n := range maxReceipts {
-		s.add([]byte{1, byte(n >> 8), byte(n)})
+		s.add([]byte{1, byte(n >> 8), byte(n)}, "a")
 	}
-	receipt := []byte("7.1f3.c.2b.90e1c4d2a7b3f655")
+	signature := []byte("7.1f3.c.2b.90e1c4d2a7b3f655")
 	for b.Loop() {
-		if !s.has(receipt) {
-			s.add(receipt[:20])
+		if !s.has(signature) {
+			s.add(signature[:20], "a")
 		}
 	}
 }
