--- a/internal/connector/conn.go
+++ b/internal/connector/conn.go
@@ -56,6 +56,14 @@
 	failed bool
 	// queried is true if the last batch had no caller's statement and no barrier ahead.
 	queried bool
+	// acknowledged is true once a request without receipt was acknowledged outside a
+	// transaction: that acknowledgement may come a second time, too.
+	acknowledged bool
+	// hasBegun is true once a transaction was begun: the position that a BEGIN showed may come
+	// a second time, too.
+	hasBegun bool
+	// readOnly is true while a batch runs that only reads.
+	readOnly bool
 	// checked is true from the check of an idle connection to its first use.
 	checked bool
 	// deadline is that of the last request.
--- a/internal/connector/pool.go
+++ b/internal/connector/pool.go
@@ -29,12 +29,11 @@
 	mu       sync.Mutex
 	upstream keeper.Upstream
 	limit    int
-	// idleTimeout is how long an idle connection is kept open; zero means for
-	// ever.
+	// idleTimeout is how long an idle connection is kept open; zero means for ever.
 	idleTimeout time.Duration
-	// open is the number of connections that are in use, idle or being opened.
-	open int
-	// opening is the number of connections being opened.
+	// open is the number of connections that are in use, idle or being opened, and opening
+	// that of those being opened.
+	open     int
 	opening  int
 	idle     []*Conn
 	queue    queuer.Queue
@@ -43,9 +42,8 @@
 	overload overload
 	// refusals are the counters of the set; nil without a set.
 	refusals *refusals
-	// dialBlockedUntil is when a connection may be opened again after the
-	// upstream refused one because of its limit, and dialBackoff the length of
-	// that time.
+	// dialBlockedUntil is when a connection may be opened again after the upstream
+	// refused one because of its limit, and dialBackoff the length of that time.
 	dialBlockedUntil time.Time
 	dialBackoff      time.Duration
 }
@@ -85,13 +83,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if c, ok := grant.Connection.(*Conn); ok {
-		if c.isUsable() {
-			return c, nil
-		}
-		p.replace(c)
+	c, ok := grant.Connection.(*Conn)
+	switch {
+	case !ok:
+		return p.dial(ctx, organisation)
+	case !c.isUsable():
+		return p.replace(ctx, c)
 	}
-	return p.dial(ctx, organisation)
+	return c, nil
 }
 
 // AcquireSlot waits for a slot for the next statement of an open transaction.
@@ -105,11 +104,11 @@
 func (p *Pool) waitForSlot(ctx context.Context, w *queuer.Waiter, limits Limits) (queuer.Grant, error) {
 	p.mu.Lock()
 	if p.closed && !w.InTransaction {
-		p.mu.Unlock()
+		defer p.mu.Unlock()
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: fmt.Errorf("upstream is gone")}
 	}
 	if p.limit <= 0 && !w.InTransaction {
-		p.mu.Unlock()
+		defer p.mu.Unlock()
 		return queuer.Grant{}, &ConnectError{Upstream: p.upstream.ID, Err: &OwnerError{Err: errors.New("this host opens no connections of its own")}}
 	}
 	w.EnqueuedAt = time.Now()
@@ -120,7 +119,7 @@
 	}
 	if d := p.queue.Offer(w.EnqueuedAt, w); !d.Admitted {
 		p.recordRefusal(true)
-		p.mu.Unlock()
+		defer p.mu.Unlock()
 		return queuer.Grant{}, &QueueError{Upstream: p.upstream.ID, ExpectedWait: d.ExpectedWait, MayWait: d.MayWait, RoomIn: d.RoomIn}
 	}
 	w.Granted = make(chan queuer.Grant, 1)
@@ -276,7 +275,7 @@
 // dial opens a connection. The connection and its slot are already counted.
 func (p *Pool) dial(ctx context.Context, organisation string) (*Conn, error) {
 	begin := time.Now()
-	c, _, err := p.dialer.Dial(ctx, p.upstream, organisation)
+	c, _, err := p.dialer.Dial(ctx, p.currentUpstream(), organisation)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.opening--
@@ -313,8 +312,7 @@
 	})
 }
 
-// Release returns a connection to the pool. A broken one, or one with an open
-// transaction, is closed.
+// Release returns a connection to the pool, or closes it if it cannot be reused.
 func (p *Pool) Release(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -324,7 +322,7 @@
 
 // put adds a connection to the idle ones, or closes it.
 func (p *Pool) put(c *Conn) {
-	if c.broken || c.doubtful || c.state != StateIdle || p.closed || p.open > p.limit {
+	if !c.isReusable() || p.closed || p.open > p.limit {
 		_ = c.net.Close()
 		p.open--
 		return
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -109,47 +108,6 @@
 	return p.acquireWithPermit(ctx, organisation, time.Now())
 }
 
-// acquireIdle acquires an idle connection, or returns nil if there is none.
-func (p *Pool) acquireIdle(organisation string, since time.Time) *Conn {
-	c := p.settledIdle()
-	if c == nil {
-		return nil
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.acquired[c] = holder{organisation: organisation, since: since}
-	return c
-}
-
-// settledIdle returns an idle connection on which nothing is unread, or nil. It closes the
-// others that it finds.
-func (p *Pool) settledIdle() *Conn {
-	for {
-		p.mu.Lock()
-		c := p.popIdle()
-		p.mu.Unlock()
-		if c == nil {
-			return nil
-		}
-		err := c.settleIdle()
-		if err == nil {
-			return c
-		}
-		p.reportStray(err)
-		c.close()
-		p.mu.Lock()
-		p.countClosed()
-		p.mu.Unlock()
-	}
-}
-
-func (p *Pool) reportStray(err error) {
-	var stray *StrayResponseError
-	if errors.As(err, &stray) && p.OnStrayResponse != nil {
-		p.OnStrayResponse(stray)
-	}
-}
-
 // acquireWithPermit acquires a connection for an organisation that holds a
 // permit of p.conns. It releases the permit on error.
 func (p *Pool) acquireWithPermit(ctx context.Context, organisation string, since time.Time) (*Conn, error) {
@@ -197,22 +155,6 @@
 	}
 }
 
-// popIdle returns the most recently used idle connection, or nil. The caller
-// holds p.mu.
-func (p *Pool) popIdle() *Conn {
-	n := len(p.idle)
-	if n == 0 {
-		return nil
-	}
-	c := p.idle[n-1]
-	p.idle[n-1] = nil
-	p.idle = p.idle[:n-1]
-	if n == 1 {
-		p.wakeMaintenance()
-	}
-	return c
-}
-
 // connect opens a connection that is already counted in p.open.
 func (p *Pool) connect(ctx context.Context) (*Conn, error) {
 	c, err := p.Connect(ctx)
--- a/pkg/elector/election.go
+++ b/pkg/elector/election.go
@@ -13,7 +13,8 @@
 		return
 	}
 	e.resetDeadline(now)
-	if e.membership.IsVoter(e.cfg.ID) {
+	if e.membership.IsVoter(e.cfg.ID) && e.isPromiseStored() {
+		// Otherwise a vote or a request for votes is still to be sent.
 		e.startPreVote(now)
 	}
 }
@@ -23,8 +24,9 @@
 func (e *Elector) startPreVote(now time.Time) {
 	e.role = RolePreCandidate
 	e.leader = ""
-	e.votes = map[string]bool{e.cfg.ID: true}
-	if e.hasVoteQuorum() {
+	e.preVotes = map[string]bool{e.cfg.ID: true}
+	e.report(Event{Kind: EventPreVoteStarted, Term: e.hardState.Term + 1})
+	if e.isQuorum(e.preVotes) {
 		e.startElection(now)
 		return
 	}
@@ -35,9 +37,11 @@
 	e.role = RoleCandidate
 	e.leader = ""
 	e.setHardState(HardState{Term: e.hardState.Term + 1, VotedFor: e.cfg.ID})
-	e.votes = map[string]bool{e.cfg.ID: true}
+	e.votes, e.votesTerm = map[string]bool{e.cfg.ID: true}, e.hardState.Term
+	e.report(Event{Kind: EventElectionStarted, Term: e.hardState.Term})
+	e.electionAt = now
 	e.resetDeadline(now)
-	if e.hasVoteQuorum() {
+	if e.isQuorum(e.votes) {
 		e.becomeLeader(now)
 		return
 	}
@@ -52,10 +56,10 @@
 	}
 }
 
-func (e *Elector) hasVoteQuorum() bool {
+func (e *Elector) isQuorum(votes map[string]bool) bool {
 	n := 0
 	for _, id := range e.membership.Voters {
-		if e.votes[id] {
+		if votes[id] {
 			n++
 		}
 	}
@@ -81,9 +85,16 @@
 	if m.Kind == MessagePreVote {
 		response = MessagePreVoteResponse
 	}
-	grant := !e.leaseMayBeHeld(m.From, now) && e.log.isUpToDate(m.LogTerm, m.Index) && m.Term > e.hardState.Term
-	if m.Kind == MessageVote && m.Term == e.hardState.Term {
-		grant = (e.hardState.VotedFor == "" || e.hardState.VotedFor == m.From) && e.log.isUpToDate(m.LogTerm, m.Index)
+	if m.Kind == MessagePreVote && !e.isPromiseStored() {
+		// Another election would supersede the vote that is being stored.
+		e.report(Event{Kind: EventVoteRefused, Term: e.hardState.Term, Peer: m.From, Reason: ReasonStoring})
+		e.out.Messages = append(e.out.Messages, Message{Kind: MessagePreVoteResponse, From: e.cfg.ID, To: m.From, Term: e.storedHardState.Term, Reject: true})
+		return
+	}
+	refusal := e.refusal(m, now)
+	grant := refusal == ""
+	if !grant {
+		e.report(Event{Kind: EventVoteRefused, Term: e.hardState.Term, Peer: m.From, Reason: refusal})
 	}
 	if m.Kind == MessageVote && grant {
 		e.setHardState(HardState{Term: m.Term, VotedFor: m.From})
@@ -99,23 +110,43 @@
 	e.send(Message{Kind: response, To: m.From, Term: term, Reject: !grant})
 }
 
+// refusal returns why a request for a vote or a pre-vote is refused, or "".
+func (e *Elector) refusal(m Message, now time.Time) Reason {
+	isVoteOfThisTerm := m.Kind == MessageVote && m.Term == e.hardState.Term
+	switch {
+	case isVoteOfThisTerm && e.hardState.VotedFor != "" && e.hardState.VotedFor != m.From:
+		return ReasonVoted
+	case !isVoteOfThisTerm && e.leaseMayBeHeld(m.From, now):
+		return ReasonLease
+	case !isVoteOfThisTerm && m.Term <= e.hardState.Term:
+		return ReasonOldTerm
+	}
+	if !e.log.isUpToDate(m.LogTerm, m.Index) {
+		return ReasonLogBehind
+	}
+	return ""
+}
+
 func (e *Elector) handleVoteResponse(m Message, now time.Time) {
-	expectedRole := RoleCandidate
-	if m.Kind == MessagePreVoteResponse {
-		expectedRole = RolePreCandidate
-	}
-	if e.role != expectedRole || m.Reject {
+	// A vote may arrive after this host has asked for pre-votes of the next term.
+	isCandidate := e.role == RoleCandidate || e.role == RolePreCandidate
+	if m.Reject || !isCandidate || e.votes == nil || e.votesTerm != e.hardState.Term {
 		return
 	}
 	e.votes[m.From] = true
-	if !e.hasVoteQuorum() {
+	if e.isQuorum(e.votes) {
+		e.becomeLeader(now)
+	}
+}
+
+func (e *Elector) handlePreVoteResponse(m Message, now time.Time) {
+	if m.Reject || e.role != RolePreCandidate {
 		return
 	}
-	if e.role == RolePreCandidate {
+	e.preVotes[m.From] = true
+	if e.isQuorum(e.preVotes) {
 		e.startElection(now)
-		return
 	}
-	e.becomeLeader(now)
 }
 
 func (e *Elector) becomeLeader(now time.Time) {
@@ -131,6 +162,7 @@
 		p.lastAckSentAt = now
 	}
 	e.appendEntry(Entry{Kind: EntryEmpty})
+	e.report(Event{Kind: EventElected, Term: e.hardState.Term})
 	e.heartbeat(now)
 }
 
@@ -140,6 +172,13 @@
 	// Another leader or term supersedes the leadership held before a restart, so
 	// the normal election timeout applies again.
 	e.fastElectionUntil = time.Time{}
+	if e.role == RoleLeader {
+		reason := ReasonNoQuorum
+		if term > e.hardState.Term {
+			reason = ReasonNewerTerm
+		}
+		e.report(Event{Kind: EventSteppedDown, Term: term, Reason: reason})
+	}
 	if term > e.hardState.Term {
 		e.setHardState(HardState{Term: term})
 	}
