--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -23,7 +23,7 @@
 	ledgerDuration = flag.Duration("ledger", 5*time.Second, "duration of the comparison of what clients sent with what upstreams ran")
 	ledgerSeed     = flag.Uint64("ledger-seed", 1, "its random seed")
 	ledgerProgram  = flag.String("ledger-program", "", "program to run in place of this build")
-	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys,rest")
+	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys,rest,replace")
 	ledgerHostile  = flag.Bool("ledger-hostile", true, "whether a quarter of the clients misbehaves")
 	ledgerAlphabet = flag.String("ledger-alphabet", "abcdefghijklm     \t.", "characters of the data")
 	ledgerWork     = flag.Duration("ledger-work", 0, "time that an upstream takes for a statement")
@@ -123,7 +123,7 @@
 	wg.Go(func() {
 		for sequence := 1; ; sequence++ {
 			for _, g := range groups {
-				for _, u := range g.upstreams {
+				for _, u := range g.all() {
 					for i := range controls {
 						if call("PUT", control(sequence+i)+"/instances/"+u.id, u.heartbeat(sequence)) == 200 {
 							break
@@ -179,6 +179,13 @@
 		if strings.Contains(*ledgerFaults, "drain") && round%8 == 0 {
 			groups[rnd.IntN(services)].drainPrimary(round%16 == 0)
 		}
+		if strings.Contains(*ledgerFaults, "replace") && round%4 == 0 {
+			one, other := groups[round/4%services], groups[(round/4+1)%services]
+			formerOne, i := one.replaceReplica()
+			formerOther, j := other.replaceReplica()
+			one.start(t, i, formerOne, formerOther.listener.Addr().String())
+			other.start(t, j, formerOther, formerOne.listener.Addr().String())
+		}
 		if strings.Contains(*ledgerFaults, "keys") && round%8 == 0 {
 			shift++
 			for i := range ledgerKeys {
@@ -205,7 +212,11 @@
 		}
 	}
 	sent, ran, violations := l.counts()
-	t.Logf("seed %d: %d operations served, %d statements sent, %d run, %d not as sent, answers %v", *ledgerSeed, served, sent, ran, violations, codes)
+	promotions := 0
+	for _, g := range groups {
+		promotions += g.promotions()
+	}
+	t.Logf("seed %d: %d promotions, %d operations served, %d statements sent, %d run, %d not as sent, answers %v", *ledgerSeed, promotions, served, sent, ran, violations, codes)
 	for _, what := range l.foreign[:min(20, len(l.foreign))] {
 		t.Error(what)
 	}
