--- a/cmd/shallotstage-host/unasked_test.go
+++ b/cmd/shallotstage-host/unasked_test.go
@@ -23,7 +23,7 @@
 	ledgerDuration = flag.Duration("ledger", 5*time.Second, "duration of the comparison of what clients sent with what upstreams ran")
 	ledgerSeed     = flag.Uint64("ledger-seed", 1, "its random seed")
 	ledgerProgram  = flag.String("ledger-program", "", "program to run in place of this build")
-	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys,rest,replace")
+	ledgerFaults   = flag.String("ledger-faults", "", "any of term,hup,kill,freeze,stutter,lose,drain,keys,rest,replace,crash")
 	ledgerHostile  = flag.Bool("ledger-hostile", true, "whether a quarter of the clients misbehaves")
 	ledgerAlphabet = flag.String("ledger-alphabet", "abcdefghijklm     \t.", "characters of the data")
 	ledgerWork     = flag.Duration("ledger-work", 0, "time that an upstream takes for a statement")
@@ -124,6 +124,9 @@
 		for sequence := 1; ; sequence++ {
 			for _, g := range groups {
 				for _, u := range g.all() {
+					if u.isEnded() {
+						continue
+					}
 					for i := range controls {
 						if call("PUT", control(sequence+i)+"/instances/"+u.id, u.heartbeat(sequence)) == 200 {
 							break
@@ -179,6 +182,9 @@
 		if strings.Contains(*ledgerFaults, "drain") && round%8 == 0 {
 			groups[rnd.IntN(services)].drainPrimary(round%16 == 0)
 		}
+		if strings.Contains(*ledgerFaults, "crash") && round%10 == 0 {
+			groups[rnd.IntN(services)].crash(t)
+		}
 		if strings.Contains(*ledgerFaults, "replace") && round%4 == 0 {
 			one, other := groups[round/4%services], groups[(round/4+1)%services]
 			formerOne, i := one.replaceReplica()
--- a/cmd/shallotstage-host/unasked_upstreams_test.go
+++ b/cmd/shallotstage-host/unasked_upstreams_test.go
@@ -7,62 +7,12 @@
 	"fmt"
 	"io"
 	"net"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"testing"
 	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
-// strictGroup is a service of which all upstreams show each commit at once.
-type strictGroup struct {
-	ledger    *strictLedger
-	service   string
-	upstreams []*strictUpstream
-
-	mu sync.Mutex
-	// term and offset are the newest position; primary is the index of the upstream that leads.
-	term, offset, primary int
-	items                 map[string]string
-	draining              map[int]bool
-}
-
-// leads reports whether an upstream is the primary.
-func (u *strictUpstream) leads() bool {
-	u.group.mu.Lock()
-	defer u.group.mu.Unlock()
-	return u.group.upstreams[u.group.primary] == u
-}
-
-// promote makes the named upstream the primary. It reports whether it is of the group.
-func (g *strictGroup) promote(id string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for i, u := range g.upstreams {
-		if u.id == id {
-			if i != g.primary {
-				g.primary = i
-				g.term++
-			}
-			return true
-		}
-	}
-	return false
-}
-
-// drainPrimary makes the primary announce its end, or all of them that they go on.
-func (g *strictGroup) drainPrimary(drain bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	clear(g.draining)
-	if drain {
-		g.draining[g.primary] = true
-	}
-}
-
 // strictUpstream is an upstream that reads lines as the protocol says: they end with CR LF.
 type strictUpstream struct {
 	group    *strictGroup
@@ -80,6 +30,13 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
+	ended bool
+}
+
+func (u *strictUpstream) isEnded() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ended
 }
 
 // strictConn is one connection of an entry host.
@@ -92,19 +49,6 @@
 	prepared map[string]string
 }
 
-func newStrictGroup(t *testing.T, l *strictLedger, service string, zones []string) *strictGroup {
-	g := &strictGroup{ledger: l, service: service, term: 1, items: map[string]string{}, draining: map[int]bool{}}
-	for i, zone := range zones {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(t, err, qt.IsNil)
-		u := &strictUpstream{group: g, id: fmt.Sprintf("i-%s-%d", service, i), zone: zone, listener: listener, born: time.Now().UnixMilli()}
-		g.upstreams = append(g.upstreams, u)
-		t.Cleanup(u.end)
-		go u.accept()
-	}
-	return g
-}
-
 func (u *strictUpstream) accept() {
 	for {
 		conn, err := u.listener.Accept()
@@ -113,7 +57,12 @@
 		}
 		u.mu.Lock()
 		u.conns = append(u.conns, conn)
+		ended := u.ended
 		u.mu.Unlock()
+		if ended {
+			_ = conn.Close()
+			return
+		}
 		go u.serve(conn)
 	}
 }
@@ -123,50 +72,12 @@
 	_ = u.listener.Close()
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.ended = true
 	for _, conn := range u.conns {
 		_ = conn.Close()
 	}
 }
 
-// promotions returns the number of promotions.
-func (g *strictGroup) promotions() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.term - 1
-}
-
-// all returns the present upstreams.
-func (g *strictGroup) all() []*strictUpstream {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Clone(g.upstreams)
-}
-
-// replaceReplica ends a replica and returns its address and zone, which others may use again.
-func (g *strictGroup) replaceReplica() (former *strictUpstream, index int) {
-	g.mu.Lock()
-	index = (g.primary + 1) % len(g.upstreams)
-	former = g.upstreams[index]
-	g.mu.Unlock()
-	former.end()
-	return former, index
-}
-
-// start starts a replica with a new id at a former address of another one.
-func (g *strictGroup) start(t *testing.T, index int, former *strictUpstream, address string) {
-	listener, err := net.Listen("tcp", address)
-	qt.Assert(t, err, qt.IsNil)
-	u := &strictUpstream{
-		group: g, id: fmt.Sprintf("%s-%d", former.id, time.Now().UnixMilli()%1000), zone: former.zone, listener: listener, born: time.Now().UnixMilli(),
-		stutter: former.stutter, lose: former.lose, work: former.work,
-	}
-	t.Cleanup(u.end)
-	g.mu.Lock()
-	g.upstreams[index] = u
-	g.mu.Unlock()
-	go u.accept()
-}
-
 func (u *strictUpstream) heartbeat(sequence int) string {
 	role, state := "replica", "ready"
 	if u.leads() {
