Test: a second answer makes hosts run writes of transactions that were refused

What the connection had seen, which an example now prints: READONLY in answer to BEGIN, then the caller's write, outside any transaction and so committed at once. The host had taken an earlier answer, one late since a second copy, for that to BEGIN. So this UNASKED is another effect of the cause of MIXED: nothing ties an answer to its request. Change: a share of BEGINs is refused with BUSY beside answers sent twice, and the test fails if a write is committed that its caller did not ask for.

--- a/cmd/shallotstage-host/stutter_ledger_test.go
+++ b/cmd/shallotstage-host/stutter_ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,6 +36,9 @@
 	examples   map[string][]string
 }
 
+// maxLinesBefore bounds the lines of a connection in an example.
+const maxLinesBefore = 6
+
 // maxExamples bounds the examples of a broken rule that are kept.
 const maxExamples = 6
 
@@ -64,6 +68,8 @@
 type receivedLine struct {
 	at                     time.Time
 	id, text, organisation string
+	// conn is the connection, answer the answer as the upstream meant it.
+	conn, answer string
 }
 
 // operation is a caller's statement or transaction.
@@ -103,7 +109,7 @@
 func (l *ledger) violate(rule, format string, arguments ...any) {
 	l.violations[rule]++
 	if len(l.examples[rule]) < maxExamples {
-		l.examples[rule] = append(l.examples[rule], fmt.Sprintf("%.400s", fmt.Sprintf(format, arguments...)))
+		l.examples[rule] = append(l.examples[rule], fmt.Sprintf("%.1200s", fmt.Sprintf(format, arguments...)))
 	}
 }
 
@@ -330,8 +336,23 @@
 		l.violate("REFUSED", "%s %q was committed although %s promised that nothing was kept", id, q.text, q.op.promise)
 	}
 	if q.op.transaction && !q.op.commitSent {
-		l.violate("UNASKED", "%s %q was committed although its caller did not ask for it", id, q.text)
+		l.violate("UNASKED", "%s %q was committed although its caller did not ask for it, after %s", id, q.text, l.before(id))
+	}
+}
+
+// before returns the last lines of a connection up to a statement, with their answers.
+func (l *ledger) before(id string) string {
+	last := slices.IndexFunc(l.lines, func(line receivedLine) bool { return line.id == id })
+	if last < 0 {
+		return "no line"
+	}
+	var lines []string
+	for _, line := range l.lines[:last+1] {
+		if line.conn == l.lines[last].conn {
+			lines = append(lines, fmt.Sprintf("%.60s %.60q: %.60q", line.id, line.text, line.answer))
+		}
 	}
+	return strings.Join(lines[max(0, len(lines)-maxLinesBefore):], ", ")
 }
 
 // isForwarded reports whether a statement must be answered by an upstream.
--- a/cmd/shallotstage-host/stutter_test.go
+++ b/cmd/shallotstage-host/stutter_test.go
@@ -106,3 +106,14 @@
 		runStutter(t, seed, secondAnswers, callerHabits{leave: 0.01}, nil)
 	})
 }
+
+// TestRefusedTransactionsCommitNothing fails if a write of a caller's transaction runs, and so
+// is committed, although the upstream refused to begin the transaction, because the second
+// copy of another answer was taken for that to BEGIN.
+func TestRefusedTransactionsCommitNothing(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64) {
+		runStutter(t, seed, answerFaults{
+			repeat: map[answerKind]float64{answerSigned: 0.1, answerAck: 0.2}, refuseBegin: 0.3,
+		}, callerHabits{}, []string{"UNASKED"})
+	})
+}
--- a/cmd/shallotstage-host/stutter_upstreams_test.go
+++ b/cmd/shallotstage-host/stutter_upstreams_test.go
@@ -51,6 +51,8 @@
 	// cut is the share of answers that end early with their connection, lost that of answers
 	// that are never sent, busy that of statements that are refused.
 	cut, lost, busy float64
+	// refuseBegin is the share of transactions that are refused as they begin.
+	refuseBegin float64
 }
 
 // stutterService is a replicated service whose upstreams answer as faults says. All upstreams
@@ -257,9 +259,11 @@
 			c.u.service.ledger.addViolation("UNASKED", "%s got the line %q", c.u.id, line)
 			return
 		}
-		c.u.service.ledger.addLine(receivedLine{at: time.Now(), id: fields[1], text: fields[2], organisation: c.organisation})
+		received := receivedLine{at: time.Now(), id: fields[1], text: fields[2], organisation: c.organisation, conn: fmt.Sprintf("%s/%d", c.u.id, c.number)}
 		kind, text := c.handle(fields[1], fields[2])
-		if !c.answer(kind, text+c.ready(), r.Buffered() == 0) {
+		received.answer = text + c.ready()
+		c.u.service.ledger.addLine(received)
+		if !c.answer(kind, received.answer, r.Buffered() == 0) {
 			return
 		}
 	}
@@ -346,6 +350,9 @@
 		}
 		access, _, _ = strings.Cut(shape, " ")
 	}
+	if verb == "BEGIN" && c.rnd.Float64() < c.u.service.faults.refuseBegin {
+		return c.refuse("BUSY")
+	}
 	if id != "-" {
 		if c.rnd.Float64() < c.u.service.faults.busy || !c.work(access) {
 			return c.refuse("BUSY")
