A write outside of its transaction is not refused as not run

If a second answer to an earlier BEGIN hides that the next one was refused, the first write of the transaction is sent, runs alone and commits by itself. The refusal, read as that of the write, promised that nothing was kept, and the write was sent again. Cause: an answer in a transaction was not asked for the transaction state that it shows. Change: an answer that shows no open transaction ends a statement of a transaction, other than its commit, as one that may have run; a write is not repeated, and the commit after it is answered in the same way.

--- a/internal/transactor/handle.go
+++ b/internal/transactor/handle.go
@@ -144,6 +144,9 @@
 		return Reply{State: connector.StateIdle}
 	case VerbCommit:
 		refusal := refuser.New(refuser.ReasonTransactionLost, s.tx.failure.Detail)
+		if s.tx.ranOutside {
+			refusal = s.tx.failure
+		}
 		s.tx = nil
 		s.logRefusal(st, refusal)
 		return Reply{Refusal: refusal, State: connector.StateIdle}
--- a/internal/transactor/outcome.go
+++ b/internal/transactor/outcome.go
@@ -18,10 +18,31 @@
 	// retryable is true if another attempt is safe: nothing was executed, or
 	// only a read.
 	retryable bool
+	// outside is true if the statement of a transaction may have run outside of it.
+	outside bool
 	// keepLease is true if the lease now belongs to a transaction.
 	keepLease bool
 }
 
+// errOutside is the cause of an outcome outside of the statement's transaction.
+var errOutside = errors.New("the statement was answered outside of its transaction")
+
+// ranOutside reports whether the answer to a request shows that the upstream is in no
+// transaction although the request belongs to one. Its begin was then refused, and the answer
+// to an earlier request was taken for that to it.
+func (r *request) ranOutside(requests []connector.Request, i int, a connector.Answer) bool {
+	inTransaction := r.session.tx != nil || requests[0].Verb == connector.VerbBegin
+	return inTransaction && requests[i].Verb == connector.VerbForward && r.statement.Verb != VerbCommit && a.State == connector.StateIdle
+}
+
+// outsideOutcome returns the outcome of a statement that ran, or may still run, outside of its
+// transaction.
+func (r *request) outsideOutcome(upstream string) *outcome {
+	out := r.errorOutcome(&connector.RunError{MayHaveRun: true, Err: errOutside}, upstream)
+	out.outside = true
+	return out
+}
+
 // errorOutcome converts the error of a run into an outcome.
 func (r *request) errorOutcome(err error, upstream string) *outcome {
 	var runErr *connector.RunError
--- a/internal/transactor/request.go
+++ b/internal/transactor/request.go
@@ -139,6 +139,9 @@
 	r.session.holdAnswers(l, answers)
 	r.recordRun(ctx, l, answers, err, time.Since(begin))
 	for i, a := range answers {
+		if r.ranOutside(requests, i, a) {
+			return a, r.outsideOutcome(l.Upstream)
+		}
 		if a.Failure != connector.FailureNone {
 			return a, r.failureOutcome(a, requests[i], l.Upstream)
 		}
--- a/internal/transactor/transaction.go
+++ b/internal/transactor/transaction.go
@@ -30,6 +30,8 @@
 	use *primaryUse
 	// wrote is true once a write was sent.
 	wrote bool
+	// ranOutside is true once a write may have run outside of the transaction.
+	ranOutside bool
 	// failure is the reason why the transaction cannot continue, or nil.
 	failure *refuser.Refusal
 }
@@ -55,6 +57,10 @@
 	a, failed := t.runRetryingBusy(ctx, r)
 	if failed != nil {
 		t.rollBack()
+		if failed.outside && r.writes {
+			t.ranOutside = true
+			return *failed
+		}
 		if failed.refusal.Reason == refuser.ReasonEvacuated {
 			failed.refusal = refuser.Wrap(refuser.ReasonTransactionLost, "upstream "+failed.upstream, failed.refusal)
 			return *failed
@@ -104,6 +110,10 @@
 		requests = append(requests, r.forwardRequest(noFloor))
 	}
 	a, failed := r.run(ctx, l, deadline, requests...)
+	if failed != nil && failed.outside && r.writes {
+		t.ranOutside = true
+		return *failed
+	}
 	if failed != nil {
 		out := transactionLost(*failed)
 		out.retryable = true
