Review 2: stand-ins whose answers come twice

Cases 8 and 9 need them with transactions whose BEGIN is refused, and the script `set` needs them with session values that are refused.

--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -45,8 +45,9 @@
 	link time.Duration
 	// stutter returns after which time an answer is sent again, or false; nil means never.
 	stutter func() (time.Duration, bool)
-	// refuseBegin reports whether a BEGIN is refused with BUSY; nil means never.
-	refuseBegin func() bool
+	// refuseBegin and refuseSet report whether a BEGIN or a SET is refused with BUSY; nil means
+	// never.
+	refuseBegin, refuseSet func() bool
 
 	mu       sync.Mutex
 	term     int
@@ -55,6 +56,8 @@
 	backends []*backend
 	// runs counts the executions of each statement id that had an effect.
 	runs map[string]int
+	// ranWith holds, by statement id, the session value with which it ran.
+	ranWith map[string]string
 	// alone holds the ids of the writes that ran outside of a transaction.
 	alone map[string]bool
 	// arrivals are the callers' statements as they arrived.
@@ -90,7 +93,7 @@
 }
 
 func newGroup(rec *record, f *fleet, service string) *group {
-	return &group{rec: rec, fleet: f, service: service, term: 3, runs: map[string]int{}, alone: map[string]bool{}, signatures: map[string]string{}}
+	return &group{rec: rec, fleet: f, service: service, term: 3, runs: map[string]int{}, alone: map[string]bool{}, ranWith: map[string]string{}, signatures: map[string]string{}}
 }
 
 // add starts a backend. The first one is the primary.
@@ -258,7 +261,7 @@
 	term                        int
 	statements                  int
 	writes                      []commit
-	prepared                    map[string]string
+	values, prepared            map[string]string
 }
 
 func (b *backend) serve(conn net.Conn) {
@@ -296,7 +299,7 @@
 		g.mu.Unlock()
 	}()
 	time.Sleep(openTime)
-	s := &session{b: b, tenant: fields[2], prepared: map[string]string{}}
+	s := &session{b: b, tenant: fields[2], values: map[string]string{}, prepared: map[string]string{}}
 	if _, err := fmt.Fprint(conn, s.ready()); err != nil {
 		return
 	}
@@ -412,10 +415,19 @@
 	case "ROLLBACK", "RESET":
 		s.inTransaction, s.failed, s.writes, s.statements = false, false, nil, 0
 		if verb == "RESET" {
+			clear(s.values)
 			clear(s.prepared)
 		}
 		return "COMPLETE -\r\n"
 	case "SET":
+		g.mu.Lock()
+		refused := g.refuseSet != nil && g.refuseSet()
+		g.mu.Unlock()
+		if refused {
+			return s.fail("BUSY")
+		}
+		name, value, _ := strings.Cut(rest, " ")
+		s.values[name] = value
 		return "COMPLETE -\r\n"
 	case "PREPARE":
 		name, value, _ := strings.Cut(rest, " ")
@@ -459,6 +471,7 @@
 	if s.b.stopped {
 		return s.fail("FAILED")
 	}
+	g.ranWith[id] = s.values[valueName]
 	leads := g.primary == s.b
 	lost := s.inTransaction && !s.read && (!leads || s.term != g.term)
 	switch verb {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,7 +22,7 @@
 
 type caseFunc func(rec *record, f *fleet, p *platform, trouble bool) (held bool, err error)
 
-var cases = map[string]caseFunc{"drain": drainCase, "odd": oddCase, "unnamed": unnamedCase}
+var cases = map[string]caseFunc{"drain": drainCase, "odd": oddCase, "set": setCase, "twice": twiceCase, "unasked": unaskedCase, "unnamed": unnamedCase}
 
 func main() { os.Exit(run()) }
 
