--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -56,8 +56,8 @@
 	backends []*backend
 	// runs counts the executions of each statement id that had an effect.
 	runs map[string]int
-	// ranWith holds, by statement id, the session value with which it ran.
-	ranWith map[string]string
+	// ranWith holds, by statement id, the session value of each of its runs.
+	ranWith map[string][]string
 	// alone holds the ids of the writes that ran outside of a transaction.
 	alone map[string]bool
 	// arrivals are the callers' statements as they arrived.
@@ -93,7 +93,7 @@
 }
 
 func newGroup(rec *record, f *fleet, service string) *group {
-	return &group{rec: rec, fleet: f, service: service, term: 3, runs: map[string]int{}, alone: map[string]bool{}, ranWith: map[string]string{}, signatures: map[string]string{}}
+	return &group{rec: rec, fleet: f, service: service, term: 3, runs: map[string]int{}, alone: map[string]bool{}, ranWith: map[string][]string{}, signatures: map[string]string{}}
 }
 
 // add starts a backend. The first one is the primary.
@@ -471,7 +471,7 @@
 	if s.b.stopped {
 		return s.fail("FAILED")
 	}
-	g.ranWith[id] = s.values[valueName]
+	g.ranWith[id] = append(g.ranWith[id], s.values[valueName])
 	leads := g.primary == s.b
 	lost := s.inTransaction && !s.read && (!leads || s.term != g.term)
 	switch verb {
